Add the workspace, the design page, domain types and peer messages

Cause: the repository was empty. Every other part needs the names, the layers and the messages first. Ruled out: one large crate (the coordination parts are to be embedded by others without sockets), and a build script for tonic (the build must need no generator, so the generated code is committed and a test compares it with a fresh generation by protox). Change: nine packages by layer, ids, units, monotonic time, configuration document, instance settings, peer.proto with generated code, check.sh. Conclusion: a frame for the thin path; no behaviour yet.

--- /dev/null
+++ b/crates/coordination/src/membership/mod.rs
@@ -0,0 +1,1 @@
+//! Membership: which instances are alive, from heartbeat counters spread by gossip.
--- /dev/null
+++ b/crates/coordination/src/ownership/mod.rs
@@ -0,0 +1,1 @@
+//! Ownership: which live entry dispatches to a backend server, and when it may.
--- /dev/null
+++ b/crates/coordination/src/replication/mod.rs
@@ -0,0 +1,1 @@
+//! Replication: versioned state with deltas by change number.
--- /dev/null
+++ b/crates/coordination/src/shift/mod.rs
@@ -0,0 +1,1 @@
+//! Shifts: how fast traffic may move between failure domains.
--- /dev/null
+++ b/crates/operators/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/pollenshed/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/protocol/src/caller/mod.rs
@@ -0,0 +1,105 @@
+//! Names of the callers' HTTP interface, described in `docs/callers.md`.
+
+use std::{fmt, net::SocketAddr, str::FromStr};
+
+use pollenshed_state::ids::{FailureDomainName, InstanceName, ServiceName};
+use serde::{Deserialize, Serialize};
+
+/// Request header: ticket of a non-idempotent request.
+pub const TICKET_HEADER: &str = "pollenshed-ticket";
+/// Request header: milliseconds left until the caller gives up.
+pub const DEADLINE_HEADER: &str = "pollenshed-deadline-ms";
+/// Request header: name of the caller, for fair queueing.
+pub const CALLER_HEADER: &str = "pollenshed-caller";
+/// Request header: the caller's own key for a request without a ticket.
+pub const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
+/// Request header: digest of an upload's part.
+pub const DIGEST_HEADER: &str = "pollenshed-digest";
+/// Answer header: one of [`Outcome`].
+pub const OUTCOME_HEADER: &str = "pollenshed-outcome";
+/// Answer header: why the outcome is not `done`.
+pub const REASON_HEADER: &str = "pollenshed-reason";
+/// Answer header: backend server that ran the request.
+pub const BACKEND_SERVER_HEADER: &str = "pollenshed-backend-server";
+
+/// What became of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// A backend server ran the request and this is its whole answer.
+    Done,
+    /// The request did not run and will not run.
+    NotRun,
+    /// The request may have run.
+    Unknown,
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Outcome::Done => "done",
+            Outcome::NotRun => "not-run",
+            Outcome::Unknown => "unknown",
+        })
+    }
+}
+
+/// The text is not an outcome.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ParseOutcomeError;
+
+impl fmt::Display for ParseOutcomeError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("expected done, not-run or unknown")
+    }
+}
+
+impl std::error::Error for ParseOutcomeError {}
+
+impl FromStr for Outcome {
+    type Err = ParseOutcomeError;
+
+    fn from_str(text: &str) -> Result<Outcome, ParseOutcomeError> {
+        match text {
+            "done" => Ok(Outcome::Done),
+            "not-run" => Ok(Outcome::NotRun),
+            "unknown" => Ok(Outcome::Unknown),
+            _ => Err(ParseOutcomeError),
+        }
+    }
+}
+
+/// Answer of `GET /v1/lookup`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LookupAnswer {
+    /// Service that was asked for.
+    pub service: ServiceName,
+    /// How long the caller may cache the answer.
+    pub ttl_ms: u64,
+    /// Binding for tickets; it names the first entry.
+    pub binding: String,
+    /// Entries to use, the best first.
+    pub entries: Vec<LookupEntry>,
+}
+
+/// One entry in a [`LookupAnswer`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LookupEntry {
+    /// Instance that the entry runs on.
+    pub instance: InstanceName,
+    /// Its failure domain.
+    pub failure_domain: FailureDomainName,
+    /// Where it accepts callers.
+    pub address: SocketAddr,
+}
+
+/// Body of every answer that pollenshed itself gives in place of a backend server's.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RefusalBody {
+    /// What became of the request.
+    pub outcome: Outcome,
+    /// A short fixed word for scripts.
+    pub reason: String,
+    /// A sentence for people.
+    pub detail: String,
+}
--- /dev/null
+++ b/crates/state/src/ids/mod.rs
@@ -0,0 +1,14 @@
+//! Identifiers as newtypes, so that a service name cannot be passed where an instance is meant.
+
+mod digest;
+mod incarnation;
+mod name;
+mod ticket;
+
+pub use digest::{Digest, ParseDigestError};
+pub use incarnation::{ConfigVersion, Incarnation, ParseIncarnationError};
+pub use name::{
+    BackendServerName, CallerName, FailureDomainName, InstanceName, InvalidName, RegionName,
+    ServiceName, UserName,
+};
+pub use ticket::{Binding, ParseTicketError, Ticket};
--- /dev/null
+++ b/crates/state/src/ids/name.rs
@@ -0,0 +1,110 @@
+use std::{fmt, str::FromStr, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+
+/// Longest name accepted, in bytes, so that names fit into log lines and gossip digests.
+pub const MAX_NAME_BYTES: usize = 64;
+
+/// The reason why a text is not a name.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct InvalidName {
+    text: String,
+}
+
+impl fmt::Display for InvalidName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{:?} is not a name: expected 1 to {MAX_NAME_BYTES} of a-z, 0-9 and '-', not starting or ending with '-'",
+            self.text
+        )
+    }
+}
+
+impl std::error::Error for InvalidName {}
+
+fn is_name(text: &str) -> bool {
+    !text.is_empty()
+        && text.len() <= MAX_NAME_BYTES
+        && !text.starts_with('-')
+        && !text.ends_with('-')
+        && text.bytes().all(|b| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-')
+}
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Returns the name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = InvalidName;
+
+            fn from_str(text: &str) -> Result<Self, InvalidName> {
+                if is_name(text) {
+                    Ok(Self(text.into()))
+                } else {
+                    Err(InvalidName { text: text.to_owned() })
+                }
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = InvalidName;
+
+            fn try_from(text: String) -> Result<Self, InvalidName> {
+                text.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> String {
+                name.0.as_ref().to_owned()
+            }
+        }
+    };
+}
+
+name_type!(
+    /// Names an organisation that runs pollenshed, such as `cali` or `tokachi`.
+    UserName
+);
+name_type!(
+    /// Names a region, which holds one or more failure domains.
+    RegionName
+);
+name_type!(
+    /// Names a failure domain, the unit that a network partition can cut off.
+    FailureDomainName
+);
+name_type!(
+    /// Names a service, a group of backend servers that answer the same requests.
+    ServiceName
+);
+name_type!(
+    /// Names a backend server of a service.
+    BackendServerName
+);
+name_type!(
+    /// Names an instance, one machine that runs the daemon.
+    InstanceName
+);
+name_type!(
+    /// Names a caller for fair queueing; callers without a name share one.
+    CallerName
+);
--- /dev/null
+++ b/crates/state/src/settings/mod.rs
@@ -0,0 +1,114 @@
+//! Settings of one instance: who it is, where it listens and whom it talks to.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    ids::{FailureDomainName, InstanceName},
+    units::ByteSize,
+};
+
+/// Settings file of one instance, described in `docs/settings.md`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of this instance, unique among all instances of the user.
+    pub instance: InstanceName,
+    /// Failure domain that the instance is in.
+    pub failure_domain: FailureDomainName,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where other instances connect.
+    pub peer_address: SocketAddr,
+    /// Where operators connect.
+    pub operator_address: SocketAddr,
+    /// Address of the platform's table service, object store and instance list.
+    pub platform_address: SocketAddr,
+    /// Peers to contact while the platform's instance list is not available.
+    #[serde(default)]
+    pub seed_peers: Vec<SocketAddr>,
+    /// Where metrics are sent over UDP; none are sent without it.
+    #[serde(default)]
+    pub metrics_address: Option<SocketAddr>,
+    /// Periods and timeouts.
+    #[serde(default)]
+    pub timing: Timing,
+    /// Limits on the callers' side.
+    #[serde(default)]
+    pub caller_limits: CallerLimits,
+}
+
+/// Periods and timeouts of one instance. All instances of a user should use the same values.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Timing {
+    /// How long a caller may cache a lookup answer.
+    pub lookup_ttl_ms: u64,
+    /// How long a ticket can be used after its binding was issued.
+    pub binding_lifetime_ms: u64,
+    /// Period of gossip.
+    pub gossip_period_ms: u64,
+    /// Silence after which a member is suspect.
+    pub suspect_after_ms: u64,
+    /// Silence after which a member is dead and its backend servers move.
+    pub dead_after_ms: u64,
+    /// Gap in its own control loop after which an owner stops dispatching.
+    pub fence_after_ms: u64,
+    /// Period in which readers poll the platform.
+    pub platform_poll_ms: u64,
+    /// Timeout of one call to the platform.
+    pub platform_timeout_ms: u64,
+    /// Period in which owners read the health and load of their backend servers.
+    pub probe_period_ms: u64,
+    /// How long advertised headroom can be used.
+    pub headroom_ttl_ms: u64,
+    /// Longest time that a planned stop waits for requests in flight.
+    pub stop_timeout_ms: u64,
+}
+
+impl Default for Timing {
+    fn default() -> Timing {
+        Timing {
+            lookup_ttl_ms: 5_000,
+            binding_lifetime_ms: 600_000,
+            gossip_period_ms: 250,
+            suspect_after_ms: 1_500,
+            dead_after_ms: 3_000,
+            fence_after_ms: 1_000,
+            platform_poll_ms: 1_000,
+            platform_timeout_ms: 2_000,
+            probe_period_ms: 500,
+            headroom_ttl_ms: 2_000,
+            stop_timeout_ms: 60_000,
+        }
+    }
+}
+
+/// Limits that protect an entry from its callers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct CallerLimits {
+    /// Connections open at the same time.
+    pub max_connections: u64,
+    /// Size of a request's head.
+    pub max_head_bytes: ByteSize,
+    /// Time within which a request's head must arrive.
+    pub head_timeout_ms: u64,
+    /// Longest pause between two pieces of a request's body.
+    pub body_pause_timeout_ms: u64,
+    /// Request bodies held in memory at the same time, summed over all requests.
+    pub max_buffered_bytes: ByteSize,
+}
+
+impl Default for CallerLimits {
+    fn default() -> CallerLimits {
+        CallerLimits {
+            max_connections: 4_096,
+            max_head_bytes: ByteSize(16 * 1024),
+            head_timeout_ms: 10_000,
+            body_pause_timeout_ms: 10_000,
+            max_buffered_bytes: ByteSize(64 * 1024 * 1024),
+        }
+    }
+}
