Add membership and ownership to the coordination crate

Cause: entries need to agree on who is alive and who dispatches to a backend server without a consensus group. Ruled out: ordering incarnations by their random number (an old one could win), by wall-clock start time (clock steps) and by first contact alone (relayed records have no order). Change: records are ordered by a generation that a restarted process raises above its predecessor's; owners by rendezvous hash; a fence that detects a pause at the moment of dispatch.

--- /dev/null
+++ b/crates/coordination/src/membership/scope.rs
@@ -0,0 +1,40 @@
+//! Selects the members of other failure domains that are kept, so that tables stay small.
+//!
+//! Every instance prefers the same members of a failure domain, because the preference depends on
+//! names only. The selected members are those that exchange gossip between failure domains.
+
+use pollenshed_state::ids::{FailureDomainName, InstanceName};
+
+use super::{hash::hash_of, record::MemberRecord};
+
+/// Returns the preference for an instance as representative; the highest are selected.
+fn preference(instance: &InstanceName) -> u64 {
+    hash_of(&[b"representative", instance.as_str().as_bytes()])
+}
+
+/// Returns up to `count` representatives among the members of one failure domain.
+pub fn representatives<'a>(
+    members: impl Iterator<Item = &'a InstanceName>,
+    count: usize,
+) -> Vec<&'a InstanceName> {
+    let mut ranked: Vec<_> = members.map(|m| (preference(m), m)).collect();
+    ranked.sort_unstable_by(|a, b| b.cmp(a));
+    ranked.into_iter().take(count).map(|(_, m)| m).collect()
+}
+
+/// Decides whether `record` belongs into the table of an instance of `own_domain`.
+///
+/// `others` are the members of the record's failure domain that are running and known already.
+pub fn is_in_scope<'a>(
+    record: &MemberRecord,
+    own_domain: &FailureDomainName,
+    others: impl Iterator<Item = &'a InstanceName>,
+    representatives_per_domain: usize,
+) -> bool {
+    if record.failure_domain == *own_domain {
+        return true;
+    }
+    let own = (preference(&record.instance), &record.instance);
+    let preferred = others.filter(|o| (preference(o), *o) > own).count();
+    preferred < representatives_per_domain
+}
--- /dev/null
+++ b/crates/coordination/src/membership/table.rs
@@ -0,0 +1,314 @@
+//! The table of members and the judgement of each.
+
+use std::collections::BTreeMap;
+
+use pollenshed_state::{
+    ids::{ConfigVersion, InstanceName},
+    time::Instant,
+};
+
+use super::{
+    exchange::Exchange,
+    identity::Identity,
+    record::{Candidate, Heartbeat, MemberRecord, MemberState, Params},
+    scope::is_in_scope,
+};
+
+/// What a merge changed, for log lines and for recomputing ownership.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Change {
+    /// A member was not known before.
+    Joined(InstanceName),
+    /// A member runs as a new incarnation.
+    Restarted(InstanceName),
+    /// A member began to stop.
+    Leaving(InstanceName),
+    /// A member that was dead or unconfirmed runs.
+    Revived(InstanceName),
+    /// Another process has the own name, so the own generation was raised.
+    OwnGenerationRaised(u64),
+    /// Another process with the own name started later; this process must stop.
+    Superseded,
+}
+
+#[derive(Debug, Clone)]
+pub(super) struct Member {
+    pub(super) record: MemberRecord,
+    pub(super) heard_at: Instant,
+    pub(super) is_confirmed: bool,
+    pub(super) heartbeat_sent: u64,
+    pub(super) record_sent: u64,
+    pub(super) record_sends: u32,
+}
+
+/// One instance's view of all members.
+#[derive(Debug, Clone)]
+pub struct Membership {
+    pub(super) own: Identity,
+    pub(super) params: Params,
+    pub(super) members: BTreeMap<InstanceName, Member>,
+    pub(super) by_key: BTreeMap<u64, InstanceName>,
+    pub(super) candidates: Vec<Candidate>,
+    pub(super) sends: u64,
+    last_tick: Instant,
+}
+
+impl Membership {
+    /// Starts with the own record alone.
+    pub fn new(own: MemberRecord, params: Params, now: Instant) -> Membership {
+        Membership {
+            own: Identity::new(own),
+            params,
+            members: BTreeMap::new(),
+            by_key: BTreeMap::new(),
+            candidates: Vec::new(),
+            sends: 0,
+            last_tick: now,
+        }
+    }
+
+    /// Returns the own record.
+    pub fn own(&self) -> &MemberRecord {
+        &self.own.record
+    }
+
+    /// Returns whether a later process has the own name, so that this one must stop.
+    pub fn is_superseded(&self) -> bool {
+        self.own.superseded
+    }
+
+    /// Marks the own instance as stopping.
+    pub fn set_leaving(&mut self) {
+        self.own.record.leaving = true;
+    }
+
+    /// Reports the configuration that this instance obeys.
+    pub fn set_config_version(&mut self, version: ConfigVersion) {
+        self.own.record.config_version = version;
+    }
+
+    /// Replaces the candidates by the platform's list, which makes nobody a member.
+    pub fn set_candidates(&mut self, candidates: Vec<Candidate>) {
+        let own = &self.own.record.instance;
+        self.candidates = candidates.into_iter().filter(|c| c.instance != *own).collect();
+    }
+
+    /// Raises the own counter and forgets members that have been dead for long.
+    ///
+    /// The time of an own pause does not count as silence of others.
+    pub fn tick(&mut self, now: Instant) {
+        let gap_us = now.since_us(self.last_tick);
+        let excess_us = gap_us.saturating_sub(self.params.pause_after_ms.saturating_mul(1000));
+        if excess_us > 0 {
+            for member in self.members.values_mut() {
+                member.heard_at = member.heard_at.plus_us(excess_us);
+            }
+        }
+        self.last_tick = self.last_tick.max(now);
+        self.own.record.counter += 1;
+        self.own.record.stamp_ms = now.as_ms();
+        self.forget(now);
+    }
+
+    fn forget(&mut self, now: Instant) {
+        let after_ms = self.params.dead_after_ms.saturating_add(self.params.tombstone_ms);
+        let by_key = &mut self.by_key;
+        self.members.retain(|_, member| {
+            let is_kept = now.since_ms(member.heard_at) < after_ms;
+            if !is_kept {
+                by_key.remove(&member.record.key());
+            }
+            is_kept
+        });
+    }
+
+    /// Merges what a peer sent. The sender's own record is first-hand, all others may be old.
+    pub fn merge(&mut self, exchange: &Exchange, now: Instant) -> Vec<Change> {
+        let mut changes = Vec::new();
+        self.merge_record(&exchange.sender, true, now, &mut changes);
+        for record in &exchange.records {
+            self.merge_record(record, false, now, &mut changes);
+        }
+        for heartbeat in &exchange.heartbeats {
+            self.merge_heartbeat(heartbeat, now, &mut changes);
+        }
+        changes
+    }
+
+    fn merge_record(
+        &mut self,
+        record: &MemberRecord,
+        is_first_hand: bool,
+        now: Instant,
+        changes: &mut Vec<Change>,
+    ) {
+        if record.instance == self.own.record.instance {
+            return self.merge_own_name(record, now, changes);
+        }
+        match self.members.get(&record.instance) {
+            None => self.insert(record, is_first_hand, now, changes),
+            Some(known) if known.record.incarnation == record.incarnation => {
+                self.advance(record, is_first_hand, now, changes);
+            }
+            Some(known) if record.generation > known.record.generation => {
+                self.by_key.remove(&known.record.key());
+                self.put(record, is_first_hand, now);
+                changes.push(Change::Restarted(record.instance.clone()));
+            }
+            Some(_) => {}
+        }
+    }
+
+    fn merge_own_name(&mut self, record: &MemberRecord, now: Instant, changes: &mut Vec<Change>) {
+        let was_superseded = self.own.superseded;
+        if self.own.observe(record, now) {
+            changes.push(Change::OwnGenerationRaised(self.own.record.generation));
+        }
+        if self.own.superseded && !was_superseded {
+            changes.push(Change::Superseded);
+        }
+    }
+
+    fn insert(
+        &mut self,
+        record: &MemberRecord,
+        is_first_hand: bool,
+        now: Instant,
+        changes: &mut Vec<Change>,
+    ) {
+        let domain = &record.failure_domain;
+        let others = self
+            .members
+            .values()
+            .filter(|m| m.record.failure_domain == *domain && self.judge(m, now).is_running())
+            .map(|m| &m.record.instance);
+        let own_domain = &self.own.record.failure_domain;
+        let count = self.params.representatives_per_domain;
+        if is_in_scope(record, own_domain, others, count) {
+            self.put(record, is_first_hand, now);
+            self.drop_surplus(record, now);
+            changes.push(Change::Joined(record.instance.clone()));
+        }
+    }
+
+    /// Drops members of another failure domain that a new, preferred one has displaced.
+    fn drop_surplus(&mut self, added: &MemberRecord, now: Instant) {
+        if added.failure_domain == self.own.record.failure_domain {
+            return;
+        }
+        let running: Vec<_> = self
+            .members
+            .values()
+            .filter(|m| m.record.failure_domain == added.failure_domain)
+            .filter(|m| self.judge(m, now).is_running())
+            .map(|m| m.record.instance.clone())
+            .collect();
+        let kept =
+            super::scope::representatives(running.iter(), self.params.representatives_per_domain);
+        for instance in running.iter().filter(|i| !kept.contains(i)) {
+            if let Some(member) = self.members.remove(instance) {
+                self.by_key.remove(&member.record.key());
+            }
+        }
+    }
+
+    fn put(&mut self, record: &MemberRecord, is_first_hand: bool, now: Instant) {
+        self.by_key.insert(record.key(), record.instance.clone());
+        let member = Member {
+            record: record.clone(),
+            heard_at: now,
+            is_confirmed: is_first_hand,
+            heartbeat_sent: 0,
+            record_sent: 0,
+            record_sends: 0,
+        };
+        self.members.insert(record.instance.clone(), member);
+    }
+
+    fn advance(
+        &mut self,
+        record: &MemberRecord,
+        is_first_hand: bool,
+        now: Instant,
+        changes: &mut Vec<Change>,
+    ) {
+        let beat =
+            Heartbeat { key: record.key(), counter: record.counter, stamp_ms: record.stamp_ms };
+        self.merge_heartbeat(&beat, now, changes);
+        let Some(member) = self.members.get_mut(&record.instance) else { return };
+        member.is_confirmed |= is_first_hand;
+        let known = &mut member.record;
+        let identity = known.identity_hash();
+        known.generation = known.generation.max(record.generation);
+        known.config_version = known.config_version.max(record.config_version);
+        if record.leaving && !known.leaving {
+            known.leaving = true;
+            changes.push(Change::Leaving(record.instance.clone()));
+        }
+        if identity != known.identity_hash() {
+            member.record_sends = 0;
+        }
+    }
+
+    fn merge_heartbeat(&mut self, beat: &Heartbeat, now: Instant, changes: &mut Vec<Change>) {
+        let Some(instance) = self.by_key.get(&beat.key) else { return };
+        let Some(known) = self.members.get(instance) else { return };
+        if beat.counter <= known.record.counter {
+            return;
+        }
+        let was_running = self.judge(known, now).is_running();
+        let instance = instance.clone();
+        let Some(member) = self.members.get_mut(&instance) else { return };
+        member.record.counter = beat.counter;
+        member.record.stamp_ms = member.record.stamp_ms.max(beat.stamp_ms);
+        member.heard_at = now;
+        member.is_confirmed = true;
+        if !was_running {
+            member.record_sends = 0;
+            changes.push(Change::Revived(instance));
+        }
+    }
+
+    /// Judges one member; time beyond an own pause does not count.
+    pub(super) fn judge(&self, member: &Member, now: Instant) -> MemberState {
+        let seen_until = now.min(self.last_tick.plus_ms(self.params.pause_after_ms));
+        let silence_ms = seen_until.since_ms(member.heard_at);
+        if silence_ms >= self.params.dead_after_ms {
+            MemberState::Dead
+        } else if !member.is_confirmed {
+            MemberState::Unconfirmed
+        } else if member.record.leaving {
+            MemberState::Leaving
+        } else if silence_ms >= self.params.suspect_after_ms {
+            MemberState::Suspect
+        } else {
+            MemberState::Alive
+        }
+    }
+
+    /// Returns the state of an instance, or `None` if it is not known. The own instance is alive.
+    pub fn state_of(&self, instance: &InstanceName, now: Instant) -> Option<MemberState> {
+        if *instance == self.own.record.instance {
+            return Some(self.own_state());
+        }
+        self.members.get(instance).map(|m| self.judge(m, now))
+    }
+
+    fn own_state(&self) -> MemberState {
+        if self.own.record.leaving { MemberState::Leaving } else { MemberState::Alive }
+    }
+
+    /// Returns the record of an instance.
+    pub fn record_of(&self, instance: &InstanceName) -> Option<&MemberRecord> {
+        if *instance == self.own.record.instance {
+            return Some(&self.own.record);
+        }
+        self.members.get(instance).map(|m| &m.record)
+    }
+
+    /// Returns all members with their states, the own one first.
+    pub fn members(&self, now: Instant) -> impl Iterator<Item = (&MemberRecord, MemberState)> {
+        let others = self.members.values().map(move |m| (&m.record, self.judge(m, now)));
+        std::iter::once((&self.own.record, self.own_state())).chain(others)
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/ownership/map.rs
@@ -0,0 +1,118 @@
+//! The backend servers that this instance owns, and from when on it may dispatch to them.
+
+use std::collections::BTreeMap;
+
+use pollenshed_state::{
+    config::Config,
+    ids::{BackendServerName, InstanceName},
+    settings::Timing,
+    time::Instant,
+};
+
+use super::assignment::{Assignment, LiveEntry};
+use crate::membership::MemberState;
+
+/// A server that this instance gained.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Takeover {
+    /// The server.
+    pub server: BackendServerName,
+    /// Its owner before, as far as this instance knew.
+    pub previous: Option<InstanceName>,
+    /// When this instance may start to dispatch.
+    pub usable_at: Instant,
+}
+
+/// What an update changed.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct OwnershipChange {
+    /// Servers that this instance owns now and did not before.
+    pub gained: Vec<Takeover>,
+    /// Servers that this instance must stop dispatching to at once.
+    pub lost: Vec<BackendServerName>,
+}
+
+/// One instance's view of the ownership of all backend servers.
+#[derive(Debug, Clone)]
+pub struct OwnershipMap {
+    own: InstanceName,
+    wait_after_dead_ms: u64,
+    wait_after_live_ms: u64,
+    assignment: Assignment,
+    owned: BTreeMap<BackendServerName, Instant>,
+}
+
+impl OwnershipMap {
+    /// Starts without any server.
+    pub fn new(own: InstanceName, timing: &Timing) -> OwnershipMap {
+        OwnershipMap {
+            own,
+            wait_after_dead_ms: timing.fence_after_ms,
+            wait_after_live_ms: timing.dead_after_ms,
+            assignment: Assignment::default(),
+            owned: BTreeMap::new(),
+        }
+    }
+
+    /// Recomputes the owners. `state_of` tells how a previous owner is judged now.
+    pub fn update(
+        &mut self,
+        config: &Config,
+        entries: &[LiveEntry],
+        state_of: impl Fn(&InstanceName) -> Option<MemberState>,
+        now: Instant,
+    ) -> OwnershipChange {
+        let assignment = Assignment::compute(config, entries);
+        let is_own = |server: &BackendServerName| {
+            assignment.owner(server).is_some_and(|o| o.instance == self.own)
+        };
+        let lost: Vec<_> = self.owned.keys().filter(|s| !is_own(s)).cloned().collect();
+        self.owned.retain(|server, _| is_own(server));
+        let mut gained = Vec::new();
+        for (server, _) in assignment.iter().filter(|(s, _)| is_own(s)) {
+            if self.owned.contains_key(server) {
+                continue;
+            }
+            let previous = self.assignment.owner(server).map(|o| o.instance.clone());
+            let state = previous.as_ref().and_then(&state_of);
+            let usable_at = now.plus_ms(self.wait_ms(state));
+            self.owned.insert(server.clone(), usable_at);
+            gained.push(Takeover { server: server.clone(), previous, usable_at });
+        }
+        self.assignment = assignment;
+        OwnershipChange { gained, lost }
+    }
+
+    fn wait_ms(&self, previous: Option<MemberState>) -> u64 {
+        match previous {
+            Some(MemberState::Leaving) => 0,
+            Some(MemberState::Dead) => self.wait_after_dead_ms,
+            _ => self.wait_after_live_ms,
+        }
+    }
+
+    /// Returns the owner of `server`.
+    pub fn owner(&self, server: &BackendServerName) -> Option<&LiveEntry> {
+        self.assignment.owner(server)
+    }
+
+    /// Returns the owners of all servers.
+    pub fn assignment(&self) -> &Assignment {
+        &self.assignment
+    }
+
+    /// Returns whether this instance owns `server`, usable or not yet.
+    pub fn owns(&self, server: &BackendServerName) -> bool {
+        self.owned.contains_key(server)
+    }
+
+    /// Returns whether this instance owns `server` and the wait for its previous owner is over.
+    pub fn is_usable(&self, server: &BackendServerName, now: Instant) -> bool {
+        self.owned.get(server).is_some_and(|usable_at| now >= *usable_at)
+    }
+
+    /// Returns the servers that this instance owns.
+    pub fn owned(&self) -> impl Iterator<Item = &BackendServerName> {
+        self.owned.keys()
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/ownership/rendezvous.rs
@@ -0,0 +1,20 @@
+//! Rendezvous hashing: each pair of server and entry has a score, and the highest owns the server.
+
+use pollenshed_state::ids::{BackendServerName, InstanceName};
+
+use crate::membership::hash::hash_of;
+
+/// Returns the owner of `server` among `entries`, or `None` if there are none.
+///
+/// The order of `entries` does not matter, and an entry that joins or leaves moves only its own
+/// share of the servers.
+pub fn owner_of<'a>(
+    server: &BackendServerName,
+    entries: impl IntoIterator<Item = &'a InstanceName>,
+) -> Option<&'a InstanceName> {
+    entries.into_iter().max_by_key(|entry| (score(server, entry), *entry))
+}
+
+pub(super) fn score(server: &BackendServerName, entry: &InstanceName) -> u64 {
+    hash_of(&[server.as_str().as_bytes(), entry.as_str().as_bytes()])
+}
