Add routing and shift to the coordination crate

Cause: an entry must choose the owner of a request without overloading a region, a link or a cold cache. Ruled out: dividing shares by random draws (a short interval could exceed its cap) and moving positions by elapsed time (a pause would cause a burst).

--- /dev/null
+++ b/crates/coordination/src/routing/lookup.rs
@@ -0,0 +1,85 @@
+//! The answer to a lookup: which entries a client should use.
+
+use std::net::SocketAddr;
+
+use pollenshed_state::{
+    config::Config,
+    ids::{FailureDomainName, Incarnation, InstanceName, ServiceName},
+    time::Instant,
+};
+
+use crate::membership::{MemberRecord, MemberState, Membership, hash::hash_of};
+
+/// An entry named in a lookup answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RankedEntry {
+    /// The entry.
+    pub instance: InstanceName,
+    /// Run of the entry, for the binding.
+    pub incarnation: Incarnation,
+    /// The entry's own clock as last heard, for the binding.
+    pub stamp_ms: u64,
+    /// Failure domain that the entry is in.
+    pub failure_domain: FailureDomainName,
+    /// Where callers connect.
+    pub address: SocketAddr,
+}
+
+/// Returns up to `limit` live entries, those of `first_domain` first, then those of its region, then
+/// all others in the order of the configuration.
+///
+/// `first_domain` is the client's home failure domain, or the one that
+/// [`crate::shift::Ramp::admit_lookup`] allowed instead. Entries of a failure domain come in an order
+/// that depends on `client` and `service`, so that clients spread evenly; those whose heartbeats are
+/// late come last. An answer whose first entry is in another failure domain than the client's home
+/// moves traffic, so the caller must have it admitted first.
+pub fn rank_entries(
+    config: &Config,
+    membership: &Membership,
+    service: &ServiceName,
+    first_domain: &FailureDomainName,
+    client: &[u8],
+    limit: usize,
+    now: Instant,
+) -> Vec<RankedEntry> {
+    let order = domains_by_distance(config, first_domain);
+    let mut ranked: Vec<_> = membership
+        .members(now)
+        .filter(|(_, state)| state.is_live())
+        .filter_map(|(record, state)| {
+            let distance = order.iter().position(|d| **d == record.failure_domain)?;
+            let is_late = state != MemberState::Alive;
+            Some(((distance, is_late, score(record, service, client)), record))
+        })
+        .collect();
+    ranked.sort_unstable_by_key(|(key, _)| *key);
+    ranked.into_iter().take(limit).map(|(_, record)| ranked_entry(record)).collect()
+}
+
+fn score(record: &MemberRecord, service: &ServiceName, client: &[u8]) -> u64 {
+    hash_of(&[client, service.as_str().as_bytes(), record.instance.as_str().as_bytes()])
+}
+
+fn ranked_entry(record: &MemberRecord) -> RankedEntry {
+    RankedEntry {
+        instance: record.instance.clone(),
+        incarnation: record.incarnation,
+        stamp_ms: record.stamp_ms,
+        failure_domain: record.failure_domain.clone(),
+        address: record.caller_address,
+    }
+}
+
+/// Returns all failure domains: `home`, the others of its region, then those of other regions.
+pub(super) fn domains_by_distance<'a>(
+    config: &'a Config,
+    home: &'a FailureDomainName,
+) -> Vec<&'a FailureDomainName> {
+    let mut order = vec![home];
+    let (own, other): (Vec<_>, Vec<_>) =
+        config.regions.iter().partition(|r| r.failure_domains.contains(home));
+    for region in own.into_iter().chain(other) {
+        order.extend(region.failure_domains.iter().filter(|d| *d != home));
+    }
+    order
+}
--- /dev/null
+++ b/crates/coordination/src/shift/ramp.rs
@@ -0,0 +1,291 @@
+//! The ramp of one service at one entry.
+
+use std::collections::VecDeque;
+
+use pollenshed_state::{
+    config::{Rank, ShiftPolicy},
+    ids::FailureDomainName,
+    time::Instant,
+};
+
+use super::{
+    counts::Counts,
+    position::{ONE_PPM, Shares},
+};
+
+/// Steps in which a position moves by the cap.
+pub const STEPS_PER_INTERVAL: u64 = 20;
+
+/// What a step of a position did, for the log line.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RampStep {
+    /// How much of the traffic moved.
+    pub moved_ppm: u32,
+    /// How much is still to move.
+    pub left_ppm: u32,
+}
+
+/// Why a request may not go to a failure domain now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StayReason {
+    /// The position gives the failure domain no share.
+    NoShare,
+    /// The share of the current interval is used up.
+    ShareUsed,
+    /// What is left of the share is kept for more urgent ranks.
+    KeptForUrgent,
+}
+
+/// Position, target and counts of one service at one entry.
+#[derive(Debug, Clone)]
+pub struct Ramp {
+    home: FailureDomainName,
+    policy: ShiftPolicy,
+    position: Shares,
+    target: Shares,
+    last_step: Option<Instant>,
+    steps: VecDeque<(Instant, u32)>,
+    requests: Counts,
+    lookups: Counts,
+    is_fresh: bool,
+}
+
+impl Ramp {
+    /// Starts with all traffic in the home failure domain.
+    pub fn new(home: FailureDomainName, policy: ShiftPolicy) -> Ramp {
+        Ramp {
+            home,
+            requests: Counts::new(policy.interval_ms),
+            lookups: Counts::new(policy.interval_ms),
+            policy,
+            position: Shares::home(),
+            target: Shares::home(),
+            last_step: None,
+            steps: VecDeque::new(),
+            is_fresh: true,
+        }
+    }
+
+    /// Takes the position of a peer of the same failure domain after a restart.
+    ///
+    /// It is refused once this entry has counted or moved anything. The first step then waits for
+    /// one interval, because the peer may have just used its cap.
+    pub fn adopt(&mut self, position: Shares, now: Instant) -> bool {
+        if !self.is_fresh {
+            return false;
+        }
+        self.is_fresh = false;
+        self.position = position;
+        self.steps.push_back((now, ONE_PPM));
+        true
+    }
+
+    /// Replaces the policy after a configuration change.
+    ///
+    /// Counts of an interval of another length are useless, so nothing moves for one new interval.
+    pub fn set_policy(&mut self, policy: ShiftPolicy, now: Instant) {
+        if policy.interval_ms != self.policy.interval_ms {
+            self.requests = Counts::new(policy.interval_ms);
+            self.lookups = Counts::new(policy.interval_ms);
+            self.steps.push_back((now, ONE_PPM));
+        }
+        self.policy = policy;
+    }
+
+    /// Sets where the traffic should go.
+    pub fn set_target(&mut self, target: Shares) {
+        self.target = target;
+    }
+
+    /// Returns the home failure domain.
+    pub fn home(&self) -> &FailureDomainName {
+        &self.home
+    }
+
+    /// Returns the shares in force.
+    pub fn position(&self) -> &Shares {
+        &self.position
+    }
+
+    /// Returns the shares to reach.
+    pub fn target(&self) -> &Shares {
+        &self.target
+    }
+
+    /// Returns the share of `domain`, which can be the home failure domain.
+    pub fn share_ppm(&self, domain: &FailureDomainName) -> u32 {
+        if *domain == self.home { self.position.home_ppm() } else { self.position.of(domain) }
+    }
+
+    /// Returns the failure domain that takes what rounding leaves: the one with the largest share.
+    pub fn base(&self) -> &FailureDomainName {
+        let mut base = (&self.home, self.position.home_ppm());
+        for (domain, share) in self.position.iter() {
+            if share > base.1 {
+                base = (domain, share);
+            }
+        }
+        base.0
+    }
+
+    /// Moves the position by at most one step.
+    ///
+    /// Call it at least [`STEPS_PER_INTERVAL`] times per interval, or the shift takes longer.
+    /// `are_receivers_cold` selects the lower cap.
+    pub fn step(&mut self, are_receivers_cold: bool, now: Instant) -> RampStep {
+        let allowed = self.allowed_step_ppm(are_receivers_cold, now);
+        let moved_ppm = self.position.step_towards(&self.target, allowed);
+        if moved_ppm > 0 {
+            self.is_fresh = false;
+            self.last_step = Some(now);
+            self.steps.push_back((now, moved_ppm));
+        }
+        RampStep { moved_ppm, left_ppm: self.position.distance_ppm(&self.target) }
+    }
+
+    fn allowed_step_ppm(&mut self, are_receivers_cold: bool, now: Instant) -> u32 {
+        let interval_us = self.policy.interval_ms.saturating_mul(1000);
+        // A step is forgotten only after the interval, so that both ends of a window count.
+        while self.steps.front().is_some_and(|(at, _)| now.since_us(*at) > interval_us) {
+            self.steps.pop_front();
+        }
+        let spacing_us = interval_us.div_ceil(STEPS_PER_INTERVAL);
+        if self.last_step.is_some_and(|at| now.since_us(at) < spacing_us) {
+            return 0;
+        }
+        let warm = self.policy.cap_percent.0;
+        let cold = self.policy.cold_cap_percent.0.min(warm);
+        let cap_percent = if are_receivers_cold { cold } else { warm }.min(100);
+        let cap_ppm = cap_percent as u32 * (ONE_PPM / 100);
+        let used_ppm = self.steps.iter().fold(0u32, |sum, (_, moved)| sum.saturating_add(*moved));
+        (cap_ppm / STEPS_PER_INTERVAL as u32).min(cap_ppm.saturating_sub(used_ppm))
+    }
+
+    /// Counts a request that arrived. Call it once per request, before [`Ramp::check`].
+    pub fn arrive(&mut self, rank: Rank, now: Instant) {
+        self.is_fresh = false;
+        self.requests.arrive(rank, now);
+    }
+
+    /// Tells whether a request that arrived may go to `domain`.
+    ///
+    /// `lost_ppm` is the share of failure domains that can't serve now.
+    pub fn check(
+        &mut self,
+        domain: &FailureDomainName,
+        rank: Rank,
+        lost_ppm: u32,
+        now: Instant,
+    ) -> Result<(), StayReason> {
+        self.check_share(domain, Kind::Request, now)?;
+        if self.is_kept_for_urgent(domain, rank, lost_ppm) {
+            return Err(StayReason::KeptForUrgent);
+        }
+        Ok(())
+    }
+
+    /// Counts that a request went to `domain`. Call it only after [`Ramp::check`] allowed it.
+    pub fn sent(&mut self, domain: &FailureDomainName, rank: Rank, now: Instant) {
+        self.requests.send(domain, rank, now);
+    }
+
+    /// Counts a lookup. Call it once per lookup, before [`Ramp::admit_lookup`].
+    pub fn lookup_arrived(&mut self, now: Instant) {
+        self.is_fresh = false;
+        self.lookups.arrive(LOOKUP_RANK, now);
+    }
+
+    /// Tells whether the answer to a lookup may put entries of `domain` first, and counts it if so.
+    pub fn admit_lookup(
+        &mut self,
+        domain: &FailureDomainName,
+        now: Instant,
+    ) -> Result<(), StayReason> {
+        self.check_share(domain, Kind::Lookup, now)?;
+        self.lookups.send(domain, LOOKUP_RANK, now);
+        Ok(())
+    }
+
+    fn check_share(
+        &mut self,
+        domain: &FailureDomainName,
+        kind: Kind,
+        now: Instant,
+    ) -> Result<(), StayReason> {
+        self.requests.expire(now);
+        self.lookups.expire(now);
+        let share = self.share_ppm(domain);
+        if share == 0 {
+            return Err(StayReason::NoShare);
+        }
+        let (this, other) = match kind {
+            Kind::Request => (&self.requests, &self.lookups),
+            Kind::Lookup => (&self.lookups, &self.requests),
+        };
+        let sent = this.totals().sent_to(domain) + 1;
+        let fits = if domain == self.base() {
+            sent <= self.left_for_base(this.totals().all_arrived())
+        } else {
+            let others = (other.totals().sent_to(domain), other.sure_arrivals(now));
+            is_within((sent, this.sure_arrivals(now)), others, share)
+        };
+        if fits { Ok(()) } else { Err(StayReason::ShareUsed) }
+    }
+
+    /// Returns how many of `arrived` requests the others leave to the base after rounding down.
+    fn left_for_base(&self, arrived: u64) -> u64 {
+        let base = self.base();
+        let away = self.position.iter().map(|(domain, _)| domain);
+        let others = away.chain([&self.home]).filter(|domain| *domain != base);
+        arrived - others.map(|d| whole_part(arrived, self.share_ppm(d))).sum::<u64>()
+    }
+
+    /// Returns whether more urgent arrivals need what is left of the shares.
+    ///
+    /// While all failure domains serve, that is the share outside the base, because the base refuses
+    /// nobody; otherwise it is everything that can be served.
+    fn is_kept_for_urgent(&self, domain: &FailureDomainName, rank: Rank, lost_ppm: u32) -> bool {
+        let base = self.base();
+        let is_lossless = lost_ppm == 0;
+        if is_lossless && domain == base {
+            return false;
+        }
+        let totals = self.requests.totals();
+        let is_counted = |d: &FailureDomainName| !is_lossless || d != base;
+        let counted = totals.sent.iter().filter(|(d, _)| is_counted(d));
+        let sent: u64 = counted.flat_map(|(_, ranks)| &ranks[rank.index()..]).sum();
+        let urgent: u64 = totals.arrived[..rank.index()].iter().sum();
+        let share = if is_lossless {
+            ONE_PPM - self.share_ppm(base)
+        } else {
+            ONE_PPM.saturating_sub(lost_ppm)
+        };
+        urgent > 0 && urgent + sent + 1 > whole_part(totals.all_arrived(), share)
+    }
+}
+
+/// Lookups do not tell which operations follow, so all are counted under one rank.
+const LOOKUP_RANK: Rank = Rank::Urgent;
+
+#[derive(Clone, Copy)]
+enum Kind {
+    Request,
+    Lookup,
+}
+
+/// Returns the share of `count`, rounded down.
+fn whole_part(count: u64, share_ppm: u32) -> u64 {
+    (u128::from(count) * u128::from(share_ppm) / u128::from(ONE_PPM)) as u64
+}
+
+/// Returns whether two fractions (part, whole) add up to `share_ppm` at most, without rounding.
+fn is_within(this: (u64, u64), other: (u64, u64), share_ppm: u32) -> bool {
+    let [a, b, c, d] = [this.0, this.1, other.0, other.1].map(u128::from);
+    let (one, share) = (u128::from(ONE_PPM), u128::from(share_ppm));
+    if c == 0 {
+        return a * one <= b * share;
+    }
+    // The product is at most 2^20 times the square of the events of one interval, far below 2^128.
+    let d = d.max(1);
+    (a * d + c * b) * one <= b * d * share
+}
