Serve a request from end to end through separate processes

Cause: there was no whole path; every later proof needs one. Ruled out: rouille for the callers' port (it starts a thread for each connection and has no limit on heads, connections or slow senders; hyper is already below tonic), one port for work and control (a flood would delay heartbeats), pooled connections for non-idempotent work (on a connection that the server has just closed nobody can tell whether the request ran). Change: platform and backend server stand-ins, clients for both, peers over tonic on two ports, ticket ledger and attempt table, the daemon's roles on top of membership, ownership, routing and shift, a thin `submit`.

--- a/crates/coordination/src/membership/record.rs
+++ b/crates/coordination/src/membership/record.rs
@@ -25,8 +25,10 @@
     pub counter: u64,
     /// Whether the instance is stopping; never taken back within an incarnation.
     pub leaving: bool,
-    /// Where other instances connect.
+    /// Where other instances connect for control messages.
     pub peer_address: SocketAddr,
+    /// Where other instances connect to hand over requests.
+    pub relay_address: SocketAddr,
     /// Where callers connect.
     pub caller_address: SocketAddr,
     /// Configuration that the instance obeys.
--- /dev/null
+++ b/crates/pollenshed/src/cmd/serve.rs
@@ -0,0 +1,47 @@
+use std::{fs, process::ExitCode};
+
+use clap::{Arg, ArgMatches, Command};
+use eyre::{Result, WrapErr, eyre};
+use pollenshed::instance::Instance;
+use pollenshed_state::settings::Settings;
+
+use super::{EXIT_FAILED, EXIT_REFUSED, fail};
+
+/// Describes `pollenshed serve`.
+pub fn command() -> Command {
+    Command::new("serve")
+        .about("Runs one instance until SIGTERM or SIGINT, then stops it as planned.")
+        .arg(
+            Arg::new("settings").required(true).value_name("FILE").help("Settings of the instance"),
+        )
+        .after_help("Example: pollenshed serve /etc/pollenshed/palermo-a-1.json")
+}
+
+/// Runs `pollenshed serve`.
+pub fn run(args: &ArgMatches) -> ExitCode {
+    let file = args.get_one::<String>("settings").map_or("", String::as_str);
+    let settings = match read(file) {
+        Ok(settings) => settings,
+        Err(e) => return fail(EXIT_REFUSED, format!("{e:#}")),
+    };
+    match serve(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => fail(EXIT_FAILED, format!("{e:#}")),
+    }
+}
+
+fn read(file: &str) -> Result<Settings> {
+    let text = fs::read_to_string(file).wrap_err_with(|| format!("cannot read {file}"))?;
+    serde_json::from_str(&text).map_err(|e| eyre!("{file}: {e}"))
+}
+
+fn serve(settings: Settings) -> Result<()> {
+    env_logger::init();
+    let instance = Instance::spawn(settings)?;
+    println!("ready: callers http://{}", instance.caller_address());
+    println!("ready: operators http://{}", instance.operator_address());
+    println!("ready: peers http://{}", instance.shared().settings.peer_address);
+    instance.wait_for_signal()?;
+    instance.kill();
+    Ok(())
+}
--- /dev/null
+++ b/crates/pollenshed/src/config.rs
@@ -0,0 +1,105 @@
+//! The configuration in force at this instance.
+
+use std::{
+    fmt,
+    sync::{Arc, PoisonError, RwLock},
+};
+
+use bytes::Bytes;
+use pollenshed_state::{
+    config::Config,
+    ids::{ConfigVersion, Digest},
+};
+
+/// A configuration that was accepted, with its canonical document for peers.
+#[derive(Debug, Clone)]
+pub struct InForce {
+    /// Number of the configuration.
+    pub version: ConfigVersion,
+    /// Digest of the canonical document.
+    pub digest: Digest,
+    /// The canonical document.
+    pub document: Bytes,
+    /// The parsed document.
+    pub config: Config,
+}
+
+/// Why an offered configuration was not taken.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Rejected {
+    /// The offered version is the one in force.
+    Same,
+    /// The offered version is older. It is reported and not obeyed.
+    Older {
+        /// The version in force.
+        in_force: ConfigVersion,
+    },
+    /// The document does not have the announced digest.
+    WrongDigest,
+    /// The document can't be read.
+    Malformed(String),
+}
+
+impl fmt::Display for Rejected {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Rejected::Same => f.write_str("the version is in force already"),
+            Rejected::Older { in_force } => {
+                write!(f, "the version is older than version {in_force} in force")
+            }
+            Rejected::WrongDigest => f.write_str("the document does not have the announced digest"),
+            Rejected::Malformed(e) => write!(f, "the document can't be read: {e}"),
+        }
+    }
+}
+
+/// Holds the configuration in force. Its version only goes up.
+#[derive(Debug, Default)]
+pub struct ConfigSlot {
+    current: RwLock<Option<Arc<InForce>>>,
+}
+
+impl ConfigSlot {
+    /// Returns the configuration in force, or nothing before the first one arrived.
+    pub fn get(&self) -> Option<Arc<InForce>> {
+        self.current.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Returns the version in force, 0 for none.
+    pub fn version(&self) -> ConfigVersion {
+        self.get().map_or(ConfigVersion(0), |c| c.version)
+    }
+
+    /// Takes a document if its version is higher and its digest is right.
+    pub fn offer(
+        &self,
+        version: ConfigVersion,
+        digest: Digest,
+        document: Bytes,
+    ) -> Result<Arc<InForce>, Rejected> {
+        self.check_version(version)?;
+        if Digest::of(&document) != digest {
+            return Err(Rejected::WrongDigest);
+        }
+        let config =
+            serde_json::from_slice(&document).map_err(|e| Rejected::Malformed(e.to_string()))?;
+        let offered = Arc::new(InForce { version, digest, document, config });
+        let mut current = self.current.write().unwrap_or_else(PoisonError::into_inner);
+        // Another thread may have taken a higher version while the document was parsed.
+        if let Some(present) = current.as_ref().filter(|c| c.version >= version) {
+            return Err(Rejected::Older { in_force: present.version });
+        }
+        *current = Some(offered.clone());
+        Ok(offered)
+    }
+
+    /// Tells whether a version would be taken, before its document is fetched.
+    pub fn check_version(&self, version: ConfigVersion) -> Result<(), Rejected> {
+        let in_force = self.version();
+        match version.cmp(&in_force) {
+            std::cmp::Ordering::Greater => Ok(()),
+            std::cmp::Ordering::Equal => Err(Rejected::Same),
+            std::cmp::Ordering::Less => Err(Rejected::Older { in_force }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/pollenshed/src/entry/http.rs
@@ -0,0 +1,208 @@
+//! Reads callers' requests.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use http_body_util::{BodyExt, Limited};
+use hyper::{Request, Response, StatusCode, body::Incoming};
+use pollenshed_protocol::{
+    caller::{CALLER_HEADER, DEADLINE_HEADER, Outcome, TICKET_HEADER},
+    peer::{Header, HttpRequest},
+};
+use pollenshed_state::{
+    config::{Operation, Service},
+    ids::{ServiceName, Ticket},
+    time::Instant,
+};
+use pollenshed_transport::edge::AnswerBody;
+
+use super::{
+    answer::{from_reply, json, refusal},
+    dispatch, ticketed,
+};
+use crate::{
+    config::InForce,
+    instance::Shared,
+    lookup::{self, NoAnswer},
+};
+
+const RUN_PREFIX: &str = "/v1/run/";
+
+/// An answer that ends a request before it is relayed.
+type Refused = Box<Response<AnswerBody>>;
+
+/// Answers one request of a caller.
+pub async fn handle(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+    peer: SocketAddr,
+) -> Response<AnswerBody> {
+    let path = request.uri().path();
+    if path == "/v1/lookup" {
+        return lookup_request(&shared, &request, peer);
+    }
+    if path.starts_with(RUN_PREFIX) {
+        return match run_request(shared, request).await {
+            Ok(answer) => answer,
+            Err(refused) => *refused,
+        };
+    }
+    invalid(StatusCode::NOT_FOUND, "no such path; see docs/callers.md")
+}
+
+fn lookup_request(
+    shared: &Shared,
+    request: &Request<Incoming>,
+    peer: SocketAddr,
+) -> Response<AnswerBody> {
+    let query = request.uri().query().unwrap_or_default();
+    let field =
+        |name: &str| query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
+    let Some(service) = field("service").and_then(|s| s.parse::<ServiceName>().ok()) else {
+        return invalid(StatusCode::BAD_REQUEST, "expected ?service=NAME");
+    };
+    let client = match field("client").map(str::parse) {
+        None => peer.ip(),
+        Some(Ok(ip)) => ip,
+        Some(Err(_)) => return invalid(StatusCode::BAD_REQUEST, "client is not an IP address"),
+    };
+    match lookup::answer(shared, &service, client) {
+        Ok(answer) => json(StatusCode::OK, &answer),
+        Err(NoAnswer::UnknownService) => {
+            invalid(StatusCode::NOT_FOUND, "the configuration has no such service")
+        }
+        Err(NoAnswer::NoConfiguration) => {
+            unavailable("no-configuration", "no configuration has reached this instance yet")
+        }
+        Err(NoAnswer::NoEntry) => unavailable("no-entry", "no entry is alive"),
+    }
+}
+
+/// A request that was read and classified.
+pub struct Classified {
+    /// The request to relay.
+    pub request: HttpRequest,
+    /// Rank and idempotency.
+    pub operation: Operation,
+    /// Until when the caller waits.
+    pub deadline: Instant,
+    /// Configuration that classified it.
+    pub current: Arc<InForce>,
+}
+
+impl Classified {
+    /// Returns the service of the request.
+    pub fn service(&self) -> Option<&Service> {
+        let name = &self.request.service;
+        self.current.config.services.iter().find(|s| s.name.as_str() == name)
+    }
+}
+
+async fn run_request(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Refused> {
+    let current = shared.config.get().ok_or_else(|| {
+        Box::new(unavailable("no-configuration", "no configuration has reached this instance yet"))
+    })?;
+    let path = request.uri().path_and_query().map_or("/", |p| p.as_str());
+    let rest = path.strip_prefix(RUN_PREFIX).unwrap_or_default();
+    let (name, path) = match rest.find(['/', '?']) {
+        Some(at) if rest.as_bytes()[at] == b'/' => (&rest[..at], rest[at..].to_owned()),
+        Some(at) => (&rest[..at], format!("/{}", &rest[at..])),
+        None => (rest, "/".to_owned()),
+    };
+    let config = &current.config;
+    let service =
+        config.services.iter().find(|s| s.name.as_str() == name).ok_or_else(|| {
+            invalid(StatusCode::NOT_FOUND, "the configuration has no such service")
+        })?;
+    let method = request.method().as_str().to_owned();
+    let operation = service.operation(&method, &path).cloned().ok_or_else(|| {
+        refuse(StatusCode::METHOD_NOT_ALLOWED, "the service declares no such operation")
+    })?;
+    let deadline = read_deadline(&shared, &request, &current, &operation)?;
+    let ticket = read_ticket(&request)?;
+    let caller = header(&request, CALLER_HEADER).unwrap_or("anonymous").to_owned();
+    let headers = passed_headers(&request);
+    let limit = usize::try_from(service.max_request_bytes.0).unwrap_or(usize::MAX);
+    let service_name = service.name.to_string();
+    let body = Limited::new(request.into_body(), limit)
+        .collect()
+        .await
+        .map_err(|e| body_error(&*e, limit))?
+        .to_bytes();
+    let request = HttpRequest { service: service_name, method, path, headers, body, caller };
+    let work = Classified { request, operation, deadline, current };
+    let reply = match (work.operation.idempotent, ticket) {
+        (true, _) => dispatch::run_idempotent(&shared, &work).await,
+        (false, Some(ticket)) => ticketed::run(&shared, ticket, work).await,
+        (false, None) => {
+            return Err(refuse(
+                StatusCode::PRECONDITION_REQUIRED,
+                "the operation is not idempotent, so the request needs a ticket; see docs/callers.md",
+            ));
+        }
+    };
+    Ok(from_reply(reply))
+}
+
+fn read_deadline(
+    shared: &Shared,
+    request: &Request<Incoming>,
+    current: &InForce,
+    operation: &Operation,
+) -> Result<Instant, Refused> {
+    let policy = current.config.ranks.iter().find(|p| p.rank == operation.rank);
+    let longest_ms = policy.map_or(0, |p| p.deadline_ms);
+    let wanted_ms = match header(request, DEADLINE_HEADER) {
+        None => longest_ms,
+        Some(text) => text.parse().map_err(|_| {
+            refuse(StatusCode::BAD_REQUEST, "pollenshed-deadline-ms is not a whole number")
+        })?,
+    };
+    Ok(shared.clock.now().plus_ms(wanted_ms.min(longest_ms)))
+}
+
+fn read_ticket(request: &Request<Incoming>) -> Result<Option<Ticket>, Refused> {
+    match header(request, TICKET_HEADER).map(str::parse::<Ticket>) {
+        None => Ok(None),
+        Some(Ok(ticket)) => Ok(Some(ticket)),
+        Some(Err(e)) => Err(refuse(StatusCode::BAD_REQUEST, &format!("pollenshed-ticket: {e}"))),
+    }
+}
+
+fn header<'a>(request: &'a Request<Incoming>, name: &str) -> Option<&'a str> {
+    request.headers().get(name)?.to_str().ok()
+}
+
+fn passed_headers(request: &Request<Incoming>) -> Vec<Header> {
+    request
+        .headers()
+        .iter()
+        .filter(|(name, _)| pollenshed_transport::backend::passes_on(name.as_str()))
+        .filter_map(|(name, value)| {
+            let value = value.to_str().ok()?.to_owned();
+            Some(Header { name: name.as_str().to_owned(), value })
+        })
+        .collect()
+}
+
+fn body_error(error: &(dyn std::error::Error + 'static), limit: usize) -> Refused {
+    if error.is::<http_body_util::LengthLimitError>() {
+        let detail = format!("the body is larger than {limit} bytes; use an upload in parts");
+        return refuse(StatusCode::PAYLOAD_TOO_LARGE, &detail);
+    }
+    refuse(StatusCode::BAD_REQUEST, "the body ended before its announced length")
+}
+
+fn refuse(status: StatusCode, detail: &str) -> Refused {
+    Box::new(invalid(status, detail))
+}
+
+fn invalid(status: StatusCode, detail: &str) -> Response<AnswerBody> {
+    refusal(status, Outcome::NotRun, "invalid", detail)
+}
+
+fn unavailable(reason: &str, detail: &str) -> Response<AnswerBody> {
+    refusal(StatusCode::SERVICE_UNAVAILABLE, Outcome::NotRun, reason, detail)
+}
--- /dev/null
+++ b/crates/pollenshed/src/entry/mod.rs
@@ -0,0 +1,48 @@
+//! Entry: takes callers' requests, routes them to owners and answers.
+
+mod answer;
+mod dispatch;
+mod http;
+mod routing;
+mod ticketed;
+
+use std::{io, sync::Arc};
+
+use pollenshed_protocol::peer::{AnswerReply, NotRunReason, RelayRequest};
+use pollenshed_state::ids::Ticket;
+use pollenshed_transport::edge::Edge;
+use tokio::net::TcpListener;
+
+pub use routing::Routing;
+use ticketed::run_named;
+
+use crate::{instance::Shared, wire};
+
+/// Serves callers on `listener`.
+pub async fn bind(shared: Arc<Shared>, listener: TcpListener) -> io::Result<Edge> {
+    let limits = shared.settings.caller_limits;
+    let handler = move |request, peer| {
+        let shared = shared.clone();
+        async move { http::handle(shared, request, peer).await }
+    };
+    Edge::spawn(listener, limits, handler)
+}
+
+/// Runs a request that a peer relayed because its ticket names this instance.
+pub async fn run_relayed(shared: &Arc<Shared>, relayed: RelayRequest) -> AnswerReply {
+    let invalid = |detail: &str| wire::not_run(NotRunReason::Invalid, detail);
+    let Ok(ticket) = relayed.ticket.parse::<Ticket>() else {
+        return invalid("the relayed ticket can't be read");
+    };
+    let (Some(request), Some(current)) = (relayed.request, shared.config.get()) else {
+        return invalid("the relayed request can't be read");
+    };
+    let service = current.config.services.iter().find(|s| s.name.as_str() == request.service);
+    let operation = service.and_then(|s| s.operation(&request.method, &request.path)).cloned();
+    let Some(operation) = operation else {
+        return invalid("the service declares no such operation");
+    };
+    let deadline = shared.clock.now().plus_us(relayed.deadline_left_us);
+    let work = http::Classified { request, operation, deadline, current };
+    run_named(shared, ticket, work).await
+}
--- /dev/null
+++ b/crates/pollenshed/src/entry/routing.rs
@@ -0,0 +1,74 @@
+//! Routing state of the entry: the router and one ramp per service.
+
+use std::collections::HashMap;
+
+use pollenshed_coordination::{
+    routing::{Advertisements, LinkBudget, NoCapacity, RouteRequest, RouteView, Router, Target},
+    shift::Ramp,
+};
+use pollenshed_state::{
+    config::{Config, Network},
+    ids::ServiceName,
+    settings::Settings,
+    time::Instant,
+    units::{BitRate, Percent},
+};
+
+/// Where this entry sends requests and how fast that may change.
+pub struct Routing {
+    settings: Settings,
+    /// The router with headroom and link budgets.
+    pub router: Router,
+    /// One ramp per service.
+    pub ramps: HashMap<ServiceName, Ramp>,
+}
+
+impl Routing {
+    /// Starts at home for every service, without any right to use other failure domains.
+    pub fn new(settings: &Settings, now: Instant) -> Routing {
+        let ttl_ms = settings.timing.headroom_ttl_ms;
+        // Headroom that a former incarnation could still be using must expire first.
+        let adverts = Advertisements::new(ttl_ms, now.plus_ms(ttl_ms));
+        let none = Network {
+            between_failure_domains_us: 0,
+            between_regions_us: 0,
+            to_clients_us: 0,
+            region_link_bits_per_s: BitRate(0),
+            region_link_share_percent: Percent(0),
+        };
+        let links = LinkBudget::new(&none, 1, now);
+        Routing {
+            router: Router::new(settings.failure_domain.clone(), adverts, links),
+            ramps: HashMap::new(),
+            settings: settings.clone(),
+        }
+    }
+
+    /// Takes over policies of a configuration.
+    pub fn apply(&mut self, config: &Config, entries_in_region: u64, now: Instant) {
+        self.router.links.set_share(&config.network, entries_in_region, now);
+        for service in &config.services {
+            let home = self.settings.failure_domain.clone();
+            self.ramps
+                .entry(service.name.clone())
+                .and_modify(|ramp| ramp.set_policy(service.shift.clone(), now))
+                .or_insert_with(|| Ramp::new(home, service.shift.clone()));
+        }
+        self.ramps.retain(|name, _| config.services.iter().any(|s| s.name == *name));
+    }
+
+    /// Chooses the owner of a request.
+    pub fn choose(
+        &mut self,
+        request: &RouteRequest<'_>,
+        view: RouteView<'_>,
+        now: Instant,
+    ) -> Result<Target, NoCapacity> {
+        let home = self.settings.failure_domain.clone();
+        let ramp = self
+            .ramps
+            .entry(view.service.name.clone())
+            .or_insert_with(|| Ramp::new(home, view.service.shift.clone()));
+        self.router.choose(request, view, ramp, now)
+    }
+}
--- /dev/null
+++ b/crates/pollenshed/src/entry/ticketed.rs
@@ -0,0 +1,135 @@
+//! Non-idempotent requests: run at most once under their ticket.
+
+use std::{sync::Arc, time::Duration};
+
+use pollenshed_coordination::ledger::Admission;
+use pollenshed_protocol::peer::{AnswerReply, NotRunReason, RelayRequest, UnknownReason};
+use pollenshed_state::{ids::Ticket, time::Instant};
+use tokio::sync::watch;
+
+use super::{dispatch, http::Classified};
+use crate::{instance::Shared, util::lock, wire};
+
+/// Time beyond the deadline in which a waiting copy still learns the outcome.
+const WAIT_GRACE_MS: u64 = 1_500;
+
+/// Runs a request at the entry that its ticket names, here or at a peer.
+pub async fn run(shared: &Arc<Shared>, ticket: Ticket, work: Classified) -> AnswerReply {
+    if ticket.binding.instance == shared.settings.instance {
+        return run_named(shared, ticket, work).await;
+    }
+    relay(shared, &ticket, &work).await
+}
+
+/// Runs a request whose ticket names this instance.
+pub async fn run_named(shared: &Arc<Shared>, ticket: Ticket, work: Classified) -> AnswerReply {
+    let now = shared.clock.now();
+    let content = wire::content_digest(&work.request);
+    let (admission, waiter) = {
+        let mut ledger = lock(&shared.ledger);
+        let admission = ledger.admit(&ticket, content, now);
+        // The ledger stays locked, so that the outcome can't be recorded between the two steps.
+        let waiter = subscribe(shared, &ticket, &admission);
+        (admission, waiter)
+    };
+    match admission {
+        Admission::Run => {}
+        Admission::Wait => return wait(shared, waiter, work.deadline).await,
+        Admission::Recorded(reply) => return reply,
+        Admission::Conflict => return wire::conflict(),
+        Admission::OutcomeDropped => {
+            return wire::unknown(UnknownReason::AnswerNotKept, "the answer is no longer kept");
+        }
+        Admission::Expired => {
+            return wire::unknown(UnknownReason::TicketExpired, "the ticket has expired");
+        }
+        Admission::NotNamed => {
+            return wire::unknown(UnknownReason::EntryGone, "the named entry has restarted");
+        }
+        Admission::Full => {
+            return wire::not_run_retry(
+                NotRunReason::Overloaded,
+                1_000,
+                "the entry keeps too many tickets",
+            );
+        }
+    }
+    let deadline = work.deadline;
+    let runner = shared.clone();
+    // A task of its own goes on when the caller disconnects, so that a resend finds the outcome.
+    shared.work.spawn(async move {
+        let reply = dispatch::run_once(&runner, &work, &ticket.to_string()).await;
+        let bytes = wire::reply_bytes(&reply);
+        lock(&runner.ledger).record(&ticket, reply.clone(), bytes);
+        if let Some(sender) = lock(&runner.waiting).remove(&ticket) {
+            sender.send_replace(Some(reply));
+        }
+    });
+    wait(shared, waiter, deadline).await
+}
+
+fn subscribe(
+    shared: &Shared,
+    ticket: &Ticket,
+    admission: &Admission<AnswerReply>,
+) -> Option<watch::Receiver<Option<AnswerReply>>> {
+    let mut waiting = lock(&shared.waiting);
+    match admission {
+        Admission::Run => {
+            let (sender, receiver) = watch::channel(None);
+            waiting.insert(ticket.clone(), sender);
+            Some(receiver)
+        }
+        Admission::Wait => waiting.get(ticket).map(watch::Sender::subscribe),
+        _ => None,
+    }
+}
+
+async fn wait(
+    shared: &Shared,
+    waiter: Option<watch::Receiver<Option<AnswerReply>>>,
+    deadline: Instant,
+) -> AnswerReply {
+    let late = || wire::unknown(UnknownReason::Timeout, "the request had no outcome in time");
+    let Some(mut waiter) = waiter else { return late() };
+    let left_us = deadline.plus_ms(WAIT_GRACE_MS).since_us(shared.clock.now());
+    let outcome = waiter.wait_for(Option::is_some);
+    match tokio::time::timeout(Duration::from_micros(left_us), outcome).await {
+        Ok(Ok(reply)) => reply.clone().unwrap_or_else(late),
+        _ => late(),
+    }
+}
+
+/// Hands a request to the entry that its ticket names; nobody else may run it.
+async fn relay(shared: &Arc<Shared>, ticket: &Ticket, work: &Classified) -> AnswerReply {
+    let gone = |detail: &str| wire::unknown(UnknownReason::EntryGone, detail);
+    let address = {
+        let membership = lock(&shared.membership);
+        membership
+            .record_of(&ticket.binding.instance)
+            .filter(|r| r.incarnation == ticket.binding.incarnation)
+            .map(|r| r.relay_address)
+    };
+    let Some(address) = address else {
+        return gone("the entry that the ticket names is not known or has restarted");
+    };
+    let left_us = work.deadline.since_us(shared.clock.now());
+    let request = RelayRequest {
+        ticket: ticket.to_string(),
+        request: Some(work.request.clone()),
+        deadline_left_us: left_us,
+    };
+    log::info!(
+        "route: {} {} relayed to {}, which its ticket names",
+        work.request.service,
+        work.request.method,
+        ticket.binding.instance
+    );
+    let timeout = Duration::from_micros(left_us) + Duration::from_millis(WAIT_GRACE_MS);
+    let mut client = shared.work_peers.work(address);
+    match tokio::time::timeout(timeout, client.relay(request)).await {
+        Ok(Ok(reply)) => reply.into_inner(),
+        Ok(Err(status)) => gone(status.message()),
+        Err(_) => gone("the entry that the ticket names did not answer in time"),
+    }
+}
--- /dev/null
+++ b/crates/pollenshed/src/instance/servers.rs
@@ -0,0 +1,193 @@
+//! The ports on which peers and operators connect.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use eyre::{Result, eyre};
+use pollenshed_coordination::{ledger::Settlement, membership::MemberState};
+use pollenshed_protocol::{
+    operator::{MemberStatus, OwnedBackendServer, StatusBody},
+    peer::{
+        AnswerReply, DispatchRequest, ExchangeMessage, FetchConfigReply, FetchConfigRequest,
+        HandOverReply, HandOverRequest, RelayRequest, SettleReply, SettleRequest,
+        control_server::{Control, ControlServer},
+        settle_reply,
+        work_server::{Work, WorkServer},
+    },
+};
+use pollenshed_transport::peers::MAX_MESSAGE_BYTES;
+use tokio::net::TcpListener;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::{Request, Response, Status, transport::Server};
+
+use super::Shared;
+use crate::{entry, gossip, owner, util::lock};
+
+/// Threads that answer operators.
+const OPERATOR_THREADS: usize = 2;
+
+/// Opens a port.
+pub async fn listen(address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address).await.map_err(|e| eyre!("cannot listen on {address}: {e}"))
+}
+
+/// Serves the service `Work` until the instance ends.
+pub async fn serve_work(shared: Arc<Shared>, listener: TcpListener) {
+    let service = WorkServer::new(WorkService { shared })
+        .max_decoding_message_size(MAX_MESSAGE_BYTES)
+        .max_encoding_message_size(MAX_MESSAGE_BYTES);
+    let incoming = TcpListenerStream::new(listener);
+    let served = Server::builder().tcp_nodelay(true).add_service(service);
+    if let Err(e) = served.serve_with_incoming(incoming).await {
+        log::error!("instance: work port failed: {e}");
+    }
+}
+
+/// Serves the service `Control` until the instance ends.
+pub async fn serve_control(shared: Arc<Shared>, listener: TcpListener) {
+    let service = ControlServer::new(ControlService { shared })
+        .max_decoding_message_size(MAX_MESSAGE_BYTES)
+        .max_encoding_message_size(MAX_MESSAGE_BYTES);
+    let incoming = TcpListenerStream::new(listener);
+    let served = Server::builder().tcp_nodelay(true).add_service(service);
+    if let Err(e) = served.serve_with_incoming(incoming).await {
+        log::error!("instance: control port failed: {e}");
+    }
+}
+
+struct WorkService {
+    shared: Arc<Shared>,
+}
+
+#[tonic::async_trait]
+impl Work for WorkService {
+    async fn relay(&self, request: Request<RelayRequest>) -> Result<Response<AnswerReply>, Status> {
+        let reply = entry::run_relayed(&self.shared, request.into_inner()).await;
+        Ok(Response::new(reply))
+    }
+
+    async fn dispatch(
+        &self,
+        request: Request<DispatchRequest>,
+    ) -> Result<Response<AnswerReply>, Status> {
+        Ok(Response::new(owner::dispatch(&self.shared, request.into_inner()).await))
+    }
+
+    async fn settle(
+        &self,
+        request: Request<SettleRequest>,
+    ) -> Result<Response<SettleReply>, Status> {
+        Ok(Response::new(settle(&self.shared, &request.into_inner())))
+    }
+}
+
+fn settle(shared: &Shared, request: &SettleRequest) -> SettleReply {
+    let state = |state: settle_reply::State, reply| SettleReply { state: state.into(), reply };
+    if request.owner_incarnation != shared.incarnation.0 {
+        return state(settle_reply::State::Unknown, None);
+    }
+    let now = shared.clock.now();
+    match lock(&shared.attempts).settle(&request.attempt_id, now) {
+        Some(Settlement::NotRun) => state(settle_reply::State::NotRun, None),
+        Some(Settlement::Running) => state(settle_reply::State::Running, None),
+        Some(Settlement::Ended(reply)) => state(settle_reply::State::Ended, Some(reply)),
+        None => state(settle_reply::State::Unknown, None),
+    }
+}
+
+struct ControlService {
+    shared: Arc<Shared>,
+}
+
+#[tonic::async_trait]
+impl Control for ControlService {
+    async fn exchange(
+        &self,
+        request: Request<ExchangeMessage>,
+    ) -> Result<Response<ExchangeMessage>, Status> {
+        let message = request.into_inner();
+        gossip::merge(&self.shared, &message);
+        Ok(Response::new(gossip::answer(&self.shared, &message)))
+    }
+
+    async fn fetch_config(
+        &self,
+        request: Request<FetchConfigRequest>,
+    ) -> Result<Response<FetchConfigReply>, Status> {
+        let have = request.into_inner().have_version;
+        let newer = self.shared.config.get().filter(|c| c.version.0 > have);
+        let reply = newer.map_or_else(FetchConfigReply::default, |current| FetchConfigReply {
+            version: current.version.0,
+            digest: current.digest.as_bytes().to_vec().into(),
+            document: current.document.clone(),
+        });
+        Ok(Response::new(reply))
+    }
+
+    async fn hand_over(
+        &self,
+        _request: Request<HandOverRequest>,
+    ) -> Result<Response<HandOverReply>, Status> {
+        Ok(Response::new(HandOverReply { accepted: false }))
+    }
+}
+
+/// Serves operators over HTTP on threads of its own and returns the address.
+pub fn serve_operators(shared: Arc<Shared>) -> Result<SocketAddr> {
+    let address = shared.settings.operator_address;
+    let server = rouille::Server::new(address, move |request| {
+        match (request.method(), request.url().as_str()) {
+            ("GET", "/v1/status") => rouille::Response::json(&status(&shared)),
+            _ => rouille::Response::empty_404(),
+        }
+    })
+    .map_err(|e| eyre!("operator_address: cannot listen on {address}: {e}"))?
+    .pool_size(OPERATOR_THREADS);
+    let address = server.server_addr();
+    std::thread::Builder::new().name("operators".to_owned()).spawn(move || server.run())?;
+    Ok(address)
+}
+
+fn status(shared: &Shared) -> StatusBody {
+    let now = shared.clock.now();
+    let current = shared.config.get();
+    let members = lock(&shared.membership)
+        .members(now)
+        .map(|(record, state)| MemberStatus {
+            instance: record.instance.clone(),
+            failure_domain: record.failure_domain.clone(),
+            state: state_word(state).to_owned(),
+            config_version: record.config_version.0,
+            peer_address: record.peer_address,
+        })
+        .collect();
+    let owned_backend_servers = lock(&shared.ownership)
+        .owned()
+        .map(|name| OwnedBackendServer {
+            name: name.to_string(),
+            in_use: 0,
+            limit: 0,
+            state: "ok".to_owned(),
+        })
+        .collect();
+    StatusBody {
+        instance: shared.settings.instance.clone(),
+        failure_domain: shared.settings.failure_domain.clone(),
+        incarnation: shared.incarnation.to_string(),
+        leaving: shared.is_leaving(),
+        config_version: shared.config.version().0,
+        config_digest: current.map_or_else(String::new, |c| c.digest.to_string()),
+        members,
+        owned_backend_servers,
+        dropped_log_lines: 0,
+    }
+}
+
+fn state_word(state: MemberState) -> &'static str {
+    match state {
+        MemberState::Alive => "alive",
+        MemberState::Suspect => "suspect",
+        MemberState::Leaving => "leaving",
+        MemberState::Unconfirmed => "unconfirmed",
+        MemberState::Dead => "dead",
+    }
+}
--- /dev/null
+++ b/crates/pollenshed/src/lib.rs
@@ -0,0 +1,11 @@
+//! The daemon's roles. Each instance runs all of them; see `docs/design.md`, "Roles".
+
+pub mod config;
+pub mod entry;
+pub mod gossip;
+pub mod instance;
+pub mod lookup;
+pub mod owner;
+pub mod reader;
+pub mod util;
+pub mod wire;
--- /dev/null
+++ b/crates/pollenshed/tests/support/mod.rs
@@ -0,0 +1,285 @@
+//! A fleet of real instance processes with stand-ins around them, in a working folder of its own.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::{
+    fs,
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU64, Ordering},
+    time::{Duration, Instant},
+};
+
+use pollenshed_protocol::{
+    operator::StatusBody,
+    platform::{CONFIG_TABLE, HEAD_KEY, Head, InstanceList, ListedInstance},
+};
+use pollenshed_standins::{
+    backend::{Backend, Behaviour},
+    platform::Platform,
+};
+use pollenshed_state::{config::Config, ids::Digest};
+use serde_json::{Value, json};
+
+/// Longest time that a test waits for a condition.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+static NEXT_FOLDER: AtomicU64 = AtomicU64::new(0);
+
+/// A working folder that is removed at the end.
+pub struct Workdir {
+    /// Path of the folder.
+    pub path: PathBuf,
+}
+
+impl Workdir {
+    /// Creates an empty folder.
+    pub fn create() -> Workdir {
+        let number = NEXT_FOLDER.fetch_add(1, Ordering::SeqCst);
+        let name = format!("pollenshed-test-{}-{number}", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        fs::create_dir_all(&path).unwrap();
+        Workdir { path }
+    }
+}
+
+impl Drop for Workdir {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.path);
+    }
+}
+
+/// One instance process. It is killed when dropped.
+pub struct Daemon {
+    /// Name of the instance.
+    pub name: String,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for operators.
+    pub operators: SocketAddr,
+    /// Address for control messages.
+    pub peers: SocketAddr,
+    child: Child,
+}
+
+impl Daemon {
+    /// Starts a process from a settings value and waits until it is ready.
+    pub fn spawn(workdir: &Workdir, settings: &Value) -> Daemon {
+        let name = settings["instance"].as_str().unwrap().to_owned();
+        let file = workdir.path.join(format!("{name}.json"));
+        fs::write(&file, serde_json::to_string_pretty(settings).unwrap()).unwrap();
+        let log = fs::File::create(workdir.path.join(format!("{name}.log"))).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_pollenshed"))
+            .arg("serve")
+            .arg(&file)
+            .env("RUST_LOG", "info")
+            .stdout(Stdio::piped())
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
+        let mut ready = |what: &str| {
+            let line = lines.next().expect("the process ended early").unwrap();
+            let prefix = format!("ready: {what} http://");
+            line.strip_prefix(&prefix).expect("a ready line").parse().unwrap()
+        };
+        let (callers, operators, peers) = (ready("callers"), ready("operators"), ready("peers"));
+        Daemon { name, callers, operators, peers, child }
+    }
+
+    /// Reads the status as operators do.
+    pub fn status(&self) -> Option<StatusBody> {
+        let url = format!("http://{}/v1/status", self.operators);
+        ureq::get(url).call().ok()?.body_mut().read_json().ok()
+    }
+
+    /// Ends the process at once.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Waits until `condition` gives a value.
+pub fn wait_for<T>(what: &str, mut condition: impl FnMut() -> Option<T>) -> T {
+    let start = Instant::now();
+    loop {
+        if let Some(value) = condition() {
+            return value;
+        }
+        assert!(start.elapsed() < PATIENCE, "gave up waiting for {what}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// Platform, backend servers and instance processes of one user.
+pub struct Fleet {
+    /// Folder with settings and logs.
+    pub workdir: Workdir,
+    /// The platform stand-in.
+    pub platform: Platform,
+    /// Backend server stand-ins by name.
+    pub backends: Vec<(String, Backend)>,
+    /// Instance processes.
+    pub daemons: Vec<Daemon>,
+    /// Configuration that was submitted last.
+    pub config: Value,
+}
+
+/// Failure domains of the test fleet, two in each of two regions.
+pub const DOMAINS: [&str; 4] = ["north-a", "north-b", "south-a", "south-b"];
+
+impl Fleet {
+    /// Starts backend servers and one instance per failure domain in `domains`, submits a
+    /// configuration and waits until it is in force everywhere.
+    pub fn start(domains: &[&str], behaviour: &Behaviour) -> Fleet {
+        let workdir = Workdir::create();
+        let platform = Platform::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let mut backends = Vec::new();
+        for domain in domains {
+            for number in 1..=2 {
+                let name = format!("ledger-{domain}-{number}");
+                let behaviour = Behaviour { name: name.clone(), ..behaviour.clone() };
+                let backend = Backend::bind("127.0.0.1:0".parse().unwrap(), behaviour).unwrap();
+                backends.push((name, backend));
+            }
+        }
+        let config = config_value(domains, &backends, behaviour.slots);
+        let mut fleet =
+            Fleet { workdir, platform, backends, daemons: Vec::new(), config: config.clone() };
+        fleet.submit(&config);
+        for domain in domains {
+            let settings = fleet.settings(&format!("{domain}-1"), domain);
+            let daemon = Daemon::spawn(&fleet.workdir, &settings);
+            fleet.daemons.push(daemon);
+        }
+        fleet.list_instances();
+        fleet.wait_until_in_force(1);
+        fleet
+    }
+
+    /// Returns the settings of an instance that lets the system choose its ports.
+    pub fn settings(&self, instance: &str, domain: &str) -> Value {
+        json!({
+            "instance": instance,
+            "failure_domain": domain,
+            "caller_address": "127.0.0.1:0",
+            "peer_address": "127.0.0.1:0",
+            "relay_address": "127.0.0.1:0",
+            "operator_address": "127.0.0.1:0",
+            "platform_address": self.platform.address().to_string(),
+        })
+    }
+
+    /// Puts all running instances on the platform's list.
+    pub fn list_instances(&self) {
+        let listed = |daemon: &Daemon| ListedInstance {
+            name: daemon.name.parse().unwrap(),
+            failure_domain: daemon.name.trim_end_matches("-1").parse().unwrap(),
+            peer_address: daemon.peers,
+            leaving: false,
+        };
+        let instances = self.daemons.iter().map(listed).collect();
+        self.platform.set_instances(InstanceList { instances, ..InstanceList::default() });
+    }
+
+    /// Writes a configuration to the platform as the operators' command does.
+    pub fn submit(&mut self, config: &Value) {
+        let parsed: Config = serde_json::from_value(config.clone()).unwrap();
+        let document = serde_json::to_vec_pretty(&parsed).unwrap();
+        let digest = Digest::of(&document);
+        let timeout = Duration::from_secs(5);
+        let client =
+            pollenshed_transport::platform::Platform::open(self.platform.address(), timeout);
+        client.put_object(&digest.hex(), &document).unwrap();
+        let row = client.get_row(CONFIG_TABLE, HEAD_KEY).unwrap();
+        let revision = row.map_or(0, |row| row.revision);
+        let head = Head {
+            version: revision + 1,
+            digest: digest.to_string(),
+            submission_id: format!("test-{revision}"),
+        };
+        let value = serde_json::to_value(head).unwrap();
+        client.put_row(CONFIG_TABLE, HEAD_KEY, revision, value).unwrap();
+        self.config = config.clone();
+    }
+
+    /// Waits until all instances obey a version and see each other alive.
+    pub fn wait_until_in_force(&self, version: u64) {
+        for daemon in &self.daemons {
+            wait_for("the configuration to be in force everywhere", || {
+                let status = daemon.status()?;
+                let alive = status.members.iter().filter(|m| m.state == "alive").count();
+                (status.config_version >= version && alive == self.daemons.len()).then_some(())
+            });
+        }
+    }
+
+    /// Counts the runs of requests with this body over all backend servers.
+    pub fn runs_of(&self, body: &[u8]) -> usize {
+        self.backends.iter().flat_map(|(_, b)| b.runs()).filter(|run| run.body == body).count()
+    }
+}
+
+fn config_value(domains: &[&str], backends: &[(String, Backend)], slots: u64) -> Value {
+    let servers: Vec<Value> = backends
+        .iter()
+        .map(|(name, backend)| {
+            let domain = domains.iter().find(|d| name.contains(*d)).unwrap();
+            json!({
+                "name": name,
+                "failure_domain": domain,
+                "address": backend.address().to_string(),
+                "slots": slots,
+                "connections": 360,
+            })
+        })
+        .collect();
+    let regions: Vec<Value> = ["north", "south"]
+        .iter()
+        .map(|region| {
+            let domains: Vec<_> = domains.iter().filter(|d| d.starts_with(region)).collect();
+            json!({"name": region, "failure_domains": domains})
+        })
+        .filter(|region| !region["failure_domains"].as_array().unwrap().is_empty())
+        .collect();
+    json!({
+        "format": 1,
+        "user": "test",
+        "regions": regions,
+        "network": {
+            "between_failure_domains_us": 1500,
+            "between_regions_us": 10000,
+            "to_clients_us": 10000,
+            "region_link_bits_per_s": 4_000_000_000u64,
+            "region_link_share_percent": 50,
+        },
+        "ranks": [
+            {"rank": "urgent", "min_share_percent": 50, "deadline_ms": 2000},
+            {"rank": "standard", "min_share_percent": 30, "deadline_ms": 5000},
+            {"rank": "deferrable", "min_share_percent": 10, "deadline_ms": 10000},
+        ],
+        "services": [{
+            "name": "ledger",
+            "operations": [
+                {"methods": ["GET"], "path_prefix": "/", "rank": "urgent", "idempotent": true},
+                {"methods": ["POST"], "path_prefix": "/", "rank": "standard", "idempotent": false},
+            ],
+            "max_request_bytes": 1_048_576,
+            "max_answer_bytes": 1_048_576,
+            "max_upload_bytes": 268_435_456,
+            "shift": {"cap_percent": 20, "cold_cap_percent": 10, "interval_ms": 1000},
+            "retry_budget_percent": 10,
+            "backend_servers": servers,
+        }],
+        "drains": [],
+    })
+}
--- /dev/null
+++ b/crates/pollenshedctl/src/cmd/mod.rs
@@ -0,0 +1,3 @@
+//! Subcommands, one file each.
+
+pub mod submit;
--- a/crates/protocol/src/platform/mod.rs
+++ b/crates/protocol/src/platform/mod.rs
@@ -57,6 +57,8 @@
 
 /// Table that holds the head row.
 pub const CONFIG_TABLE: &str = "pollenshed-config";
+/// Key of the head row.
+pub const HEAD_KEY: &str = "head";
 /// Table that holds claims of idempotency keys.
 pub const CLAIM_TABLE: &str = "pollenshed-claims";
 
--- a/crates/state/src/settings/mod.rs
+++ b/crates/state/src/settings/mod.rs
@@ -19,8 +19,10 @@
     pub failure_domain: FailureDomainName,
     /// Where callers connect.
     pub caller_address: SocketAddr,
-    /// Where other instances connect.
+    /// Where other instances connect for control messages.
     pub peer_address: SocketAddr,
+    /// Where other instances connect to hand over callers' requests.
+    pub relay_address: SocketAddr,
     /// Where operators connect.
     pub operator_address: SocketAddr,
     /// Address of the platform's table service, object store and instance list.
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,1 +1,7 @@
-//! Placeholder.
+//! Sockets of pollenshed. What meets the outside sits behind one module each, so that another wire
+//! form costs one file.
+
+pub mod backend;
+pub mod edge;
+pub mod peers;
+pub mod platform;
