Schedule work on owned backend servers by slots, ranks and callers

Cause: the API refused everything. Ruled out: exact rank shares at each instant (3 or 4 slots per server do not divide), a table of callers that outlives their requests (unbounded), and believing a report over the owner's own answers without a way back. Change: credit of slot-time per rank, fair queues by caller, adaptive limit and ramp per server, deadline check at submit and dispatch, bounded queues, quarantine by content with a second trial alone. Conclusion: slots and single ends hold in these tests; rank shares and the quarantine bound are tested next.

--- a/crates/coordination/src/limits/mod.rs
+++ b/crates/coordination/src/limits/mod.rs
@@ -1,17 +1,23 @@
 //! Limits: slots per backend server, queues by rank, retry budgets and quarantine.
 //!
 //! [`Scheduler`] is the owner's part: it holds the queues of all backend servers that one instance
-//! owns and decides what is dispatched when. [`EntryAdmission`] and [`RetryBudget`] are the entry's
-//! part. [`Quarantine`] keeps requests that crash backend servers away from the others. See
+//! owns and decides what is dispatched when. [`Quarantine`] keeps requests that crash backend servers away from the others. See
 //! `docs/design.md`, "Limits, ranks, floods".
 
+mod dispatch;
 mod policy;
 mod quarantine;
+mod queue;
+mod runs;
 mod scheduler;
+mod server;
+mod service;
+mod shares;
+mod submit;
 mod work;
 
 pub use policy::SchedulerPolicy;
-pub use quarantine::{Quarantine, QuarantineEntry};
+pub use quarantine::{Quarantine, QuarantineEntry, Trial};
 pub use scheduler::Scheduler;
 pub use work::{
     Assignment, Cancelled, Finished, Headroom, LoadReport, Occupancy, Refusal, RefusalReason,
--- a/crates/coordination/src/limits/quarantine.rs
+++ b/crates/coordination/src/limits/quarantine.rs
@@ -1,12 +1,36 @@
 //! Content that crashes backend servers.
+//!
+//! Guarantee: content that crashes every server that runs it takes down at most two servers of an
+//! owner within the retention time, however its copies arrive. Content that never completed runs on
+//! at most two servers at once. After its first crash it runs on one more server, in one copy, and
+//! alone. After crashes on two servers it is refused. Copies that other owners were already running
+//! when the first crash became known to them are outside this bound.
+//!
+//! Several requests may run on a server that crashes. Those whose content completed lately are
+//! cleared if any other is a candidate; the rest are suspects. A suspect runs its second time alone,
+//! so a second crash has one possible cause, and completing clears it. An innocent suspect thus
+//! cannot share the second crash of another request.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap, VecDeque};
 
 use pollenshed_state::{
     ids::{BackendServerName, Digest},
     time::Instant,
 };
 
+/// Crashes on different servers after which content is refused.
+const MAX_CRASHES: usize = 2;
+/// Servers that content without crashes and without a completion may run on at once.
+const MAX_UNPROVEN_SERVERS: usize = 2;
+/// Suspected or refused contents that are remembered.
+const MAX_SUSPECTS: usize = 4_096;
+/// Completed contents that are remembered.
+const MAX_COMPLETED: usize = 8_192;
+/// Time for which a completion speaks for the content.
+const COMPLETED_MS: u64 = 60_000;
+/// Entries in one export.
+const MAX_EXPORTED: usize = 256;
+
 /// One content's crashes, as exchanged between instances.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct QuarantineEntry {
@@ -18,18 +42,211 @@
     pub ttl_left_ms: u64,
 }
 
+/// Whether content may start on a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Trial {
+    /// It may start.
+    Free,
+    /// It may start if nothing else runs on the server until it ends.
+    Alone,
+    /// It may not start on this server now.
+    Wait,
+    /// It crashed two servers and may not start anywhere.
+    Refused,
+}
+
+#[derive(Debug)]
+struct Suspect {
+    crashed: Vec<BackendServerName>,
+    until: Instant,
+}
+
 /// Tracks content that may crash backend servers.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Quarantine {
-    suspects: HashMap<Digest, (Vec<BackendServerName>, Instant)>,
+    retention_ms: u64,
+    suspects: HashMap<Digest, Suspect>,
+    running: HashMap<Digest, Vec<BackendServerName>>,
+    completed: HashMap<Digest, Instant>,
+    completed_order: VecDeque<(Instant, Digest)>,
 }
 
 impl Quarantine {
+    /// Creates an empty record that remembers crashes for `retention_ms`.
+    pub fn new(retention_ms: u64) -> Quarantine {
+        Quarantine {
+            retention_ms,
+            suspects: HashMap::new(),
+            running: HashMap::new(),
+            completed: HashMap::new(),
+            completed_order: VecDeque::new(),
+        }
+    }
+
+    pub(super) fn set_retention_ms(&mut self, retention_ms: u64) {
+        self.retention_ms = retention_ms;
+    }
+
+    /// Returns whether the content crashed two servers, so that it is refused everywhere.
+    pub fn is_refused(&self, content: &Digest, now: Instant) -> bool {
+        self.crashes(content, now).len() >= MAX_CRASHES
+    }
+
+    /// Returns whether the content crashed one server and has not completed since.
+    pub fn is_suspect(&self, content: &Digest, now: Instant) -> bool {
+        self.crashes(content, now).len() == 1
+    }
+
+    /// Returns whether the content crashed this server.
+    pub fn has_crashed(&self, content: &Digest, server: &BackendServerName, now: Instant) -> bool {
+        self.crashes(content, now).contains(server)
+    }
+
+    /// Returns whether the content may start on the server.
+    pub fn trial(&self, content: &Digest, server: &BackendServerName, now: Instant) -> Trial {
+        let crashed = self.crashes(content, now);
+        let running = self.running.get(content).map_or(&[][..], Vec::as_slice);
+        if crashed.len() >= MAX_CRASHES {
+            return Trial::Refused;
+        }
+        if !crashed.is_empty() {
+            let may_start = running.is_empty() && !crashed.contains(server);
+            return if may_start { Trial::Alone } else { Trial::Wait };
+        }
+        if self.has_completed(content, now) || running.contains(server) {
+            return Trial::Free;
+        }
+        let servers: BTreeSet<_> = running.iter().collect();
+        if servers.len() < MAX_UNPROVEN_SERVERS { Trial::Free } else { Trial::Wait }
+    }
+
+    /// Records that a copy of the content starts on the server.
+    pub fn started(&mut self, content: Digest, server: &BackendServerName) {
+        self.running.entry(content).or_default().push(server.clone());
+    }
+
+    /// Records that a copy of the content is not running on the server any more.
+    pub fn ended(&mut self, content: &Digest, server: &BackendServerName) {
+        let Some(running) = self.running.get_mut(content) else { return };
+        if let Some(i) = running.iter().position(|s| s == server) {
+            running.swap_remove(i);
+        }
+        if running.is_empty() {
+            self.running.remove(content);
+        }
+    }
+
+    /// Records that the content ran to its end, which clears a first suspicion.
+    pub fn completed(&mut self, content: Digest, now: Instant) {
+        if self.is_refused(&content, now) {
+            return;
+        }
+        self.suspects.remove(&content);
+        // One queue item per content and second keeps the order short for frequent content.
+        let previous = self.completed.get(&content).copied();
+        if previous.is_some_and(|at| now.since_ms(at) < 1_000) {
+            return;
+        }
+        self.completed.insert(content, now);
+        self.completed_order.push_back((now, content));
+        self.forget_completed(now);
+    }
+
+    fn forget_completed(&mut self, now: Instant) {
+        while let Some((at, content)) = self.completed_order.front().copied() {
+            let is_old = now.since_ms(at) >= COMPLETED_MS;
+            if !is_old && self.completed_order.len() <= MAX_COMPLETED {
+                break;
+            }
+            self.completed_order.pop_front();
+            if self.completed.get(&content) == Some(&at) {
+                self.completed.remove(&content);
+            }
+        }
+    }
+
+    /// Records that the server crashed while it ran these contents.
+    pub fn crashed(&mut self, contents: &[Digest], server: &BackendServerName, now: Instant) {
+        let any_unproven = contents.iter().any(|c| !self.has_completed(c, now));
+        for content in contents {
+            if any_unproven && self.has_completed(content, now) {
+                continue;
+            }
+            self.completed.remove(content);
+            self.add(*content, std::slice::from_ref(server), self.retention_ms, now);
+        }
+    }
+
     /// Takes over a peer's entries.
+    ///
+    /// A crash that is known already does not extend the retention, because entries would otherwise
+    /// be kept alive by going back and forth. A single crash of content that completed here lately
+    /// is ignored.
     pub fn merge(&mut self, entries: &[QuarantineEntry], now: Instant) {
         for entry in entries {
-            let until = now.plus_ms(entry.ttl_left_ms);
-            self.suspects.insert(entry.content, (entry.crashed.clone(), until));
+            let is_single = entry.crashed.len() < MAX_CRASHES;
+            if entry.ttl_left_ms == 0 || (is_single && self.has_completed(&entry.content, now)) {
+                continue;
+            }
+            self.completed.remove(&entry.content);
+            let ttl_ms = entry.ttl_left_ms.min(self.retention_ms);
+            self.add(entry.content, &entry.crashed, ttl_ms, now);
+        }
+    }
+
+    /// Returns entries for peers, those with two crashes first.
+    pub fn export(&self, now: Instant) -> Vec<QuarantineEntry> {
+        let mut entries: Vec<_> = self
+            .suspects
+            .iter()
+            .filter(|(_, suspect)| suspect.until > now)
+            .map(|(content, suspect)| QuarantineEntry {
+                content: *content,
+                crashed: suspect.crashed.clone(),
+                ttl_left_ms: suspect.until.since_ms(now),
+            })
+            .collect();
+        entries.sort_by_key(|e| std::cmp::Reverse((e.crashed.len(), e.ttl_left_ms, e.content)));
+        entries.truncate(MAX_EXPORTED);
+        entries
+    }
+
+    fn add(&mut self, content: Digest, servers: &[BackendServerName], ttl_ms: u64, now: Instant) {
+        self.make_room(&content, now);
+        let suspect =
+            self.suspects.entry(content).or_insert(Suspect { crashed: Vec::new(), until: now });
+        if suspect.until <= now {
+            suspect.crashed.clear();
+        }
+        for server in servers {
+            if suspect.crashed.len() < MAX_CRASHES && !suspect.crashed.contains(server) {
+                suspect.crashed.push(server.clone());
+                suspect.until = suspect.until.max(now.plus_ms(ttl_ms));
+            }
+        }
+    }
+
+    fn make_room(&mut self, content: &Digest, now: Instant) {
+        if self.suspects.len() < MAX_SUSPECTS || self.suspects.contains_key(content) {
+            return;
         }
+        self.suspects.retain(|_, suspect| suspect.until > now);
+        let first = self.suspects.iter().min_by_key(|(_, s)| (s.crashed.len(), s.until));
+        if self.suspects.len() >= MAX_SUSPECTS
+            && let Some(first) = first.map(|(content, _)| *content)
+        {
+            self.suspects.remove(&first);
+        }
+    }
+
+    fn crashes(&self, content: &Digest, now: Instant) -> &[BackendServerName] {
+        match self.suspects.get(content) {
+            Some(suspect) if suspect.until > now => &suspect.crashed,
+            _ => &[],
+        }
+    }
+
+    fn has_completed(&self, content: &Digest, now: Instant) -> bool {
+        self.completed.get(content).is_some_and(|at| now.since_ms(*at) < COMPLETED_MS)
     }
 }
--- /dev/null
+++ b/crates/coordination/src/limits/runs.rs
@@ -0,0 +1,159 @@
+//! Internal state changes of the scheduler's queued and running requests.
+
+use pollenshed_state::{
+    ids::{BackendServerName, ServiceName},
+    time::Instant,
+};
+
+use super::{
+    Refusal, RefusalReason, Scheduler, WorkId,
+    scheduler::{ABANDONED_GRACE_MS, Queued},
+};
+
+/// Bounds of the time before a resend, before jitter.
+const MIN_RETRY_AFTER_MS: u64 = 100;
+const MAX_RETRY_AFTER_MS: u64 = 10_000;
+
+/// Spreads resends over half to one and a half times `base_ms`, so that refused callers do not come
+/// back at the same time.
+pub(super) fn retry_after_ms(base_ms: u64, random: u64) -> u64 {
+    let base_ms = base_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS);
+    base_ms / 2 + random % (base_ms + 1)
+}
+
+impl Scheduler {
+    /// Accounts the ranks' slot-time up to now. Every change of queues or runs calls it first.
+    pub(super) fn account(&mut self, service: &ServiceName, now: Instant) {
+        let slots = self.service_slots(service, now);
+        let Some(state) = self.services.get_mut(service) else { return };
+        let backlogged = state.backlogged();
+        state.shares.advance(now, backlogged, slots, self.policy.shares());
+    }
+
+    pub(super) fn service_slots(&self, service: &ServiceName, now: Instant) -> u64 {
+        let Some(state) = self.services.get(service) else { return 0 };
+        let servers = state.servers.iter().filter_map(|name| self.servers.get(name));
+        servers.map(|server| server.limit(now, &self.policy)).sum()
+    }
+
+    pub(super) fn make_refusal(
+        &self,
+        service: &ServiceName,
+        reason: RefusalReason,
+        random: u64,
+        now: Instant,
+    ) -> Refusal {
+        let base_ms = match reason {
+            RefusalReason::Quarantined => self.policy.quarantine_ms,
+            _ => self.drain_ms(service, now),
+        };
+        Refusal { reason, retry_after_ms: retry_after_ms(base_ms, random) }
+    }
+
+    /// Returns the time that the service needs for everything that is queued.
+    fn drain_ms(&self, service: &ServiceName, now: Instant) -> u64 {
+        let slots = self.service_slots(service, now).max(1) as f64;
+        let Some(state) = self.services.get(service) else { return 0 };
+        (state.queued() as f64 * state.time.last_us() / slots / 1000.0) as u64
+    }
+
+    /// Ends a queued request by a refusal that the next `expire` returns.
+    pub(super) fn refuse(&mut self, id: WorkId, reason: RefusalReason, now: Instant) {
+        if let Some(queued) = self.take_queued(id, false, now) {
+            let refusal = self.make_refusal(&queued.work.service, reason, queued.random, now);
+            self.refused.push((id, refusal));
+        }
+    }
+
+    /// Takes a request out of the queues. `served` ends its caller's turn.
+    pub(super) fn take_queued(&mut self, id: WorkId, served: bool, now: Instant) -> Option<Queued> {
+        let queued = self.queued.remove(&id)?;
+        self.account(&queued.work.service, now);
+        self.deadlines.remove(&(queued.work.deadline, id));
+        if let Some(state) = self.services.get_mut(&queued.work.service) {
+            let rank = queued.work.rank.index();
+            if queued.is_parked {
+                state.parked.remove(&(rank, queued.seq));
+                state.parked_weight -= queued.weight();
+            } else {
+                state.ranks[rank].remove(&queued.work.caller, queued.seq, served);
+            }
+        }
+        Some(queued)
+    }
+
+    pub(super) fn answered(
+        &mut self,
+        service: &ServiceName,
+        name: &BackendServerName,
+        rank: usize,
+        latency_us: u64,
+        now: Instant,
+    ) {
+        if let Some(server) = self.servers.get_mut(name) {
+            server.answered(rank, latency_us, now);
+        }
+        if let Some(state) = self.services.get_mut(service) {
+            state.time.add(latency_us, now);
+            state.rank_time[rank].add(latency_us, now);
+        }
+    }
+
+    /// Counts a crash once for all requests on the server and sets it down.
+    pub(super) fn crashed(&mut self, id: WorkId, name: &BackendServerName, now: Instant) {
+        if self.running.get(&id).is_some_and(|run| run.is_judged) {
+            return;
+        }
+        let runs = self.running.values_mut().filter(|r| r.server == *name && !r.is_judged);
+        let contents: Vec<_> = runs
+            .map(|run| {
+                run.is_judged = true;
+                run.content
+            })
+            .collect();
+        self.quarantine.crashed(&contents, name, now);
+        self.set_down(name);
+    }
+
+    pub(super) fn abandon(&mut self, id: WorkId) {
+        if let Some(run) = self.running.get_mut(&id) {
+            run.is_abandoned = true;
+            self.abandoned.insert((run.deadline.plus_ms(ABANDONED_GRACE_MS), id));
+        }
+    }
+
+    pub(super) fn release_abandoned(&mut self, now: Instant) {
+        while let Some((at, id)) = self.abandoned.first().copied() {
+            if at > now {
+                break;
+            }
+            self.release(id, now);
+        }
+    }
+
+    pub(super) fn end_run(&mut self, id: WorkId) {
+        let Some(run) = self.running.remove(&id) else { return };
+        self.abandoned.remove(&(run.deadline.plus_ms(ABANDONED_GRACE_MS), id));
+        self.quarantine.ended(&run.content, &run.server);
+        if let Some(server) = self.servers.get_mut(&run.server) {
+            server.end(id);
+        }
+        if let Some(state) = self.services.get_mut(&run.service) {
+            state.shares.end(run.rank, run.is_charged);
+        }
+        self.forget_removed(&run.server);
+    }
+
+    /// Drops a removed server once its last request has ended.
+    pub(super) fn forget_removed(&mut self, name: &BackendServerName) {
+        let is_gone = |s: &super::server::Server| s.removed && s.in_use == 0;
+        if !self.servers.get(name).is_some_and(is_gone) {
+            return;
+        }
+        if let Some(server) = self.servers.remove(name)
+            && let Some(state) = self.services.get_mut(&server.service)
+        {
+            state.servers.remove(name);
+        }
+    }
+}
--- a/crates/coordination/src/limits/scheduler.rs
+++ b/crates/coordination/src/limits/scheduler.rs
@@ -1,33 +1,96 @@
-//! The owner's scheduler.
+//! The owner's scheduler: state and events other than submission and dispatch.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use pollenshed_state::{
-    ids::{BackendServerName, ServiceName},
+    ids::{BackendServerName, Digest, ServiceName},
     time::Instant,
+    units::Slots,
 };
 
 use super::{
-    Assignment, Cancelled, Finished, Headroom, LoadReport, Occupancy, Quarantine, Refusal,
-    RefusalReason, SchedulerPolicy, ServerSnapshot, ServerSpec, Submitted, Temperature, Work,
-    WorkId,
+    Cancelled, Finished, Headroom, LoadReport, Occupancy, Quarantine, Refusal, RefusalReason,
+    SchedulerPolicy, ServerSnapshot, ServerSpec, Temperature, Work, WorkId, server::Server,
+    service::Service,
 };
 
+/// Time after its deadline for which an abandoned request still holds its slot. The backend server
+/// counts the deadline from the arrival of the request, so it stops a little later.
+pub(super) const ABANDONED_GRACE_MS: u64 = 100;
+/// Part of the capacity that own demand and work of other failure domains may fill together.
+const HEADROOM_SHARE: f64 = 0.85;
+/// Memory that a waiting request holds beside its body.
+const WORK_OVERHEAD_BYTES: u64 = 512;
+
+/// A waiting request.
+#[derive(Debug)]
+pub(super) struct Queued {
+    pub(super) work: Work,
+    pub(super) seq: u64,
+    /// Jitters the time of a resend if the request is refused later.
+    pub(super) random: u64,
+    pub(super) is_parked: bool,
+}
+
+impl Queued {
+    pub(super) fn weight(&self) -> u64 {
+        self.work.body_bytes.0.saturating_add(WORK_OVERHEAD_BYTES)
+    }
+}
+
+/// A dispatched request.
+#[derive(Debug)]
+pub(super) struct Run {
+    pub(super) server: BackendServerName,
+    pub(super) service: ServiceName,
+    pub(super) rank: usize,
+    pub(super) content: Digest,
+    pub(super) deadline: Instant,
+    pub(super) is_charged: bool,
+    pub(super) is_abandoned: bool,
+    /// Whether the crash of the server was counted for this run already.
+    pub(super) is_judged: bool,
+}
+
 /// Decides which request runs on which of the backend servers that one instance owns.
 ///
-/// This is the API only; nothing is accepted or assigned yet.
+/// Services share no slots and no queue, so a flood of one cannot affect another. Within a service
+/// the ranks keep their minimum shares of slot-time, and within a rank callers take turns. Each
+/// accepted request ends exactly once: by `finish`, by `cancel` or in the result of `expire`.
 #[derive(Debug)]
 pub struct Scheduler {
-    policy: SchedulerPolicy,
-    quarantine: Quarantine,
+    pub(super) policy: SchedulerPolicy,
+    pub(super) quarantine: Quarantine,
+    pub(super) servers: BTreeMap<BackendServerName, Server>,
+    pub(super) services: BTreeMap<ServiceName, Service>,
+    pub(super) queued: HashMap<WorkId, Queued>,
+    pub(super) running: HashMap<WorkId, Run>,
+    pub(super) deadlines: BTreeSet<(Instant, WorkId)>,
+    pub(super) abandoned: BTreeSet<(Instant, WorkId)>,
+    pub(super) refused: Vec<(WorkId, Refusal)>,
+    pub(super) next_seq: u64,
 }
 
 impl Scheduler {
     /// Creates a scheduler without servers.
     pub fn new(policy: SchedulerPolicy) -> Scheduler {
-        Scheduler { policy, quarantine: Quarantine::default() }
+        Scheduler {
+            quarantine: Quarantine::new(policy.quarantine_ms),
+            policy,
+            servers: BTreeMap::new(),
+            services: BTreeMap::new(),
+            queued: HashMap::new(),
+            running: HashMap::new(),
+            deadlines: BTreeSet::new(),
+            abandoned: BTreeSet::new(),
+            refused: Vec::new(),
+            next_seq: 0,
+        }
     }
 
     /// Replaces the policy. Queued and running requests keep their places.
     pub fn set_policy(&mut self, policy: SchedulerPolicy) {
+        self.quarantine.set_retention_ms(policy.quarantine_ms);
         self.policy = policy;
     }
 
@@ -36,76 +99,197 @@
         &self.quarantine
     }
 
-    /// Returns the record of content that crashes backend servers, for merging peers' entries.
-    pub fn quarantine_mut(&mut self) -> &mut Quarantine {
-        &mut self.quarantine
+    /// Takes over peers' entries about content that crashes backend servers.
+    pub fn merge_quarantine(&mut self, entries: &[super::QuarantineEntry], now: Instant) {
+        self.quarantine.merge(entries, now);
     }
 
-    /// Adds a server or updates a known one's slots.
-    pub fn add_server(&mut self, _: ServerSpec, _: Occupancy, _: Temperature, _: Instant) {}
+    /// Adds a server, or updates the slots of a known one, whose running work stays counted.
+    ///
+    /// `occupancy` and `temperature` have no effect on a server that is owned already. The service
+    /// of a server must not change while it is owned.
+    pub fn add_server(
+        &mut self,
+        spec: ServerSpec,
+        occupancy: Occupancy,
+        temperature: Temperature,
+        now: Instant,
+    ) {
+        self.account(&spec.service, now);
+        match self.servers.get_mut(&spec.name) {
+            Some(server) => server.update(&spec, occupancy),
+            None => {
+                let server = Server::new(&spec, occupancy, temperature, now);
+                self.servers.insert(spec.name.clone(), server);
+            }
+        }
+        self.services.entry(spec.service).or_default().servers.insert(spec.name);
+    }
 
     /// Stops using a server. Its running work stays counted until it ends.
-    pub fn remove_server(&mut self, _: &BackendServerName) {}
+    ///
+    /// Work queued for the service stays queued until its deadline, because another server may be
+    /// added.
+    pub fn remove_server(&mut self, name: &BackendServerName) {
+        let Some(server) = self.servers.get_mut(name) else { return };
+        server.removed = true;
+        self.forget_removed(name);
+    }
 
     /// Sets whether an operator drains the server.
-    pub fn set_draining(&mut self, _: &BackendServerName, _: bool) {}
+    pub fn set_draining(&mut self, name: &BackendServerName, draining: bool) {
+        if let Some(server) = self.servers.get_mut(name) {
+            server.draining = draining;
+        }
+    }
 
     /// Stops dispatching to the server until `set_up`.
-    pub fn set_down(&mut self, _: &BackendServerName) {}
+    pub fn set_down(&mut self, name: &BackendServerName) {
+        if let Some(server) = self.servers.get_mut(name) {
+            server.down = true;
+        }
+    }
 
     /// Starts a cold ramp on a server that was down; without effect on others.
-    pub fn set_up(&mut self, _: &BackendServerName, _: Instant) {}
-
-    /// Takes in a load report, which can only take capacity away.
-    pub fn report(&mut self, _: &BackendServerName, _: LoadReport, _: Instant) {}
-
-    /// Queues the request or refuses it at once. `random` jitters the time of a resend.
-    pub fn submit(&mut self, _: Work, _: Instant, _: u64) -> Submitted {
-        Submitted::Refused(Refusal {
-            reason: RefusalReason::NoBackendServer,
-            retry_after_ms: 1_000,
-        })
+    ///
+    /// A crash sets a server down too, so call this for each successful health probe that was sent
+    /// after the crash.
+    pub fn set_up(&mut self, name: &BackendServerName, now: Instant) {
+        if let Some(server) = self.servers.get_mut(name) {
+            server.set_up(now);
+        }
     }
 
-    /// Returns the next request to dispatch now; call until `None`.
-    pub fn next(&mut self, _: Instant) -> Option<Assignment> {
-        None
+    /// Takes in a load report, which can only take capacity away.
+    ///
+    /// Slots that the report shows in use beyond the owner's own are not used. Two rules keep a
+    /// wrong report from stopping a server that works: every fourth answer of usual latency makes
+    /// one reported slot doubted, until an answer is shed or a report claims nothing; and after two
+    /// seconds of a claim on all slots one request at a time is allowed. Neither applies while an
+    /// earlier owner may have work on the server. Reports expire after `report_ttl_ms`, but a
+    /// reported drain holds until a report withdraws it.
+    pub fn report(&mut self, name: &BackendServerName, report: LoadReport, now: Instant) {
+        if let Some(server) = self.servers.get_mut(name) {
+            server.report(report, now);
+        }
     }
 
     /// Returns the requests that left the queue without a dispatch, each exactly once.
     ///
-    /// Call it after each `submit` and after each run of `next`, because both can end requests.
-    pub fn expire(&mut self, _: Instant) -> Vec<(WorkId, Refusal)> {
-        Vec::new()
+    /// Call it after `submit` and after each run of `next`, because both can end other requests.
+    pub fn expire(&mut self, now: Instant) -> Vec<(WorkId, Refusal)> {
+        self.release_abandoned(now);
+        while let Some((deadline, id)) = self.deadlines.first().copied() {
+            if deadline > now {
+                break;
+            }
+            self.refuse(id, RefusalReason::Deadline, now);
+        }
+        std::mem::take(&mut self.refused)
     }
 
-    /// Returns when `expire` or `next` has to be called again even if nothing else happens.
+    /// Returns when `expire` and `next` have to be called even if nothing else happens.
+    ///
+    /// Ramps and expiring reports free slots too; call `next` in each probe period for these.
     pub fn next_expiry(&self) -> Option<Instant> {
-        None
+        let deadline = self.deadlines.first().map(|(at, _)| *at);
+        let release = self.abandoned.first().map(|(at, _)| *at);
+        deadline.into_iter().chain(release).min()
     }
 
     /// Removes a queued request.
-    pub fn cancel(&mut self, _: WorkId, _: Instant) -> Cancelled {
-        Cancelled::Absent
+    pub fn cancel(&mut self, id: WorkId, now: Instant) -> Cancelled {
+        if self.running.contains_key(&id) {
+            return Cancelled::Running;
+        }
+        match self.take_queued(id, false, now) {
+            Some(_) => Cancelled::Removed,
+            None => Cancelled::Absent,
+        }
     }
 
-    /// Records how a dispatched request ended. Returns whether it was running.
-    pub fn finish(&mut self, _: WorkId, _: Finished, _: Instant) -> bool {
-        false
+    /// Records how a dispatched request ended. Returns whether it was running and not abandoned.
+    ///
+    /// A crash sets the server down until `set_up` and makes all contents that run there suspects,
+    /// so report the crash of one request before the ends of the others.
+    pub fn finish(&mut self, id: WorkId, finished: Finished, now: Instant) -> bool {
+        let Some(run) = self.running.get(&id).filter(|run| !run.is_abandoned) else {
+            return false;
+        };
+        let (service, name) = (run.service.clone(), run.server.clone());
+        let (rank, content) = (run.rank, run.content);
+        self.account(&service, now);
+        match finished {
+            Finished::Answered { latency_us } => {
+                self.answered(&service, &name, rank, latency_us, now);
+                self.quarantine.completed(content, now);
+            }
+            Finished::Shed => {
+                if let Some(server) = self.servers.get_mut(&name) {
+                    server.shed(now);
+                }
+            }
+            Finished::Crashed => self.crashed(id, &name, now),
+            Finished::Failed => {}
+            Finished::Abandoned => {
+                self.abandon(id);
+                return true;
+            }
+        }
+        self.end_run(id);
+        true
     }
 
     /// Frees the slot of an abandoned request. Returns whether it was abandoned.
-    pub fn release(&mut self, _: WorkId, _: Instant) -> bool {
-        false
+    pub fn release(&mut self, id: WorkId, now: Instant) -> bool {
+        let Some(run) = self.running.get(&id).filter(|run| run.is_abandoned) else {
+            return false;
+        };
+        let service = run.service.clone();
+        self.account(&service, now);
+        self.end_run(id);
+        true
     }
 
     /// Returns what the owner can take for the service.
-    pub fn headroom(&mut self, _: &ServiceName, _: Instant) -> Headroom {
-        Headroom::default()
+    pub fn headroom(&self, service: &ServiceName, now: Instant) -> Headroom {
+        let Some(state) = self.services.get(service) else { return Headroom::default() };
+        let mut headroom = Headroom::default();
+        let mut slots = 0;
+        for server in state.servers.iter().filter_map(|name| self.servers.get(name)) {
+            let limit = server.limit(now, &self.policy);
+            if limit == 0 {
+                continue;
+            }
+            headroom.usable_servers += 1;
+            headroom.cold_servers += u64::from(server.is_cold(now, &self.policy));
+            headroom.free_slots += limit.saturating_sub(server.in_use);
+            slots += limit;
+        }
+        headroom.free_slots = headroom.free_slots.saturating_sub(state.queued() as u64);
+        let capacity_per_s = slots as f64 * 1e6 / state.time.last_us();
+        let left_per_s = HEADROOM_SHARE * capacity_per_s - state.local.rate_per_s(now);
+        headroom.remote_requests_per_s = left_per_s.max(0.0) as u64;
+        headroom
     }
 
     /// Returns the status of all servers, ordered by name.
-    pub fn snapshot(&self, _: Instant) -> Vec<ServerSnapshot> {
-        Vec::new()
+    pub fn snapshot(&self, now: Instant) -> Vec<ServerSnapshot> {
+        self.servers
+            .iter()
+            .map(|(name, server)| ServerSnapshot {
+                name: name.clone(),
+                service: server.service.clone(),
+                in_use: server.in_use,
+                limit: server.limit(now, &self.policy),
+                slots: Slots(server.slots),
+                state: server.state(now, &self.policy),
+            })
+            .collect()
+    }
+
+    /// Returns the number of waiting requests.
+    pub fn queued(&self) -> usize {
+        self.queued.len()
     }
 }
--- /dev/null
+++ b/crates/coordination/tests/limits_scheduler.rs
@@ -0,0 +1,351 @@
+//! Slot counts and exactly one end per request, under any order of events.
+
+mod limits_support;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use googletest::prelude::*;
+use limits_support::*;
+use pollenshed_coordination::limits::{
+    Cancelled, Finished, LoadReport, Occupancy, RefusalReason, Scheduler, SchedulerPolicy,
+    ServerSpec, ServerState, Submitted, Temperature, WorkId,
+};
+use pollenshed_state::{
+    config::Rank,
+    ids::{BackendServerName, Digest},
+    units::{ByteSize, Slots},
+};
+use proptest::prelude::*;
+
+const SERVERS: usize = 3;
+const SLOTS: u64 = 3;
+
+#[derive(Debug, Clone)]
+enum Event {
+    Submit { rank: usize, caller: u64, deadline_ms: u64, content: u8, excluded: Option<usize> },
+    Dispatch,
+    Finish { pick: usize, how: u8, latency_us: u64 },
+    Release { pick: usize },
+    Cancel { pick: usize },
+    Report { server: usize, in_use: u64, slots: u64, draining: bool },
+    Down(usize),
+    Up(usize),
+    Draining(usize, bool),
+    Remove(usize),
+    Add(usize, bool),
+    Pass { ms: u64 },
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let server = 0..SERVERS;
+    prop_oneof![
+        6 => (0..3usize, 0..4u64, 0..3_000u64, any::<u8>(), proptest::option::of(server.clone()))
+            .prop_map(|(rank, caller, deadline_ms, content, excluded)| Event::Submit {
+                rank, caller, deadline_ms, content: content % 24, excluded,
+            }),
+        6 => Just(Event::Dispatch),
+        5 => (any::<usize>(), 0..8u8, 1..900_000u64)
+            .prop_map(|(pick, how, latency_us)| Event::Finish { pick, how, latency_us }),
+        1 => any::<usize>().prop_map(|pick| Event::Release { pick }),
+        1 => any::<usize>().prop_map(|pick| Event::Cancel { pick }),
+        1 => (server.clone(), 0..9u64, 0..9u64, any::<bool>())
+            .prop_map(|(server, in_use, slots, draining)| Event::Report {
+                server, in_use, slots, draining,
+            }),
+        1 => server.clone().prop_map(Event::Down),
+        2 => server.clone().prop_map(Event::Up),
+        1 => (server.clone(), any::<bool>()).prop_map(|(s, d)| Event::Draining(s, d)),
+        1 => server.clone().prop_map(Event::Remove),
+        2 => (server, any::<bool>()).prop_map(|(s, cold)| Event::Add(s, cold)),
+        2 => (0..700u64).prop_map(|ms| Event::Pass { ms }),
+    ]
+}
+
+/// Independent record of what the scheduler was told and said.
+struct Model {
+    scheduler: Scheduler,
+    now_ms: u64,
+    next_id: u64,
+    open: BTreeMap<WorkId, u64>,
+    held: BTreeMap<WorkId, (BackendServerName, u64)>,
+    abandoned: BTreeSet<WorkId>,
+    ended: BTreeSet<WorkId>,
+}
+
+impl Model {
+    fn new() -> Model {
+        let policy = SchedulerPolicy { max_queued: 12, ..SchedulerPolicy::default() };
+        Model {
+            scheduler: scheduler(SERVERS, SLOTS, policy),
+            now_ms: 0,
+            next_id: 0,
+            open: BTreeMap::new(),
+            held: BTreeMap::new(),
+            abandoned: BTreeSet::new(),
+            ended: BTreeSet::new(),
+        }
+    }
+
+    fn end(&mut self, id: WorkId) {
+        assert!(self.open.remove(&id).is_some(), "{id} was not open");
+        assert!(self.ended.insert(id), "{id} ended twice");
+    }
+
+    fn expire(&mut self) {
+        for (id, _) in self.scheduler.expire(at(self.now_ms)) {
+            assert!(!self.held.contains_key(&id), "{id} was dispatched and refused");
+            self.end(id);
+        }
+        let now_ms = self.now_ms;
+        self.held.retain(|id, (_, until_ms)| !self.abandoned.contains(id) || *until_ms > now_ms);
+    }
+
+    fn dispatch(&mut self) {
+        while let Some(next) = self.scheduler.next(at(self.now_ms)) {
+            let deadline_ms = *self.open.get(&next.id).expect("only open work is dispatched");
+            assert!(deadline_ms > self.now_ms, "{} was dispatched late", next.id);
+            let previous = self.held.insert(next.id, (next.server.clone(), deadline_ms + 100));
+            assert!(previous.is_none(), "{} was dispatched twice", next.id);
+        }
+    }
+
+    fn pick(&self, pick: usize, abandoned: bool) -> Option<WorkId> {
+        let ids: Vec<_> =
+            self.held.keys().filter(|id| self.abandoned.contains(id) == abandoned).collect();
+        (!ids.is_empty()).then(|| *ids[pick % ids.len()])
+    }
+
+    fn finish(&mut self, id: WorkId, how: u8, latency_us: u64) {
+        let finished = match how {
+            0 => Finished::Shed,
+            1 => Finished::Crashed,
+            2 => Finished::Failed,
+            3 => Finished::Abandoned,
+            _ => Finished::Answered { latency_us },
+        };
+        assert!(self.scheduler.finish(id, finished, at(self.now_ms)));
+        assert!(!self.scheduler.finish(id, finished, at(self.now_ms)), "{id} finished twice");
+        self.end(id);
+        if finished == Finished::Abandoned {
+            self.abandoned.insert(id);
+        } else {
+            self.held.remove(&id);
+        }
+    }
+
+    fn apply(&mut self, event: Event) {
+        let now = at(self.now_ms);
+        match event {
+            Event::Submit { rank, caller, deadline_ms, content, excluded } => {
+                let (id, deadline_ms) = (self.next_id, self.now_ms + deadline_ms);
+                self.next_id += 1;
+                let mut work = work(id, Rank::ALL[rank], caller, at(deadline_ms));
+                work.content = Digest::of(&[content]);
+                work.excluded = excluded.into_iter().map(server).collect();
+                if self.scheduler.submit(work, now, id) == Submitted::Queued {
+                    self.open.insert(WorkId(id), deadline_ms);
+                }
+            }
+            Event::Dispatch => self.dispatch(),
+            Event::Finish { pick, how, latency_us } => {
+                if let Some(id) = self.pick(pick, false) {
+                    self.finish(id, how, latency_us);
+                }
+            }
+            Event::Release { pick } => {
+                if let Some(id) = self.pick(pick, true) {
+                    assert!(self.scheduler.release(id, now));
+                    self.held.remove(&id);
+                }
+            }
+            Event::Cancel { pick } => {
+                let ids: Vec<_> = self.open.keys().copied().collect();
+                if let Some(id) = (!ids.is_empty()).then(|| ids[pick % ids.len()]) {
+                    match self.scheduler.cancel(id, now) {
+                        Cancelled::Removed => self.end(id),
+                        Cancelled::Running => assert!(self.held.contains_key(&id)),
+                        Cancelled::Absent => panic!("{id} is lost"),
+                    }
+                }
+            }
+            Event::Report { server: i, in_use, slots, draining } => {
+                self.scheduler.report(&server(i), LoadReport { in_use, slots, draining }, now)
+            }
+            Event::Down(i) => self.scheduler.set_down(&server(i)),
+            Event::Up(i) => self.scheduler.set_up(&server(i), now),
+            Event::Draining(i, draining) => self.scheduler.set_draining(&server(i), draining),
+            Event::Remove(i) => self.scheduler.remove_server(&server(i)),
+            Event::Add(i, cold) => {
+                let spec = ServerSpec { name: server(i), service: service(), slots: Slots(SLOTS) };
+                let temperature = if cold { Temperature::Cold } else { Temperature::Warm };
+                self.scheduler.add_server(spec, Occupancy::Empty, temperature, now);
+            }
+            Event::Pass { ms } => self.now_ms += ms,
+        }
+        self.expire();
+        self.check();
+    }
+
+    fn check(&self) {
+        let mut counts = BTreeMap::new();
+        for (server, _) in self.held.values() {
+            *counts.entry(server.clone()).or_insert(0u64) += 1;
+        }
+        assert!(counts.values().all(|n| *n <= SLOTS), "over the slots: {counts:?}");
+        for server in self.scheduler.snapshot(at(self.now_ms)) {
+            let counted = counts.remove(&server.name).unwrap_or(0);
+            assert_eq!(server.in_use, counted, "wrong count on {}", server.name);
+            assert!(server.limit <= SLOTS);
+        }
+        assert!(counts.is_empty(), "running work of a removed server is not counted");
+        let waiting = self.open.keys().filter(|id| !self.held.contains_key(id)).count();
+        assert_eq!(self.scheduler.queued(), waiting, "work was lost");
+        assert!(waiting <= 12, "the queue is over its bound");
+    }
+}
+
+proptest! {
+    #![proptest_config(fixed(400))]
+
+    /// Guards against a server over its slots and against work that is lost, dispatched or ended twice.
+    #[test]
+    fn slots_and_ends_hold_under_any_events(events in proptest::collection::vec(event(), 1..250)) {
+        let mut model = Model::new();
+        for event in events {
+            model.apply(event);
+        }
+        while let Some(id) = model.pick(0, false) {
+            model.finish(id, 4, 1_000);
+        }
+        model.now_ms += 1_000_000;
+        model.expire();
+        prop_assert!(model.open.is_empty(), "never ended: {:?}", model.open);
+    }
+
+    /// Guards against a report that raises concurrency above what holds without it.
+    #[test]
+    fn reports_never_add_capacity(
+        reports in proptest::collection::vec((0..20u64, 0..20u64, any::<bool>(), 0..900u64), 1..40),
+        takeover in any::<bool>(),
+        cold in any::<bool>(),
+    ) {
+        let mut schedulers = [(); 2].map(|()| Scheduler::new(SchedulerPolicy::default()));
+        for scheduler in &mut schedulers {
+            let spec = ServerSpec { name: server(0), service: service(), slots: Slots(4) };
+            let temperature = if cold { Temperature::Cold } else { Temperature::Warm };
+            scheduler.add_server(spec, Occupancy::Empty, temperature, at(0));
+        }
+        let [mut with, without] = schedulers;
+        if takeover {
+            with.remove_server(&server(0));
+            let spec = ServerSpec { name: server(0), service: service(), slots: Slots(4) };
+            let temperature = if cold { Temperature::Cold } else { Temperature::Warm };
+            with.add_server(spec, Occupancy::UnknownUntil(at(9_000)), temperature, at(0));
+        }
+        let mut now_ms = 0;
+        for (in_use, slots, draining, pass_ms) in reports {
+            with.report(&server(0), LoadReport { in_use, slots, draining }, at(now_ms));
+            now_ms += pass_ms;
+            let limit = |s: &Scheduler| s.snapshot(at(now_ms))[0].limit;
+            prop_assert!(limit(&with) <= limit(&without));
+            if takeover && now_ms < 9_000 {
+                prop_assert!(limit(&with) <= 4 - in_use.min(4));
+            }
+        }
+    }
+}
+
+/// Guards against waiting for work that cannot finish in time.
+#[gtest]
+fn refuses_at_once_what_cannot_finish() {
+    let mut scheduler = scheduler(1, 1, SchedulerPolicy::default());
+    queued(&mut scheduler, work(0, Rank::Urgent, 0, at(9_000)), at(0));
+    let first = scheduler.next(at(0)).unwrap();
+    scheduler.finish(first.id, Finished::Answered { latency_us: 100_000 }, at(100));
+    for id in 1..=5 {
+        queued(&mut scheduler, work(id, Rank::Urgent, 0, at(9_000)), at(100));
+    }
+    scheduler.next(at(100)).unwrap();
+    let late = scheduler.submit(work(9, Rank::Urgent, 0, at(350)), at(100), 3);
+    let Submitted::Refused(refusal) = late else { panic!("queued, but it cannot finish") };
+    expect_that!(refusal.reason, eq(RefusalReason::Deadline));
+    expect_that!(refusal.retry_after_ms, gt(0));
+    let other = scheduler.submit(work(10, Rank::Urgent, 1, at(450)), at(100), 3);
+    expect_that!(other, eq(Submitted::Queued), "another caller's turn comes earlier");
+}
+
+/// Guards against one report that claims everything forever stopping a server that works.
+#[gtest]
+fn frozen_report_does_not_stop_a_working_server() {
+    let mut scheduler = scheduler(1, 4, SchedulerPolicy::default());
+    let mut answered = 0;
+    for step in 0..200u64 {
+        let now = at(step * 100);
+        let claim = LoadReport { in_use: 4, slots: 4, draining: false };
+        scheduler.report(&server(0), claim, now);
+        let _ = scheduler.submit(work(step, Rank::Urgent, 0, now.plus_ms(5_000)), now, 0);
+        while let Some(next) = scheduler.next(now) {
+            scheduler.finish(next.id, Finished::Answered { latency_us: 50_000 }, now);
+            answered += 1;
+        }
+    }
+    expect_that!(answered, gt(150));
+    expect_that!(scheduler.snapshot(at(20_000))[0].limit, eq(4));
+}
+
+/// Guards against a new owner that adds its work to what the earlier owner still runs.
+#[gtest]
+fn takeover_waits_for_a_report_or_the_longest_deadline() {
+    let mut scheduler = Scheduler::new(SchedulerPolicy::default());
+    let spec = ServerSpec { name: server(0), service: service(), slots: Slots(3) };
+    let occupancy = Occupancy::UnknownUntil(at(10_000));
+    scheduler.add_server(spec, occupancy, Temperature::Warm, at(0));
+    let limit = |s: &Scheduler, ms| s.snapshot(at(ms))[0].limit;
+    expect_that!(limit(&scheduler, 5_000), eq(0));
+    let report = LoadReport { in_use: 2, slots: 3, draining: false };
+    scheduler.report(&server(0), report, at(5_000));
+    expect_that!(limit(&scheduler, 5_100), eq(1));
+    expect_that!(limit(&scheduler, 8_000), eq(0), "the report is too old");
+    expect_that!(limit(&scheduler, 10_000), eq(3));
+}
+
+/// Guards against full load on cold caches and against a limit that ignores shed answers.
+#[gtest]
+fn limit_ramps_up_and_shrinks_when_work_is_shed() {
+    let mut scheduler = scheduler(1, 4, SchedulerPolicy::default());
+    scheduler.set_down(&server(0));
+    expect_that!(scheduler.snapshot(at(0))[0].state, eq(ServerState::Down));
+    scheduler.set_up(&server(0), at(0));
+    let limit = |s: &Scheduler, ms| s.snapshot(at(ms))[0].limit;
+    expect_that!([0, 5_000, 10_000].map(|ms| limit(&scheduler, ms)), eq([1, 2, 4]));
+    queued(&mut scheduler, work(1, Rank::Urgent, 0, at(20_000)), at(10_000));
+    scheduler.next(at(10_000)).unwrap();
+    scheduler.finish(WorkId(1), Finished::Shed, at(10_001));
+    expect_that!(limit(&scheduler, 10_001), eq(3));
+}
+
+/// Guards against an innocent caller losing its place to a caller that fills the queue.
+#[gtest]
+fn full_queue_drops_the_newest_of_the_heaviest_caller() {
+    let policy = SchedulerPolicy { max_queued: 4, ..SchedulerPolicy::default() };
+    let mut scheduler = scheduler(1, 1, policy);
+    scheduler.set_draining(&server(0), false);
+    queued(&mut scheduler, work(0, Rank::Standard, 9, at(9_000)), at(0));
+    scheduler.next(at(0)).unwrap();
+    for id in 1..=4 {
+        queued(&mut scheduler, work(id, Rank::Standard, 0, at(9_000)), at(1));
+    }
+    queued(&mut scheduler, work(5, Rank::Standard, 1, at(9_000)), at(2));
+    let ended: Vec<_> = scheduler.expire(at(2)).into_iter().map(|(id, _)| id).collect();
+    expect_that!(ended, elements_are![eq(&WorkId(4))]);
+    let again = scheduler.submit(work(6, Rank::Standard, 0, at(9_000)), at(3), 0);
+    expect_that!(again, matches_pattern!(Submitted::Refused(anything())));
+    let huge = pollenshed_coordination::limits::Work {
+        body_bytes: ByteSize(u64::MAX),
+        ..work(7, Rank::Urgent, 2, at(9_000))
+    };
+    expect_that!(
+        scheduler.submit(huge, at(3), 0),
+        matches_pattern!(Submitted::Refused(anything()))
+    );
+}
