Dispatch through the scheduler and steer by advertised headroom

Cause: the owner counted slots by itself, knew no ranks, shares or quarantine, and nothing told entries of other failure domains what they may send. Ruled out: queueing at an owner whose wait for a former owner is not over (another owner may serve at once; the refusal is true and retried there). Change: owner/ feeds limits::Scheduler, probes health and load on connections of its own, cancels abandoned requests, bounds remote work by Intake; gossip carries headroom, quarantine and ramp positions and steps the ramps; idempotent requests are repeated elsewhere without the failed backend server; a non-idempotent attempt goes on when its call is lost. Before/after: tests/whole_path.rs failed once with 503 not-run, because an entry used the advertisement of the period before its owner began to dispatch; the test fleet now waits until each entry serves a read.

--- a/crates/pollenshed/src/entry/dispatch.rs
+++ b/crates/pollenshed/src/entry/dispatch.rs
@@ -13,7 +13,6 @@
 };
 use pollenshed_state::{
     ids::{FailureDomainName, InstanceName},
-    time::Instant,
     units::ByteSize,
 };
 
@@ -40,27 +39,25 @@
     Lost(String),
 }
 
-/// Runs an idempotent request; a failed attempt goes to another owner.
+/// Runs an idempotent request. An attempt that failed is repeated elsewhere, within the budget.
 pub async fn run_idempotent(shared: &Arc<Shared>, work: &Classified) -> AnswerReply {
     let mut tried = Tried::default();
     let mut last = wire::not_run(NotRunReason::NoBackendServer, "no owner was tried");
     for _ in 0..MAX_OWNERS {
         let target = match choose(shared, work, &tried) {
             Ok(target) => target,
-            Err(refused) if tried.owners.is_empty() => return refused,
+            Err(refused) if tried.is_empty() => return refused,
             Err(_) => return last,
         };
-        tried.counted_for = Some(target.failure_domain.clone());
         let id = format!("{:016x}{:016x}", fastrand::u64(..), fastrand::u64(..));
-        last = match attempt(shared, work, &target, &id).await {
-            Attempt::Replied(reply) if may_try_again(&reply) => reply,
-            Attempt::Replied(reply) => return reply,
+        last = match attempt(shared, work, &target, &tried, &id).await {
+            Attempt::Replied(reply) => reply,
             Attempt::Lost(e) => wire::unknown(UnknownReason::ConnectionLost, e),
         };
-        if shared.clock.now() >= work.deadline {
+        note_home(shared, work, &target, &last);
+        if shared.clock.now() >= work.deadline || !tried.may_repeat(&target, &last) {
             return last;
         }
-        tried.owners.push(target.owner);
     }
     last
 }
@@ -74,19 +71,19 @@
     for number in 0..MAX_OWNERS {
         let target = match choose(shared, work, &tried) {
             Ok(target) => target,
-            Err(refused) if tried.owners.is_empty() => return refused,
+            Err(refused) if tried.is_empty() => return refused,
             Err(_) => return last,
         };
-        tried.counted_for = Some(target.failure_domain.clone());
         let id = format!("{ticket}#{number}");
-        last = match attempt(shared, work, &target, &id).await {
+        last = match attempt(shared, work, &target, &tried, &id).await {
             Attempt::Replied(reply) => reply,
             Attempt::Lost(e) => settle(shared, work, &target, &id, e).await,
         };
-        if !may_try_again(&last) || shared.clock.now() >= work.deadline {
+        note_home(shared, work, &target, &last);
+        let is_not_run = matches!(last.outcome, Some(answer_reply::Outcome::NotRun(_)));
+        if !is_not_run || shared.clock.now() >= work.deadline || !tried.may_repeat(&target, &last) {
             return last;
         }
-        tried.owners.push(target.owner);
     }
     last
 }
@@ -94,25 +91,60 @@
 #[derive(Default)]
 struct Tried {
     owners: Vec<InstanceName>,
+    backend_servers: Vec<String>,
     counted_for: Option<FailureDomainName>,
 }
 
-/// Tells whether another owner may have more luck: the request did not run, for a reason that is
-/// the owner's and not the request's.
-fn may_try_again(reply: &AnswerReply) -> bool {
-    match &reply.outcome {
-        Some(answer_reply::Outcome::NotRun(not_run)) => matches!(
-            not_run.reason(),
-            NotRunReason::NotOwner
+impl Tried {
+    fn is_empty(&self) -> bool {
+        self.owners.is_empty() && self.backend_servers.is_empty()
+    }
+
+    /// Takes note of a failed attempt. Returns whether another one may have more luck.
+    ///
+    /// An owner that has nothing for the request is not asked again. A backend server that failed is
+    /// excluded, but its owner may have others.
+    fn may_repeat(&mut self, target: &Target, reply: &AnswerReply) -> bool {
+        self.counted_for = Some(target.failure_domain.clone());
+        let excludes_owner = match &reply.outcome {
+            Some(answer_reply::Outcome::NotRun(not_run)) => match not_run.reason() {
+                NotRunReason::NotOwner
                 | NotRunReason::WrongIncarnation
                 | NotRunReason::NoBackendServer
-                | NotRunReason::Shed
                 | NotRunReason::Overloaded
-                | NotRunReason::ConnectFailed
-                | NotRunReason::Stopping
+                | NotRunReason::Stopping => true,
+                NotRunReason::Shed | NotRunReason::ConnectFailed => reply.backend_server.is_empty(),
+                _ => return false,
+            },
+            Some(answer_reply::Outcome::Unknown(unknown)) => match unknown.reason() {
+                UnknownReason::ConnectionLost => reply.backend_server.is_empty(),
+                _ => return false,
+            },
+            _ => return false,
+        };
+        if excludes_owner {
+            self.owners.push(target.owner.clone());
+        } else {
+            self.backend_servers.push(reply.backend_server.clone());
+        }
+        true
+    }
+}
+
+/// Tells the steering whether the home failure domain could serve the request.
+fn note_home(shared: &Shared, work: &Classified, target: &Target, reply: &AnswerReply) {
+    if target.failure_domain != shared.settings.failure_domain {
+        return;
+    }
+    let Some(service) = work.service() else { return };
+    let was_refused = match &reply.outcome {
+        Some(answer_reply::Outcome::NotRun(not_run)) => matches!(
+            not_run.reason(),
+            NotRunReason::Overloaded | NotRunReason::Deadline | NotRunReason::Shed
         ),
         _ => false,
-    }
+    };
+    lock(&shared.routing).note_home(&service.name, was_refused);
 }
 
 fn choose(shared: &Shared, work: &Classified, tried: &Tried) -> Result<Target, AnswerReply> {
@@ -179,7 +211,13 @@
     }
 }
 
-async fn attempt(shared: &Arc<Shared>, work: &Classified, target: &Target, id: &str) -> Attempt {
+async fn attempt(
+    shared: &Arc<Shared>,
+    work: &Classified,
+    target: &Target,
+    tried: &Tried,
+    id: &str,
+) -> Attempt {
     let now = shared.clock.now();
     let left_us = work.deadline.since_us(now);
     let request = DispatchRequest {
@@ -188,9 +226,10 @@
         request: Some(work.request.clone()),
         deadline_left_us: left_us,
         idempotent: work.operation.idempotent,
-        excluded_backend_servers: Vec::new(),
+        excluded_backend_servers: tried.backend_servers.clone(),
         content_digest: Bytes::copy_from_slice(wire::content_digest(&work.request).as_bytes()),
         failure_domain: target.failure_domain.to_string(),
+        from_failure_domain: shared.settings.failure_domain.to_string(),
         upload_parts: Vec::new(),
     };
     if target.owner == shared.settings.instance {
@@ -226,7 +265,7 @@
         if now >= until {
             return wire::unknown(UnknownReason::ConnectionLost, error);
         }
-        if let Some(reply) = settle_once(shared, target, id, now).await {
+        if let Some(reply) = settle_once(shared, target, id).await {
             return reply;
         }
         tokio::time::sleep(SETTLE_PERIOD).await;
@@ -234,12 +273,7 @@
 }
 
 /// Returns the final outcome, or nothing while it is open.
-async fn settle_once(
-    shared: &Shared,
-    target: &Target,
-    id: &str,
-    _now: Instant,
-) -> Option<AnswerReply> {
+async fn settle_once(shared: &Shared, target: &Target, id: &str) -> Option<AnswerReply> {
     let address = relay_address(shared, &target.owner)?;
     let request =
         SettleRequest { attempt_id: id.to_owned(), owner_incarnation: target.incarnation.0 };
--- a/crates/pollenshed/src/entry/routing.rs
+++ b/crates/pollenshed/src/entry/routing.rs
@@ -4,7 +4,7 @@
 
 use pollenshed_coordination::{
     routing::{Advertisements, LinkBudget, NoCapacity, RouteRequest, RouteView, Router, Target},
-    shift::Ramp,
+    shift::{ONE_PPM, Ramp},
 };
 use pollenshed_state::{
     config::{Config, Network},
@@ -14,9 +14,25 @@
     units::{BitRate, Percent},
 };
 
+/// Weight of one steering step in the share of requests that the home failure domain refuses.
+const REFUSED_WEIGHT: f64 = 0.1;
+
+/// Part by which the refused share shrinks in a step without refusals, so that requests come home
+/// slowly after an overload.
+const RECOVERY_PER_STEP: f64 = 0.02;
+
+/// Requests of one service that were meant for the home failure domain since the last step.
+#[derive(Debug, Clone, Copy, Default)]
+struct HomeLoad {
+    sent: u64,
+    refused: u64,
+    refused_share: f64,
+}
+
 /// Where this entry sends requests and how fast that may change.
 pub struct Routing {
     settings: Settings,
+    home_loads: HashMap<ServiceName, HomeLoad>,
     /// The router with headroom and link budgets.
     pub router: Router,
     /// One ramp per service.
@@ -40,6 +56,7 @@
         Routing {
             router: Router::new(settings.failure_domain.clone(), adverts, links),
             ramps: HashMap::new(),
+            home_loads: HashMap::new(),
             settings: settings.clone(),
         }
     }
@@ -71,4 +88,25 @@
             .or_insert_with(|| Ramp::new(home, view.service.shift.clone()));
         self.router.choose(request, view, ramp, now)
     }
+
+    /// Counts a request that an owner of the home failure domain ran or refused for lack of slots.
+    pub fn note_home(&mut self, service: &ServiceName, was_refused: bool) {
+        let load = self.home_loads.entry(service.clone()).or_default();
+        load.sent += 1;
+        load.refused += u64::from(was_refused);
+    }
+
+    /// Returns the share of the traffic that the home failure domain can serve, and starts a new
+    /// count.
+    pub fn home_ppm(&mut self, service: &ServiceName) -> u32 {
+        let load = self.home_loads.entry(service.clone()).or_default();
+        let refused = if load.sent == 0 { 0.0 } else { load.refused as f64 / load.sent as f64 };
+        if refused > 0.0 {
+            load.refused_share += REFUSED_WEIGHT * (1.0 - load.refused_share) * refused;
+        } else {
+            load.refused_share = (load.refused_share - RECOVERY_PER_STEP).max(0.0);
+        }
+        (load.sent, load.refused) = (0, 0);
+        ONE_PPM - (load.refused_share * f64::from(ONE_PPM)) as u32
+    }
 }
--- /dev/null
+++ b/crates/pollenshed/src/gossip/message.rs
@@ -0,0 +1,130 @@
+//! Builds and takes in gossip messages.
+
+use pollenshed_coordination::{limits::QuarantineEntry, ownership::live_entries, shift::Shares};
+use pollenshed_protocol::peer::{ExchangeMessage, Quarantine, RampPosition};
+use pollenshed_state::{
+    ids::{BackendServerName, FailureDomainName, InstanceName, ServiceName},
+    time::Instant,
+};
+
+use crate::{instance::Shared, util::lock, wire};
+
+/// Builds the message for a peer, whose last digest is given if it is known.
+pub fn to(
+    shared: &Shared,
+    peer: &InstanceName,
+    peer_digest: Option<u64>,
+    now: Instant,
+) -> ExchangeMessage {
+    let exchange = lock(&shared.membership).records_for(peer, peer_digest, now);
+    let mut message = wire::exchange_to_wire(&exchange);
+    {
+        let routing = lock(&shared.routing);
+        let adverts = routing.router.advertisements.to_pass_on(now);
+        message.headroom = adverts.iter().map(wire::headroom_to_wire).collect();
+        message.ramp = routing
+            .ramps
+            .iter()
+            .flat_map(|(service, ramp)| {
+                ramp.position().iter().map(move |(to, share_ppm)| RampPosition {
+                    service: service.to_string(),
+                    from_failure_domain: ramp.home().to_string(),
+                    to_failure_domain: to.to_string(),
+                    share_ppm,
+                })
+            })
+            .collect();
+    }
+    message.quarantine = shared
+        .owner
+        .with_scheduler(|scheduler| scheduler.quarantine().export(now))
+        .iter()
+        .map(quarantine_to_wire)
+        .collect();
+    message
+}
+
+/// Builds the answer to a peer's message.
+pub fn answer(shared: &Shared, message: &ExchangeMessage) -> ExchangeMessage {
+    let now = shared.clock.now();
+    match message.sender.as_ref().and_then(wire::member_from_wire) {
+        Some(sender) => to(shared, &sender.instance, Some(message.members_digest), now),
+        None => to(shared, &shared.settings.instance, None, now),
+    }
+}
+
+/// Takes over what a peer sent.
+pub fn merge(shared: &Shared, message: &ExchangeMessage) {
+    let Some(exchange) = wire::exchange_from_wire(message) else {
+        log::warn!("gossip: dropped a message without a readable sender");
+        return;
+    };
+    let now = shared.clock.now();
+    for change in lock(&shared.membership).merge(&exchange, now) {
+        log::info!("membership: {change:?}");
+    }
+    merge_headroom(shared, message, now);
+    let entries: Vec<_> = message.quarantine.iter().filter_map(quarantine_from_wire).collect();
+    if !entries.is_empty() {
+        shared.owner.with_scheduler(|scheduler| scheduler.merge_quarantine(&entries, now));
+    }
+    if exchange.sender.failure_domain == shared.settings.failure_domain {
+        adopt_ramps(shared, message, now);
+    }
+}
+
+fn merge_headroom(shared: &Shared, message: &ExchangeMessage, now: Instant) {
+    let adverts: Vec<_> = message.headroom.iter().filter_map(wire::headroom_from_wire).collect();
+    let (entries, incarnations) = {
+        let membership = lock(&shared.membership);
+        let entries = live_entries(&membership, now).len() as u64;
+        let current = |name: &InstanceName| membership.record_of(name).map(|r| r.incarnation);
+        (entries, adverts.iter().map(|a| current(&a.owner)).collect::<Vec<_>>())
+    };
+    let mut routing = lock(&shared.routing);
+    routing.router.advertisements.expire(now);
+    for (advert, incarnation) in adverts.into_iter().zip(incarnations) {
+        // Old sequences come around many times and are of no interest.
+        let _ = routing.router.advertisements.store(advert, incarnation, entries, now);
+    }
+}
+
+/// Takes ramp positions of a peer in the same failure domain, which a restarted entry needs.
+fn adopt_ramps(shared: &Shared, message: &ExchangeMessage, now: Instant) {
+    let mut routing = lock(&shared.routing);
+    let services: Vec<ServiceName> = routing.ramps.keys().cloned().collect();
+    for service in services {
+        let shares = message
+            .ramp
+            .iter()
+            .filter(|p| p.service == service.as_str())
+            .filter(|p| p.from_failure_domain == shared.settings.failure_domain.as_str())
+            .filter_map(|p| {
+                Some((p.to_failure_domain.parse::<FailureDomainName>().ok()?, p.share_ppm))
+            });
+        let position = Shares::away(shares);
+        if let Some(ramp) = routing.ramps.get_mut(&service)
+            && position != *ramp.position()
+            && ramp.adopt(position, now)
+        {
+            log::info!("shift: {service} takes the position of a peer: {:?}", ramp.position());
+        }
+    }
+}
+
+fn quarantine_to_wire(entry: &QuarantineEntry) -> Quarantine {
+    Quarantine {
+        content_digest: entry.content.as_bytes().to_vec().into(),
+        crashed_backend_servers: entry.crashed.iter().map(ToString::to_string).collect(),
+        ttl_left_ms: entry.ttl_left_ms,
+    }
+}
+
+fn quarantine_from_wire(entry: &Quarantine) -> Option<QuarantineEntry> {
+    let crashed = entry.crashed_backend_servers.iter().map(|name| name.parse());
+    Some(QuarantineEntry {
+        content: wire::digest_from_wire(&entry.content_digest)?,
+        crashed: crashed.collect::<Result<Vec<BackendServerName>, _>>().ok()?,
+        ttl_left_ms: entry.ttl_left_ms,
+    })
+}
--- /dev/null
+++ b/crates/pollenshed/src/gossip/steering.rs
@@ -0,0 +1,59 @@
+//! Moves the ramps towards what configuration and health ask for.
+
+use std::collections::BTreeMap;
+
+use pollenshed_coordination::shift::{DomainHealth, target_shares};
+use pollenshed_state::{
+    config::{Config, Service},
+    ids::FailureDomainName,
+    time::Instant,
+};
+
+use crate::entry::Routing;
+
+/// Takes one step of every ramp.
+pub fn step(routing: &mut Routing, config: &Config, now: Instant) {
+    for service in &config.services {
+        let health = health_of(routing, service, now);
+        let home_ppm = routing.home_ppm(&service.name);
+        let Some(ramp) = routing.ramps.get_mut(&service.name) else { continue };
+        let home = ramp.home().clone();
+        let target = target_shares(config, service, &home, &health, home_ppm);
+        if target != *ramp.target() {
+            log::debug!("shift: {} of {home} has target {target:?}", service.name);
+        }
+        let is_cold = target.iter().any(|(domain, _)| is_cold(&health, domain));
+        ramp.set_target(target);
+        let step = ramp.step(is_cold, now);
+        if step.moved_ppm > 0 {
+            log::info!(
+                "shift: {} of {home} moves {} ppm to {:?}, {} ppm left, receivers {}",
+                service.name,
+                step.moved_ppm,
+                ramp.position(),
+                step.left_ppm,
+                if is_cold { "cold" } else { "warm" }
+            );
+        }
+    }
+}
+
+fn is_cold(health: &BTreeMap<FailureDomainName, DomainHealth>, domain: &FailureDomainName) -> bool {
+    health.get(domain).is_some_and(|h| h.cold_backend_servers > 0)
+}
+
+/// Sums up what the owners of each failure domain advertise.
+fn health_of(
+    routing: &Routing,
+    service: &Service,
+    now: Instant,
+) -> BTreeMap<FailureDomainName, DomainHealth> {
+    let mut health: BTreeMap<FailureDomainName, DomainHealth> = BTreeMap::new();
+    for advert in routing.router.advertisements.of_service(&service.name, now) {
+        let domain = health.entry(advert.failure_domain.clone()).or_default();
+        domain.usable_backend_servers += advert.usable_backend_servers;
+        domain.cold_backend_servers += advert.cold_backend_servers;
+        domain.headroom_per_s += advert.requests_per_s;
+    }
+    health
+}
--- a/crates/pollenshed/src/instance/servers.rs
+++ b/crates/pollenshed/src/instance/servers.rs
@@ -160,13 +160,15 @@
             peer_address: record.peer_address,
         })
         .collect();
-    let owned_backend_servers = lock(&shared.ownership)
-        .owned()
-        .map(|name| OwnedBackendServer {
-            name: name.to_string(),
-            in_use: 0,
-            limit: 0,
-            state: "ok".to_owned(),
+    let owned_backend_servers = shared
+        .owner
+        .with_scheduler(|scheduler| scheduler.snapshot(now))
+        .into_iter()
+        .map(|server| OwnedBackendServer {
+            name: server.name.to_string(),
+            in_use: server.in_use,
+            limit: server.limit,
+            state: server.state.to_string(),
         })
         .collect();
     StatusBody {
--- a/crates/pollenshed/src/instance/shared.rs
+++ b/crates/pollenshed/src/instance/shared.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     sync::{
         Mutex,
         atomic::{AtomicBool, Ordering},
@@ -14,7 +14,7 @@
 };
 use pollenshed_protocol::peer::AnswerReply;
 use pollenshed_state::{
-    ids::{ConfigVersion, Incarnation, Ticket},
+    ids::{BackendServerName, ConfigVersion, Incarnation, Ticket},
     settings::Settings,
 };
 use pollenshed_transport::{backend::BackendClient, peers::Peers, platform::Platform};
@@ -62,6 +62,8 @@
     pub control_peers: Peers,
     /// Connections for work.
     pub work_peers: Peers,
+    /// Backend servers that the platform is about to take away, as its list last said.
+    pub leaving_backend_servers: Mutex<BTreeSet<BackendServerName>>,
     /// Client of backend servers.
     pub backend: BackendClient,
     /// Client of the platform.
@@ -111,6 +113,7 @@
             owner: Owner::default(),
             control_peers: Peers::default(),
             work_peers: Peers::default(),
+            leaving_backend_servers: Mutex::default(),
             backend: BackendClient::open(),
             platform: Platform::open(settings.platform_address, timeout),
             work,
--- /dev/null
+++ b/crates/pollenshed/src/owner/dispatch.rs
@@ -0,0 +1,272 @@
+//! One attempt, from its arrival to its outcome.
+
+use std::sync::Arc;
+
+use pollenshed_coordination::{
+    ledger::Begin,
+    limits::{Finished, Refusal, RefusalReason, Submitted, Work, WorkId},
+};
+use pollenshed_protocol::peer::{
+    AnswerReply, DispatchRequest, HttpRequest, NotRunReason, UnknownReason,
+};
+use pollenshed_state::{
+    config::{BackendServer, Operation, Service},
+    ids::{BackendServerName, CallerName, Digest},
+    time::Instant,
+    units::ByteSize,
+};
+use tokio::sync::oneshot;
+
+use super::{Grant, send, take_turn};
+use crate::{config::InForce, instance::Shared, util::lock, wire};
+
+/// Name under which requests of callers without a readable name are queued.
+const ANONYMOUS: &str = "anonymous";
+
+/// A dispatch that was read and checked.
+pub(super) struct Attempt {
+    pub(super) id: String,
+    pub(super) idempotent: bool,
+    pub(super) deadline: Instant,
+    pub(super) max_answer_bytes: u64,
+    pub(super) content: Digest,
+    pub(super) request: DispatchRequest,
+}
+
+/// Runs one attempt at a backend server that this instance owns.
+pub async fn dispatch(shared: &Arc<Shared>, request: DispatchRequest) -> AnswerReply {
+    let (attempt, work) = match read(shared, request) {
+        Ok(read) => read,
+        Err(refused) => return *refused,
+    };
+    if attempt.idempotent {
+        return run(shared, attempt, work).await;
+    }
+    let id = attempt.id.clone();
+    if let Some(refused) = begin(shared, &id) {
+        return refused;
+    }
+    // A task of its own goes on when the entry's call is lost, so that a settlement finds the
+    // outcome.
+    let runner = shared.clone();
+    let task = shared.work.spawn(async move {
+        let id = attempt.id.clone();
+        let reply = run(&runner, attempt, work).await;
+        lock(&runner.attempts).end(&id, reply.clone());
+        reply
+    });
+    task.await.unwrap_or_else(|e| wire::unknown(UnknownReason::ConnectionLost, e.to_string()))
+}
+
+fn begin(shared: &Shared, id: &str) -> Option<AnswerReply> {
+    let now = shared.clock.now();
+    match lock(&shared.attempts).begin(id, now) {
+        Begin::Queue => None,
+        Begin::Forbidden => {
+            Some(wire::not_run(NotRunReason::Forbidden, "the attempt was given up"))
+        }
+        Begin::Duplicate => {
+            Some(wire::unknown(UnknownReason::Duplicate, "the attempt arrived before"))
+        }
+        Begin::Full => {
+            Some(wire::not_run(NotRunReason::Overloaded, "too many attempts are remembered"))
+        }
+    }
+}
+
+fn read(shared: &Shared, request: DispatchRequest) -> Result<(Attempt, Work), Box<AnswerReply>> {
+    let refuse = |reason, detail: &str| Box::new(wire::not_run(reason, detail));
+    if request.owner_incarnation != shared.incarnation.0 {
+        return Err(refuse(NotRunReason::WrongIncarnation, "the owner has restarted"));
+    }
+    let now = shared.clock.now();
+    let current = shared
+        .config
+        .get()
+        .ok_or_else(|| refuse(NotRunReason::NotOwner, "the owner has no configuration"))?;
+    let http = request
+        .request
+        .as_ref()
+        .ok_or_else(|| refuse(NotRunReason::Invalid, "the dispatch carries no request"))?;
+    let (service, operation) = classify(&current, http)
+        .ok_or_else(|| refuse(NotRunReason::Invalid, "the service declares no such operation"))?;
+    if request.idempotent != operation.idempotent {
+        let detail = "entry and owner disagree about whether the operation is idempotent";
+        return Err(refuse(NotRunReason::NotOwner, detail));
+    }
+    let is_remote = request.from_failure_domain != shared.settings.failure_domain.as_str();
+    if is_remote && !admit_remote(shared, service, &request, now) {
+        return Err(refuse(NotRunReason::Overloaded, "more than the advertised headroom"));
+    }
+    let deadline = now.plus_us(request.deadline_left_us);
+    let content = wire::digest_from_wire(&request.content_digest)
+        .unwrap_or_else(|| wire::content_digest(http));
+    let work = Work {
+        id: shared.owner.new_id(),
+        service: service.name.clone(),
+        rank: operation.rank,
+        caller: caller_name(&http.caller),
+        deadline,
+        excluded: excluded(&request),
+        content,
+        body_bytes: ByteSize(http.body.len() as u64),
+        remote: is_remote,
+    };
+    let attempt = Attempt {
+        id: request.attempt_id.clone(),
+        idempotent: operation.idempotent,
+        deadline,
+        max_answer_bytes: service.max_answer_bytes.0,
+        content,
+        request,
+    };
+    Ok((attempt, work))
+}
+
+fn classify<'a>(current: &'a InForce, http: &HttpRequest) -> Option<(&'a Service, &'a Operation)> {
+    let service = current.config.services.iter().find(|s| s.name.as_str() == http.service)?;
+    let operation = service.operation(&http.method, &http.path)?;
+    Some((service, operation))
+}
+
+/// Takes a request of another failure domain, up to the advertised rate over all entries.
+fn admit_remote(
+    shared: &Shared,
+    service: &Service,
+    request: &DispatchRequest,
+    now: Instant,
+) -> bool {
+    let Ok(domain) = request.failure_domain.parse() else { return false };
+    let mut state = lock(&shared.owner.state);
+    let intake = state.intakes.get_mut(&(service.name.clone(), domain));
+    intake.is_some_and(|intake| intake.admit(now))
+}
+
+fn caller_name(text: &str) -> CallerName {
+    text.parse()
+        .or_else(|_| ANONYMOUS.parse())
+        .expect("the fixed name for anonymous callers is valid")
+}
+
+fn excluded(request: &DispatchRequest) -> Vec<BackendServerName> {
+    request.excluded_backend_servers.iter().filter_map(|name| name.parse().ok()).collect()
+}
+
+/// Queues the attempt, waits for a slot and sends it.
+async fn run(shared: &Arc<Shared>, attempt: Attempt, work: Work) -> AnswerReply {
+    let id = work.id;
+    let (sender, receiver) = oneshot::channel();
+    let now = shared.clock.now();
+    {
+        let mut state = lock(&shared.owner.state);
+        if let Submitted::Refused(refusal) = state.scheduler.submit(work, now, fastrand::u64(..)) {
+            log::info!("dispatch: {id} refused at once ({})", refusal.reason);
+            return refused(&refusal);
+        }
+        state.waiting.insert(id, sender);
+    }
+    let mut ticket = Queued { shared, id, receiver: Some(receiver) };
+    take_turn(shared, now);
+    match ticket.wait().await {
+        Some(Grant::Refused(refusal)) => {
+            log::info!("dispatch: {id} refused in the queue ({})", refusal.reason);
+            refused(&refusal)
+        }
+        Some(Grant::Server(server)) => start(shared, attempt, id, server).await,
+        None => wire::not_run(NotRunReason::Stopping, "the owner is stopping"),
+    }
+}
+
+/// A request in the queue. Dropping it, as when the caller goes away, removes it from there.
+struct Queued<'a> {
+    shared: &'a Shared,
+    id: WorkId,
+    receiver: Option<oneshot::Receiver<Grant>>,
+}
+
+impl Queued<'_> {
+    async fn wait(&mut self) -> Option<Grant> {
+        let grant = self.receiver.as_mut()?.await.ok();
+        self.receiver = None;
+        grant
+    }
+}
+
+impl Drop for Queued<'_> {
+    fn drop(&mut self) {
+        let Some(mut receiver) = self.receiver.take() else { return };
+        let now = self.shared.clock.now();
+        let mut state = lock(&self.shared.owner.state);
+        state.waiting.remove(&self.id);
+        // A grant that was sent but not seen has taken a slot.
+        match receiver.try_recv() {
+            Ok(Grant::Server(_)) => {
+                state.scheduler.finish(self.id, Finished::Failed, now);
+            }
+            _ => {
+                state.scheduler.cancel(self.id, now);
+            }
+        }
+    }
+}
+
+async fn start(
+    shared: &Arc<Shared>,
+    attempt: Attempt,
+    id: WorkId,
+    server: BackendServerName,
+) -> AnswerReply {
+    let now = shared.clock.now();
+    if let Err(reply) = check_start(shared, &attempt, now) {
+        lock(&shared.owner.state).scheduler.finish(id, Finished::Failed, now);
+        shared.owner.wake();
+        return *reply;
+    }
+    match server_of(shared, &server) {
+        Some(server) => send::send(shared, attempt, id, server).await,
+        None => {
+            lock(&shared.owner.state).scheduler.finish(id, Finished::Failed, now);
+            wire::not_run(NotRunReason::NotOwner, "the backend server was removed")
+        }
+    }
+}
+
+/// Checks once more, because the process may have been paused since the slot was granted.
+fn check_start(shared: &Shared, attempt: &Attempt, now: Instant) -> Result<(), Box<AnswerReply>> {
+    if now >= attempt.deadline {
+        let reply = wire::not_run(NotRunReason::Deadline, "the deadline passed before dispatch");
+        return Err(Box::new(reply));
+    }
+    if !lock(&shared.fence).may_dispatch(now) {
+        let reply = wire::not_run(NotRunReason::NotOwner, "the owner was paused");
+        return Err(Box::new(reply));
+    }
+    if !attempt.idempotent && !lock(&shared.attempts).dispatch(&attempt.id) {
+        let reply = wire::not_run(NotRunReason::Forbidden, "the attempt was given up");
+        return Err(Box::new(reply));
+    }
+    Ok(())
+}
+
+fn server_of(shared: &Shared, name: &BackendServerName) -> Option<BackendServer> {
+    let current = shared.config.get()?;
+    let mut servers = current.config.services.iter().flat_map(|s| &s.backend_servers);
+    servers.find(|s| s.name == *name).cloned()
+}
+
+fn refused(refusal: &Refusal) -> AnswerReply {
+    let (reason, detail) = match refusal.reason {
+        RefusalReason::Deadline => {
+            (NotRunReason::Deadline, "the request cannot finish before its deadline")
+        }
+        RefusalReason::Overloaded => (NotRunReason::Overloaded, "the queue is full"),
+        RefusalReason::Quarantined => {
+            (NotRunReason::Quarantined, "the request is suspected to crash backend servers")
+        }
+        RefusalReason::NoBackendServer => {
+            (NotRunReason::NoBackendServer, "no owned backend server may run the request")
+        }
+        RefusalReason::Duplicate => (NotRunReason::Invalid, "the request was queued twice"),
+    };
+    wire::not_run_retry(reason, refusal.retry_after_ms, detail)
+}
--- /dev/null
+++ b/crates/pollenshed/src/owner/probe.rs
@@ -0,0 +1,79 @@
+//! Reads health and load of the owned backend servers.
+//!
+//! Probes use connections of their own and do not wait behind the work that they check.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use pollenshed_coordination::limits::LoadReport;
+use pollenshed_protocol::backend::HealthStatus;
+use pollenshed_state::{config::BackendServer, ids::BackendServerName};
+
+use crate::{instance::Shared, util::lock};
+
+/// Failed probes in a row after which a server is taken out of use. One alone can be lost by chance.
+const MAX_FAILED_PROBES: u32 = 2;
+
+/// Probes until the instance ends.
+pub(super) async fn run(shared: Arc<Shared>) {
+    let period = Duration::from_millis(shared.settings.timing.probe_period_ms);
+    let failed: Arc<std::sync::Mutex<HashMap<BackendServerName, u32>>> = Arc::default();
+    loop {
+        tokio::time::sleep(period).await;
+        let servers = owned_servers(&shared);
+        lock(&failed).retain(|name, _| servers.iter().any(|s| s.name == *name));
+        let probes = servers.into_iter().map(|server| {
+            let (shared, failed) = (shared.clone(), failed.clone());
+            tokio::task::spawn_blocking(move || {
+                let is_ok = probe(&shared, &server);
+                note(&shared, &server, is_ok, &mut lock(&failed));
+            })
+        });
+        for task in probes.collect::<Vec<_>>() {
+            let _ = task.await;
+        }
+        shared.owner.wake();
+    }
+}
+
+fn owned_servers(shared: &Shared) -> Vec<BackendServer> {
+    let Some(current) = shared.config.get() else { return Vec::new() };
+    let ownership = lock(&shared.ownership);
+    let servers = current.config.services.iter().flat_map(|s| &s.backend_servers);
+    servers.filter(|s| ownership.owns(&s.name)).cloned().collect()
+}
+
+/// Probes one server and hands its report to the scheduler. Returns whether it answered.
+fn probe(shared: &Shared, server: &BackendServer) -> bool {
+    let Ok(health) = shared.backend.health(server.address) else { return false };
+    let draining = health.status == HealthStatus::Draining;
+    let report = match shared.backend.load(server.address) {
+        Ok(load) => LoadReport { in_use: load.in_use, slots: load.slots, draining },
+        Err(_) => LoadReport { in_use: 0, slots: server.slots.0, draining },
+    };
+    let now = shared.clock.now();
+    shared.owner.with_scheduler(|scheduler| scheduler.report(&server.name, report, now));
+    true
+}
+
+fn note(
+    shared: &Shared,
+    server: &BackendServer,
+    is_ok: bool,
+    failed: &mut HashMap<BackendServerName, u32>,
+) {
+    let count = failed.entry(server.name.clone()).or_default();
+    let now = shared.clock.now();
+    if is_ok {
+        if *count >= MAX_FAILED_PROBES {
+            log::info!("health: {} answers again", server.name);
+        }
+        *count = 0;
+        shared.owner.with_scheduler(|scheduler| scheduler.set_up(&server.name, now));
+        return;
+    }
+    *count = count.saturating_add(1);
+    if *count == MAX_FAILED_PROBES {
+        log::warn!("health: {} failed {MAX_FAILED_PROBES} probes and gets no work", server.name);
+        shared.owner.with_scheduler(|scheduler| scheduler.set_down(&server.name));
+    }
+}
--- /dev/null
+++ b/crates/pollenshed/src/owner/send.rs
@@ -0,0 +1,168 @@
+//! Sends an attempt to a backend server and reports its end to the scheduler.
+
+use std::{sync::Arc, time::Duration};
+
+use pollenshed_coordination::limits::{Finished, LoadReport, WorkId};
+use pollenshed_protocol::peer::{AnswerReply, NotRunReason, UnknownReason};
+use pollenshed_state::{
+    config::BackendServer,
+    ids::{BackendServerName, Digest},
+};
+use pollenshed_transport::backend::{BackendOutcome, BackendRequest};
+
+use super::dispatch::Attempt;
+use crate::{instance::Shared, util::lock, wire};
+
+/// Sends the attempt, whose slot is taken, and waits for its outcome.
+pub(super) async fn send(
+    shared: &Arc<Shared>,
+    attempt: Attempt,
+    id: WorkId,
+    server: BackendServer,
+) -> AnswerReply {
+    let name = server.name.clone();
+    let mut running = Running {
+        shared: shared.clone(),
+        id,
+        request_id: attempt.id.clone(),
+        server: server.clone(),
+        is_over: false,
+    };
+    let sender = shared.clone();
+    // The client blocks. The task reports the end itself, because this future may be dropped.
+    let task = shared.work.spawn_blocking(move || call(&sender, &attempt, id, &server));
+    let outcome = task.await;
+    running.is_over = true;
+    match outcome {
+        Ok(outcome) => reply_of(outcome, &name),
+        Err(e) => wire::unknown(UnknownReason::ConnectionLost, e.to_string()),
+    }
+}
+
+fn call(shared: &Shared, attempt: &Attempt, id: WorkId, server: &BackendServer) -> BackendOutcome {
+    let began = shared.clock.now();
+    let Some(request) = &attempt.request.request else {
+        return BackendOutcome::ConnectFailed("the dispatch carries no request".to_owned());
+    };
+    log::info!("dispatch: {} {} ({id}) to {}", request.service, attempt.id, server.name);
+    let outcome = shared.backend.send(&BackendRequest {
+        address: server.address,
+        request,
+        request_id: &attempt.id,
+        timeout: Duration::from_micros(attempt.deadline.since_us(began)),
+        idempotent: attempt.idempotent,
+        max_answer_bytes: attempt.max_answer_bytes,
+    });
+    let latency_us = shared.clock.now().since_us(began);
+    report(shared, attempt, id, server, &outcome, latency_us);
+    outcome
+}
+
+fn report(
+    shared: &Shared,
+    attempt: &Attempt,
+    id: WorkId,
+    server: &BackendServer,
+    outcome: &BackendOutcome,
+    latency_us: u64,
+) {
+    let finished = match outcome {
+        BackendOutcome::Answered { .. } | BackendOutcome::AnswerTooLarge => {
+            Finished::Answered { latency_us }
+        }
+        BackendOutcome::Shed { .. } => Finished::Shed,
+        BackendOutcome::ConnectFailed(_) => Finished::Failed,
+        BackendOutcome::ConnectionLost(_) => Finished::Crashed,
+        BackendOutcome::TimedOut => Finished::Abandoned,
+    };
+    let now = shared.clock.now();
+    shared.owner.with_scheduler(|scheduler| {
+        if !scheduler.finish(id, finished, now) {
+            scheduler.release(id, now);
+        }
+        match outcome {
+            BackendOutcome::ConnectFailed(_) => scheduler.set_down(&server.name),
+            BackendOutcome::Answered { draining: true, .. }
+            | BackendOutcome::Shed { draining: true } => {
+                let report = LoadReport { in_use: 0, slots: server.slots.0, draining: true };
+                scheduler.report(&server.name, report, now);
+            }
+            _ => {}
+        }
+    });
+    shared.owner.wake();
+    log_end(&attempt.content, attempt, server, outcome, latency_us);
+    if let BackendOutcome::TimedOut = outcome {
+        cancel(shared, server, &attempt.id);
+    }
+}
+
+fn log_end(
+    content: &Digest,
+    attempt: &Attempt,
+    server: &BackendServer,
+    outcome: &BackendOutcome,
+    latency_us: u64,
+) {
+    match outcome {
+        BackendOutcome::Answered { answer, .. } => {
+            log::debug!("dispatch: {} answered {} in {latency_us} us", attempt.id, answer.status);
+        }
+        BackendOutcome::Shed { .. } => log::info!("dispatch: {} shed {}", server.name, attempt.id),
+        BackendOutcome::ConnectionLost(e) => {
+            log::warn!("dispatch: {} lost {} with content {content}: {e}", server.name, attempt.id);
+        }
+        other => log::warn!("dispatch: {} at {}: {other:?}", attempt.id, server.name),
+    }
+}
+
+/// Tells the server that nobody waits any more. A failure changes nothing: the slot stays counted.
+fn cancel(shared: &Shared, server: &BackendServer, request_id: &str) {
+    if let Err(e) = shared.backend.cancel(server.address, request_id) {
+        log::debug!("dispatch: cancel of {request_id} at {} failed: {e}", server.name);
+    }
+}
+
+/// A request at a backend server. Dropping it early, as when the caller goes away, cancels it.
+struct Running {
+    shared: Arc<Shared>,
+    id: WorkId,
+    request_id: String,
+    server: BackendServer,
+    is_over: bool,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        if self.is_over {
+            return;
+        }
+        let now = self.shared.clock.now();
+        lock(&self.shared.owner.state).scheduler.finish(self.id, Finished::Abandoned, now);
+        let (shared, server) = (self.shared.clone(), self.server.clone());
+        let request_id = std::mem::take(&mut self.request_id);
+        self.shared.work.spawn_blocking(move || cancel(&shared, &server, &request_id));
+    }
+}
+
+fn reply_of(outcome: BackendOutcome, server: &BackendServerName) -> AnswerReply {
+    let mut reply = match outcome {
+        BackendOutcome::Answered { answer, .. } => return wire::done(answer, server.as_str()),
+        BackendOutcome::Shed { .. } => {
+            wire::not_run_retry(NotRunReason::Shed, SHED_RETRY_AFTER_MS, "the server shed it")
+        }
+        BackendOutcome::ConnectFailed(e) => wire::not_run(NotRunReason::ConnectFailed, e),
+        BackendOutcome::ConnectionLost(e) => wire::unknown(UnknownReason::ConnectionLost, e),
+        BackendOutcome::TimedOut => {
+            wire::unknown(UnknownReason::Timeout, "the deadline passed at the backend server")
+        }
+        BackendOutcome::AnswerTooLarge => {
+            wire::unknown(UnknownReason::AnswerTooLarge, "the answer is larger than declared")
+        }
+    };
+    reply.backend_server = server.to_string();
+    reply
+}
+
+/// Time after which a shed request may be sent again.
+const SHED_RETRY_AFTER_MS: u64 = 500;
--- a/crates/pollenshed/src/reader/mod.rs
+++ b/crates/pollenshed/src/reader/mod.rs
@@ -34,6 +34,8 @@
         .map(|i| Candidate { instance: i.name.clone(), peer_address: i.peer_address })
         .collect();
     lock(&shared.membership).set_candidates(candidates);
+    *lock(&shared.leaving_backend_servers) =
+        list.leaving_backend_servers.iter().filter_map(|name| name.parse().ok()).collect();
     read_config(shared)
 }
 
@@ -60,9 +62,9 @@
         return Err(PlatformError::Malformed(format!("object {digest} is missing")));
     };
     match shared.config.offer(version, digest, Bytes::from(document)) {
-        Ok(_) => {
+        Ok(current) => {
             log::info!("config: version {version} in force, from the store");
-            gossip::update_ownership(shared);
+            gossip::update(shared, &current, shared.clock.now());
         }
         Err(rejected) => log::warn!("config: version {version} of the store: {rejected}"),
     }
--- a/crates/pollenshed/tests/support/mod.rs
+++ b/crates/pollenshed/tests/support/mod.rs
@@ -47,7 +47,9 @@
 
 impl Drop for Workdir {
     fn drop(&mut self) {
-        let _ = fs::remove_dir_all(&self.path);
+        if std::env::var_os("KEEP_TEST_FOLDERS").is_none() {
+            let _ = fs::remove_dir_all(&self.path);
+        }
     }
 }
 
@@ -163,9 +165,24 @@
         }
         fleet.list_instances();
         fleet.wait_until_in_force(1);
+        fleet.wait_until_served();
         fleet
     }
 
+    /// Waits until every backend server has an owner that dispatches to it.
+    pub fn wait_until_served(&self) {
+        wait_for("an owner for every backend server", || {
+            let statuses: Option<Vec<_>> = self.daemons.iter().map(Daemon::status).collect();
+            let owned = statuses?.into_iter().flat_map(|s| s.owned_backend_servers);
+            (owned.filter(|s| s.limit > 0).count() >= self.backends.len()).then_some(())
+        });
+        // Entries learn from the next gossip that an owner has begun to dispatch.
+        for daemon in &self.daemons {
+            let url = format!("http://{}/v1/run/ledger/ready", daemon.callers);
+            wait_for("a served read at each entry", || ureq::get(&url).call().ok());
+        }
+    }
+
     /// Returns the settings of an instance that lets the system choose its ports.
     pub fn settings(&self, instance: &str, domain: &str) -> Value {
         json!({
