--- a/crates/state/src/config/document.rs
+++ b/crates/state/src/config/document.rs
@@ -154,25 +154,6 @@
     pub idempotent: bool,
 }
 
-impl Service {
-    /// Returns the first operation that matches `method` and `path`.
-    ///
-    /// The query is not part of the comparison. A prefix matches whole path segments only, so that
-    /// `/filings` does not match `/filings-old`.
-    pub fn operation(&self, method: &str, path: &str) -> Option<&Operation> {
-        let path = path.split('?').next().unwrap_or(path);
-        self.operations.iter().find(|operation| {
-            operation.methods.iter().any(|m| m == method)
-                && path_has_prefix(path, &operation.path_prefix)
-        })
-    }
-}
-
-fn path_has_prefix(path: &str, prefix: &str) -> bool {
-    let prefix = prefix.trim_end_matches('/');
-    path.strip_prefix(prefix).is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
-}
-
 /// Cap on moving a service's traffic.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -202,7 +183,7 @@
 }
 
 /// A planned drain: the target gets no new work while this is in force.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "snake_case")]
 pub enum Drain {
     /// Drains one backend server.
@@ -212,3 +193,13 @@
     /// Drains all backend servers of a region.
     Region(RegionName),
 }
+
+impl fmt::Display for Drain {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Drain::BackendServer(name) => write!(f, "backend server {name}"),
+            Drain::FailureDomain(name) => write!(f, "failure domain {name}"),
+            Drain::Region(name) => write!(f, "region {name}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/state/src/config/read.rs
@@ -0,0 +1,73 @@
+use crate::{
+    config::document::{
+        BackendServer, Config, Drain, Network, Operation, Rank, RankPolicy, Region, Service,
+        ShiftPolicy,
+    },
+    ids::RegionName,
+    reader::{Node, Read, Reader, read_struct, read_text},
+};
+
+read_struct!(Config { format, user, regions, network, ranks, services } optional { drains });
+read_struct!(Region { name, failure_domains } optional {});
+read_struct!(Network {
+    between_failure_domains_us,
+    between_regions_us,
+    to_clients_us,
+    region_link_bits_per_s,
+    region_link_share_percent,
+} optional {});
+read_struct!(RankPolicy { rank, min_share_percent, deadline_ms } optional {});
+read_struct!(Service {
+    name,
+    operations,
+    max_request_bytes,
+    max_answer_bytes,
+    max_upload_bytes,
+    shift,
+    retry_budget_percent,
+    backend_servers,
+} optional {});
+read_struct!(Operation { methods, path_prefix, rank, idempotent } optional {});
+read_struct!(ShiftPolicy { cap_percent, cold_cap_percent, interval_ms } optional {});
+read_struct!(BackendServer { name, failure_domain, address, slots, connections } optional {});
+
+impl Read for Rank {
+    fn placeholder() -> Rank {
+        Rank::Deferrable
+    }
+
+    fn read(reader: &mut Reader<'_>, node: &Node<'_>) -> Rank {
+        read_text(reader, node, "\"urgent\", \"standard\" or \"deferrable\"")
+            .unwrap_or_else(Rank::placeholder)
+    }
+}
+
+const DRAIN_FORM: &str =
+    "one of {\"backend_server\": NAME}, {\"failure_domain\": NAME} and {\"region\": NAME}";
+
+impl Read for Drain {
+    fn placeholder() -> Drain {
+        Drain::Region(RegionName::placeholder())
+    }
+
+    fn read(reader: &mut Reader<'_>, node: &Node<'_>) -> Drain {
+        let fields = reader.object(node, &["backend_server", "failure_domain", "region"]);
+        let Some(object) = node.value.as_object() else { return Drain::placeholder() };
+        let names: Vec<_> = object.properties.iter().map(|p| p.name.as_str()).collect();
+        match names[..] {
+            ["backend_server"] => Drain::BackendServer(reader.required(&fields, "backend_server")),
+            ["failure_domain"] => Drain::FailureDomain(reader.required(&fields, "failure_domain")),
+            ["region"] => Drain::Region(reader.required(&fields, "region")),
+            // The unknown field was reported as such.
+            [_] => {
+                reader.mark_unread(node);
+                Drain::placeholder()
+            }
+            _ => {
+                let message = format!("a drain has one target, found {} fields", names.len());
+                reader.unreadable(node, message, DRAIN_FORM.to_owned());
+                Drain::placeholder()
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/state/src/config/rules/mod.rs
@@ -0,0 +1,78 @@
+//! The rules that a configuration keeps, whether it was read from a file or built in code.
+
+mod drains;
+mod network;
+mod operations;
+mod services;
+
+use std::collections::HashMap;
+
+use super::document::Config;
+use crate::findings::Problems;
+
+/// Version of the document's format.
+pub const FORMAT: u32 = 1;
+
+/// Longest one-way delay accepted, 10 s.
+pub const MAX_DELAY_US: u64 = 10_000_000;
+
+/// Longest deadline accepted, half of the default lifetime of a binding. Together with the same
+/// rule in the settings, a request ends while the ledger still remembers its ticket.
+pub const MAX_DEADLINE_MS: u64 = 300_000;
+
+/// Most slots of one backend server.
+pub const MAX_SLOTS: u64 = 1_024;
+
+/// Most connections of one backend server, the ports that one address has.
+pub const MAX_CONNECTIONS: u64 = 65_535;
+
+/// Shortest interval of a shift cap. Headroom is advertised by gossip every 250 ms, so that a
+/// shorter interval would pass without new information.
+pub const MIN_SHIFT_INTERVAL_MS: u64 = 250;
+
+/// Longest interval of a shift cap, one hour.
+pub const MAX_SHIFT_INTERVAL_MS: u64 = 3_600_000;
+
+/// HTTP methods that an operation can have.
+pub const METHODS: [&str; 7] = ["DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"];
+
+/// Adds a problem for each rule that `config` breaks.
+pub(super) fn check(config: &Config, problems: &mut Problems) {
+    if config.format != FORMAT {
+        problems.add("format", format!("format {} is not known", config.format), "1");
+    }
+    network::check(config, problems);
+    services::check(config, problems);
+    for (i, service) in config.services.iter().enumerate() {
+        operations::check(&format!("services[{i}].operations"), &service.operations, problems);
+    }
+    drains::check(config, problems);
+}
+
+/// Reports each entry that repeats an earlier one. Entries are pairs of path and value.
+fn report_repeated<T: std::hash::Hash + Eq + std::fmt::Display>(
+    what: &str,
+    entries: impl Iterator<Item = (String, T)>,
+    problems: &mut Problems,
+) {
+    let mut first: HashMap<T, String> = HashMap::new();
+    for (path, value) in entries {
+        if let Some(earlier) = first.get(&value) {
+            let message = format!("duplicate {what} {value}, also at {earlier}");
+            problems.add(path, message, "no repetition");
+        } else {
+            first.insert(value, path);
+        }
+    }
+}
+
+fn report_empty<T>(path: &str, list: &[T], what: &str, problems: &mut Problems) {
+    if list.is_empty() {
+        problems.add(path, "the list is empty", format!("at least one {what}"));
+    }
+}
+
+/// Returns the paths of all lists of failure domains.
+fn failure_domain_lists(config: &Config) -> impl Iterator<Item = String> {
+    (0..config.regions.len()).map(|i| format!("regions[{i}].failure_domains"))
+}
--- /dev/null
+++ b/crates/state/src/config/rules/operations.rs
@@ -0,0 +1,71 @@
+use crate::{
+    config::{
+        document::Operation,
+        operation::{path_has_prefix, unambiguous_path},
+        rules::{METHODS, report_empty, report_repeated},
+    },
+    findings::Problems,
+};
+
+/// Checks the operations of one service, which are at `path`.
+pub(super) fn check(path: &str, operations: &[Operation], problems: &mut Problems) {
+    report_empty(path, operations, "operation", problems);
+    for (i, operation) in operations.iter().enumerate() {
+        let path = format!("{path}[{i}]");
+        methods(&format!("{path}.methods"), &operation.methods, problems);
+        if !is_path_prefix(&operation.path_prefix) {
+            problems.add(
+                format!("{path}.path_prefix"),
+                format!("{:?} is not a path prefix", operation.path_prefix),
+                "\"/\", or segments of A-Z a-z 0-9 - . _ ~ such as \"/filings\" without a slash at the end",
+            );
+        }
+    }
+    for i in 0..operations.len() {
+        unreachable(path, operations, i, problems);
+    }
+}
+
+fn methods(path: &str, methods: &[String], problems: &mut Problems) {
+    report_empty(path, methods, "method", problems);
+    for (i, method) in methods.iter().enumerate() {
+        if !METHODS.contains(&method.as_str()) {
+            let message = format!("{method:?} is not a method");
+            problems.add(format!("{path}[{i}]"), message, format!("one of {}", METHODS.join(", ")));
+        }
+    }
+    let entries = methods.iter().enumerate().map(|(i, m)| (format!("{path}[{i}]"), m));
+    report_repeated("method", entries, problems);
+}
+
+/// Prefixes have one spelling each and need no percent-encoding, so that comparing text suffices.
+fn is_path_prefix(prefix: &str) -> bool {
+    let is_plain = |b: u8| b.is_ascii_alphanumeric() || b"-._~/".contains(&b);
+    prefix == "/"
+        || (unambiguous_path(prefix).is_some()
+            && !prefix.ends_with('/')
+            && prefix.bytes().all(is_plain))
+}
+
+/// Reports the methods of operation `i` that an earlier operation always takes.
+///
+/// The first match applies, so such a request would run under the rank and the idempotence of the
+/// other operation.
+fn unreachable(path: &str, operations: &[Operation], i: usize, problems: &mut Problems) {
+    let operation = &operations[i];
+    for (k, method) in operation.methods.iter().enumerate() {
+        let earlier = operations[..i].iter().position(|e| {
+            e.methods.contains(method) && path_has_prefix(&operation.path_prefix, &e.path_prefix)
+        });
+        if let Some(e) = earlier {
+            let message = format!(
+                "{method} {} never gets here, because {path}[{e}] takes {method} {}",
+                operation.path_prefix, operations[e].path_prefix
+            );
+            problems
+                .add(format!("{path}[{i}].methods[{k}]"), message, "longer prefixes first")
+                .depends_on(format!("{path}[{i}].path_prefix"))
+                .depends_on(format!("{path}[{e}]"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/state/src/config/rules/services.rs
@@ -0,0 +1,186 @@
+use std::collections::{HashMap, HashSet};
+
+use crate::{
+    config::{
+        document::{BackendServer, Config, Service},
+        rules::{
+            MAX_CONNECTIONS, MAX_SHIFT_INTERVAL_MS, MAX_SLOTS, MIN_SHIFT_INTERVAL_MS,
+            failure_domain_lists, report_empty, report_repeated,
+        },
+    },
+    findings::Problems,
+    ids::{FailureDomainName, RegionName},
+    reader::MAX_NUMBER,
+};
+
+type RegionOf<'a> = HashMap<&'a FailureDomainName, &'a RegionName>;
+
+/// Checks the services and their backend servers, but for the operations.
+pub(super) fn check(config: &Config, problems: &mut Problems) {
+    report_empty("services", &config.services, "service", problems);
+    let names = config.services.iter().enumerate();
+    let names = names.map(|(i, service)| (format!("services[{i}].name"), &service.name));
+    report_repeated("service", names, problems);
+    repeated_backend_servers(config, problems);
+    let region_of: RegionOf<'_> = config
+        .regions
+        .iter()
+        .flat_map(|region| region.failure_domains.iter().map(|name| (name, &region.name)))
+        .collect();
+    for (i, service) in config.services.iter().enumerate() {
+        let path = format!("services[{i}]");
+        sizes(&path, service, problems);
+        shift(&path, service, problems);
+        let retries = service.retry_budget_percent.0;
+        problems.range(format!("{path}.retry_budget_percent"), retries, 0, 100);
+        let list = format!("{path}.backend_servers");
+        report_empty(&list, &service.backend_servers, "backend server", problems);
+        for (k, server) in service.backend_servers.iter().enumerate() {
+            backend_server(&format!("{list}[{k}]"), server, problems);
+            known_failure_domain(&format!("{list}[{k}]"), config, server, &region_of, problems);
+        }
+        link(&path, config, service, &region_of, problems);
+    }
+}
+
+fn repeated_backend_servers(config: &Config, problems: &mut Problems) {
+    let servers = || {
+        config.services.iter().enumerate().flat_map(|(i, service)| {
+            let servers = service.backend_servers.iter().enumerate();
+            servers.map(move |(k, s)| (format!("services[{i}].backend_servers[{k}]"), s))
+        })
+    };
+    let names = servers().map(|(path, s)| (format!("{path}.name"), &s.name));
+    report_repeated("backend server", names, problems);
+    let addresses = servers().map(|(path, s)| (format!("{path}.address"), s.address));
+    report_repeated("address", addresses, problems);
+}
+
+fn sizes(path: &str, service: &Service, problems: &mut Problems) {
+    let (request, upload) = (service.max_request_bytes.0, service.max_upload_bytes.0);
+    problems.range(format!("{path}.max_request_bytes"), request, 1, MAX_NUMBER);
+    problems.range(format!("{path}.max_answer_bytes"), service.max_answer_bytes.0, 1, MAX_NUMBER);
+    problems.range(format!("{path}.max_upload_bytes"), upload, 0, MAX_NUMBER);
+    if upload != 0 && upload < request {
+        let message = format!("{upload} is below max_request_bytes, the size of one part");
+        problems
+            .add(
+                format!("{path}.max_upload_bytes"),
+                message,
+                format!("0 for no uploads, or at least {request}"),
+            )
+            .depends_on(format!("{path}.max_request_bytes"));
+    }
+}
+
+fn shift(path: &str, service: &Service, problems: &mut Problems) {
+    let shift = &service.shift;
+    let (cap, cold) = (shift.cap_percent.0, shift.cold_cap_percent.0);
+    problems.range(format!("{path}.shift.cap_percent"), cap, 1, 100);
+    let cold_path = format!("{path}.shift.cold_cap_percent");
+    if cold == 0 || cold > 100 {
+        problems.range(cold_path, cold, 1, 100);
+    } else if cold > cap && cap > 0 {
+        problems
+            .add(cold_path, format!("{cold} is above cap_percent"), format!("1 to {cap}"))
+            .depends_on(format!("{path}.shift.cap_percent"));
+    }
+    problems.range(
+        format!("{path}.shift.interval_ms"),
+        shift.interval_ms,
+        MIN_SHIFT_INTERVAL_MS,
+        MAX_SHIFT_INTERVAL_MS,
+    );
+}
+
+fn known_failure_domain(
+    path: &str,
+    config: &Config,
+    server: &BackendServer,
+    region_of: &RegionOf<'_>,
+    problems: &mut Problems,
+) {
+    if !region_of.is_empty() && !region_of.contains_key(&server.failure_domain) {
+        problems
+            .add(
+                format!("{path}.failure_domain"),
+                format!("failure domain {} is not declared", server.failure_domain),
+                "a failure domain of `regions`",
+            )
+            .depends_on_all(failure_domain_lists(config));
+    }
+}
+
+fn backend_server(path: &str, server: &BackendServer, problems: &mut Problems) {
+    if server.address.port() == 0 || server.address.ip().is_unspecified() {
+        let message = format!("{} cannot be connected to", server.address);
+        problems.add(format!("{path}.address"), message, "the address and port of one server");
+    }
+    problems.range(format!("{path}.slots"), server.slots.0, 1, MAX_SLOTS);
+    let connections = format!("{path}.connections");
+    problems.range(connections.as_str(), server.connections, 1, MAX_CONNECTIONS);
+    if server.connections >= 1 && server.connections < server.slots.0 {
+        // Each request in flight holds one connection.
+        let message = format!("{} is below the {}", server.connections, server.slots);
+        problems
+            .add(connections, message, format!("{} or more", server.slots.0))
+            .depends_on(format!("{path}.slots"));
+    }
+}
+
+/// Checks that the service's share of a region's slots can be fed and answered from another region.
+///
+/// A region that is drained or lost leaves its callers to another region. If all slots there move
+/// bodies of the greatest size, they must pass the link within the shortest deadline that the
+/// service's operations have; otherwise such requests could only time out.
+fn link(
+    path: &str,
+    config: &Config,
+    service: &Service,
+    region_of: &RegionOf<'_>,
+    problems: &mut Problems,
+) {
+    let mut slots: HashMap<&RegionName, u64> = HashMap::new();
+    for server in &service.backend_servers {
+        if let Some(region) = region_of.get(&server.failure_domain) {
+            let sum = slots.entry(region).or_default();
+            *sum = sum.saturating_add(server.slots.0);
+        }
+    }
+    let slots = slots.into_values().max().unwrap_or(0);
+    let ranks: HashSet<_> = service.operations.iter().map(|o| o.rank).collect();
+    let policies = config.ranks.iter().filter(|policy| ranks.contains(&policy.rank));
+    let Some(deadline_ms) = policies.map(|policy| policy.deadline_ms).min() else { return };
+    let network = &config.network;
+    let link = u128::from(network.region_link_bits_per_s.0);
+    let share = link * u128::from(network.region_link_share_percent.0) / 100;
+    // Bits that the share carries within the deadline, divided among the slots. Values out of range
+    // are reported elsewhere and must not overflow here.
+    let bits = share.saturating_mul(u128::from(deadline_ms)) / 1000;
+    let Some(most) = (bits / 8).checked_div(u128::from(slots)) else { return };
+    // Without a link or a share there is nothing to divide; that is reported at its own field.
+    if share == 0 {
+        return;
+    }
+    for (field, size) in [
+        ("max_request_bytes", service.max_request_bytes),
+        ("max_answer_bytes", service.max_answer_bytes),
+    ] {
+        if config.regions.len() > 1 && u128::from(size.0) > most {
+            let message = format!(
+                "{} on each of {slots} slots of a region within {deadline_ms} ms needs more than \
+                 the share of the region link, {share} bit/s",
+                size.0
+            );
+            let problem =
+                problems.add(format!("{path}.{field}"), message, format!("at most {most}"));
+            problem
+                .depends_on("ranks")
+                .depends_on("network.region_link_bits_per_s")
+                .depends_on("network.region_link_share_percent")
+                .depends_on(format!("{path}.operations"))
+                .depends_on(format!("{path}.backend_servers"))
+                .depends_on_all(failure_domain_lists(config));
+        }
+    }
+}
--- /dev/null
+++ b/crates/state/src/findings/mod.rs
@@ -0,0 +1,173 @@
+//! What is wrong in a file or in a declared value, with the place and what would be accepted.
+
+use std::fmt;
+
+use serde::Serialize;
+
+/// A place in a text; both numbers start at 1 and the column counts characters.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+pub struct Position {
+    /// Number of the line.
+    pub line: usize,
+    /// Number of the character within the line.
+    pub column: usize,
+}
+
+impl Position {
+    /// Returns the position of the byte at `offset` in `text`.
+    pub(crate) fn of_offset(text: &str, offset: usize) -> Position {
+        let before = text.get(..offset).unwrap_or(text);
+        let line_start = before.rfind('\n').map_or(0, |i| i + 1);
+        Position {
+            line: before.matches('\n').count() + 1,
+            column: before[line_start..].chars().count() + 1,
+        }
+    }
+}
+
+/// One thing that is wrong.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Finding {
+    /// Name of the file; empty for a value that was built in code.
+    pub file: String,
+    /// Place in the file; none for a value that was built in code.
+    pub position: Option<Position>,
+    /// Path of the field, such as `services[2].backend_servers[0].slots`; empty for the document.
+    pub path: String,
+    /// What is wrong.
+    pub message: String,
+    /// What would be accepted.
+    pub expected: String,
+}
+
+impl fmt::Display for Finding {
+    /// Writes `file:line:column: field: message; expected ...` on one line.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.position {
+            Some(Position { line, column }) => write!(f, "{}:{line}:{column}: ", self.file)?,
+            None if !self.file.is_empty() => write!(f, "{}: ", self.file)?,
+            None => {}
+        }
+        let path = if self.path.is_empty() { "document" } else { &self.path };
+        write!(f, "{path}: {}; expected {}", self.message, self.expected)
+    }
+}
+
+/// Everything that is wrong in one file or value, sorted by position.
+///
+/// Results hold it only if there is at least one finding.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[serde(transparent)]
+pub struct Findings(Vec<Finding>);
+
+impl Findings {
+    /// Returns `value` if there are no findings, otherwise the findings sorted by position.
+    pub(crate) fn or<T>(mut findings: Vec<Finding>, value: T) -> Result<T, Findings> {
+        if findings.is_empty() {
+            return Ok(value);
+        }
+        findings.sort_by_key(|finding| finding.position);
+        Err(Findings(findings))
+    }
+
+    /// Iterates over the findings in the order of their positions.
+    pub fn iter(&self) -> std::slice::Iter<'_, Finding> {
+        self.0.iter()
+    }
+}
+
+impl FromIterator<Finding> for Findings {
+    fn from_iter<I: IntoIterator<Item = Finding>>(findings: I) -> Findings {
+        Findings(findings.into_iter().collect())
+    }
+}
+
+impl IntoIterator for Findings {
+    type Item = Finding;
+    type IntoIter = std::vec::IntoIter<Finding>;
+
+    fn into_iter(self) -> Self::IntoIter {
+        self.0.into_iter()
+    }
+}
+
+impl fmt::Display for Findings {
+    /// Writes one finding on each line, without a newline at the end.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (i, finding) in self.0.iter().enumerate() {
+            if i > 0 {
+                f.write_str("\n")?;
+            }
+            write!(f, "{finding}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Findings {}
+
+/// A broken rule. It has no position, because rules look at values and not at text.
+pub(crate) struct Problem {
+    pub(crate) path: String,
+    message: String,
+    expected: String,
+    /// Paths of the fields besides `path` that the rule compared.
+    pub(crate) depends: Vec<String>,
+}
+
+impl Problem {
+    /// Names a field that the rule compared; the problem is dropped if that field was unreadable.
+    pub(crate) fn depends_on(&mut self, path: impl Into<String>) -> &mut Problem {
+        self.depends.push(path.into());
+        self
+    }
+
+    /// Names several fields that the rule compared.
+    pub(crate) fn depends_on_all(&mut self, paths: impl IntoIterator<Item = String>) {
+        self.depends.extend(paths);
+    }
+
+    pub(crate) fn into_finding(self, file: &str, position: Option<Position>) -> Finding {
+        let Problem { path, message, expected, .. } = self;
+        Finding { file: file.to_owned(), position, path, message, expected }
+    }
+}
+
+/// Broken rules, in the order in which they were found.
+#[derive(Default)]
+pub(crate) struct Problems(Vec<Problem>);
+
+impl Problems {
+    pub(crate) fn add(
+        &mut self,
+        path: impl Into<String>,
+        message: impl Into<String>,
+        expected: impl Into<String>,
+    ) -> &mut Problem {
+        self.0.push(Problem {
+            path: path.into(),
+            message: message.into(),
+            expected: expected.into(),
+            depends: Vec::new(),
+        });
+        let last = self.0.len() - 1;
+        &mut self.0[last]
+    }
+
+    /// Adds a problem unless `value` lies between `min` and `max`, both included.
+    pub(crate) fn range(&mut self, path: impl Into<String>, value: u64, min: u64, max: u64) {
+        if !(min..=max).contains(&value) {
+            let size = if value < min { "too small" } else { "too large" };
+            self.add(path, format!("{value} is {size}"), format!("{min} to {max}"));
+        }
+    }
+
+    pub(crate) fn into_vec(self) -> Vec<Problem> {
+        self.0
+    }
+
+    /// Turns the problems of a value that was built in code into findings.
+    pub(crate) fn into_findings(self) -> Vec<Finding> {
+        self.0.into_iter().map(|p| p.into_finding("", None)).collect()
+    }
+}
--- a/crates/state/src/ids/name.rs
+++ b/crates/state/src/ids/name.rs
@@ -5,6 +5,10 @@
 /// Longest name accepted, in bytes, so that names fit into log lines and gossip digests.
 pub const MAX_NAME_BYTES: usize = 64;
 
+/// The form of a name, for messages.
+pub const NAME_FORM: &str =
+    "a name of 1 to 64 of a-z, 0-9 and '-', not starting or ending with '-'";
+
 /// The reason why a text is not a name.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct InvalidName {
@@ -40,6 +44,12 @@
         pub struct $name(Arc<str>);
 
         impl $name {
+            /// Stands for a name that could not be read. It equals no valid name.
+            #[allow(dead_code, reason = "callers' names are in no document")]
+            pub(crate) fn placeholder() -> $name {
+                $name("".into())
+            }
+
             /// Returns the name as text.
             pub fn as_str(&self) -> &str {
                 &self.0
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -3,8 +3,11 @@
 //! This crate is the lowest layer (see `docs/design.md`, "Crates and layers"). It opens no
 //! socket and reads no clock, so that any program can embed it.
 
+pub mod check;
 pub mod config;
+pub mod findings;
 pub mod ids;
+mod reader;
 pub mod settings;
 pub mod time;
 pub mod units;
--- /dev/null
+++ b/crates/state/src/reader/mod.rs
@@ -0,0 +1,252 @@
+//! Reads JSON with comments into domain types and collects every finding on the way.
+//!
+//! `serde` stops at the first error, but an operator wants all errors of a file at once. A field
+//! that cannot be read gets a placeholder, so that the rest of the document is still checked; rules
+//! that depend on a placeholder report nothing.
+
+mod scalar;
+mod syntax;
+
+use std::collections::HashMap;
+
+use jsonc_parser::{
+    ast::{Object, Value},
+    common::Ranged,
+};
+
+use crate::findings::{Finding, Findings, Position, Problem, Problems};
+
+/// A value with its path.
+pub(crate) struct Node<'a> {
+    pub(crate) path: String,
+    pub(crate) value: &'a Value<'a>,
+}
+
+/// The fields of an object, or nothing if the value is not an object.
+pub(crate) struct Fields<'a> {
+    path: String,
+    object: Option<&'a Object<'a>>,
+}
+
+/// A type that can be read from a document.
+pub(crate) trait Read: Sized {
+    /// Stands for a value that could not be read.
+    fn placeholder() -> Self;
+
+    /// Reads the value; on an error reports it and returns the placeholder.
+    fn read(reader: &mut Reader<'_>, node: &Node<'_>) -> Self;
+}
+
+/// Collects findings and the position of each field.
+pub(crate) struct Reader<'a> {
+    file: &'a str,
+    text: &'a str,
+    findings: Vec<Finding>,
+    /// Byte offset of each value, by path.
+    offsets: HashMap<String, usize>,
+    /// Paths of values that were replaced by placeholders.
+    unread: Vec<String>,
+}
+
+/// Reads a whole document, then applies `rules` to it.
+pub(crate) fn read_document<T: Read>(
+    file: &str,
+    text: &str,
+    rules: impl Fn(&T, &mut Problems),
+) -> Result<T, Findings> {
+    let root = match syntax::parse(file, text) {
+        Ok(root) => root,
+        Err(finding) => return Findings::or(vec![*finding], T::placeholder()),
+    };
+    let mut reader =
+        Reader { file, text, findings: Vec::new(), offsets: HashMap::new(), unread: Vec::new() };
+    let value = reader.value(&Node { path: String::new(), value: &root });
+    let mut problems = Problems::default();
+    rules(&value, &mut problems);
+    for problem in problems.into_vec() {
+        reader.place(problem);
+    }
+    Findings::or(reader.findings, value)
+}
+
+impl Reader<'_> {
+    /// Keeps rules that depend on the value from being reported.
+    pub(crate) fn mark_unread(&mut self, node: &Node<'_>) {
+        self.unread.push(node.path.clone());
+    }
+
+    /// Reports a value that cannot be used.
+    pub(crate) fn unreadable(&mut self, node: &Node<'_>, message: String, expected: String) {
+        self.mark_unread(node);
+        self.report(node.value.start(), &node.path, message, expected);
+    }
+
+    /// Reads `node` after recording where it is.
+    pub(crate) fn value<T: Read>(&mut self, node: &Node<'_>) -> T {
+        self.offsets.insert(node.path.clone(), node.value.start());
+        T::read(self, node)
+    }
+
+    /// Returns the fields of `node` after reporting unknown and duplicate ones.
+    pub(crate) fn object<'a>(&mut self, node: &Node<'a>, known: &[&str]) -> Fields<'a> {
+        let path = node.path.clone();
+        let Value::Object(object) = node.value else {
+            let message = format!("wrong type, found {}", scalar::describe(node.value));
+            self.unreadable(node, message, format!("an object with {}", known.join(", ")));
+            return Fields { path, object: None };
+        };
+        for (i, property) in object.properties.iter().enumerate() {
+            let name = property.name.as_str();
+            let field = join(&path, name);
+            if !known.contains(&name) {
+                let (message, expected) = scalar::explain_unknown_field(name, known);
+                self.report(property.range.start, &field, message, expected);
+            } else if object.properties[..i].iter().any(|p| p.name.as_str() == name) {
+                let expected = "each field once".to_owned();
+                self.report(property.range.start, &field, "duplicate field".into(), expected);
+            }
+        }
+        Fields { path, object: Some(object) }
+    }
+
+    /// Reads a field that must be there.
+    pub(crate) fn required<T: Read>(&mut self, fields: &Fields<'_>, name: &str) -> T {
+        let Some(object) = fields.object else { return T::placeholder() };
+        let path = join(&fields.path, name);
+        match object.get(name) {
+            Some(property) => self.value(&Node { path, value: &property.value }),
+            None => {
+                self.unread.push(path.clone());
+                let expected = scalar::expected_of_field(name);
+                self.report(object.range.start, &path, "missing field".into(), expected);
+                T::placeholder()
+            }
+        }
+    }
+
+    /// Reads a field that has a default.
+    pub(crate) fn optional<T: Read>(&mut self, fields: &Fields<'_>, name: &str, default: T) -> T {
+        match fields.object.and_then(|o| o.get(name)) {
+            Some(property) => {
+                self.value(&Node { path: join(&fields.path, name), value: &property.value })
+            }
+            None => default,
+        }
+    }
+
+    fn report(&mut self, offset: usize, path: &str, message: String, expected: String) {
+        self.findings.push(Finding {
+            file: self.file.to_owned(),
+            position: Some(Position::of_offset(self.text, offset)),
+            path: path.to_owned(),
+            message,
+            expected,
+        });
+    }
+
+    /// Reports a broken rule at its field, unless a field that it compared was unreadable.
+    fn place(&mut self, problem: Problem) {
+        let is_unread = |path: &String| self.unread.iter().any(|u| overlap(u, path));
+        if is_unread(&problem.path) || problem.depends.iter().any(is_unread) {
+            return;
+        }
+        let offset = self.nearest_offset(&problem.path);
+        let position = Position::of_offset(self.text, offset);
+        self.findings.push(problem.into_finding(self.file, Some(position)));
+    }
+
+    /// Returns the offset of the field, or of the innermost enclosing value that is written down.
+    fn nearest_offset(&self, path: &str) -> usize {
+        let mut path = path;
+        loop {
+            if let Some(offset) = self.offsets.get(path) {
+                return *offset;
+            }
+            match path.rfind(['.', '[']) {
+                Some(end) => path = &path[..end],
+                None => return self.offsets.get("").copied().unwrap_or(0),
+            }
+        }
+    }
+}
+
+impl<T: Read> Read for Vec<T> {
+    fn placeholder() -> Vec<T> {
+        Vec::new()
+    }
+
+    fn read(reader: &mut Reader<'_>, node: &Node<'_>) -> Vec<T> {
+        let Value::Array(array) = node.value else {
+            let message = format!("wrong type, found {}", scalar::describe(node.value));
+            reader.unreadable(node, message, "a list".to_owned());
+            return Vec::new();
+        };
+        let nodes = array.elements.iter().enumerate();
+        nodes
+            .map(|(i, value)| reader.value(&Node { path: format!("{}[{i}]", node.path), value }))
+            .collect()
+    }
+}
+
+fn join(path: &str, name: &str) -> String {
+    if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") }
+}
+
+/// Returns whether one of the two paths leads to the other or to a part of it.
+fn overlap(a: &str, b: &str) -> bool {
+    let (short, long) = if a.len() <= b.len() { (a, b) } else { (b, a) };
+    long.strip_prefix(short)
+        .is_some_and(|rest| short.is_empty() || rest.is_empty() || rest.starts_with(['.', '[']))
+}
+
+/// Implements [`Read`] for a struct whose fields must all be there, but for those after `optional`.
+macro_rules! read_struct {
+    ($type:ident { $($field:ident),+ $(,)? } optional { $($option:ident),* $(,)? }) => {
+        impl $crate::reader::Read for $type {
+            fn placeholder() -> $type {
+                $type {
+                    $($field: $crate::reader::Read::placeholder(),)+
+                    $($option: Default::default(),)*
+                }
+            }
+
+            fn read(
+                reader: &mut $crate::reader::Reader<'_>,
+                node: &$crate::reader::Node<'_>,
+            ) -> $type {
+                let known = [$(stringify!($field),)+ $(stringify!($option),)*];
+                let fields = reader.object(node, &known);
+                $type {
+                    $($field: reader.required(&fields, stringify!($field)),)+
+                    $($option: reader.optional(&fields, stringify!($option), Default::default()),)*
+                }
+            }
+        }
+    };
+}
+
+/// Implements [`Read`] for a struct whose fields all have a default.
+macro_rules! read_defaulted_struct {
+    ($type:ident { $($field:ident),+ $(,)? }) => {
+        impl $crate::reader::Read for $type {
+            fn placeholder() -> $type {
+                $type::default()
+            }
+
+            fn read(
+                reader: &mut $crate::reader::Reader<'_>,
+                node: &$crate::reader::Node<'_>,
+            ) -> $type {
+                let fields = reader.object(node, &[$(stringify!($field)),+]);
+                let default = $type::default();
+                $type {
+                    $($field: reader.optional(&fields, stringify!($field), default.$field),)+
+                }
+            }
+        }
+    };
+}
+
+pub(crate) use scalar::{MAX_NUMBER, read_text};
+pub(crate) use syntax::is_too_deep;
+pub(crate) use {read_defaulted_struct, read_struct};
--- /dev/null
+++ b/crates/state/src/reader/scalar.rs
@@ -0,0 +1,222 @@
+use std::{net::SocketAddr, str::FromStr};
+
+use jsonc_parser::ast::Value;
+
+use crate::{
+    ids::{BackendServerName, FailureDomainName, InstanceName, RegionName, ServiceName, UserName},
+    reader::{Node, Read, Reader},
+    units::{BitRate, ByteSize, Percent, Slots},
+};
+
+/// Largest number accepted, 2^53 - 1. JSON libraries that keep numbers as `f64` carry it exactly.
+pub(crate) const MAX_NUMBER: u64 = 9_007_199_254_740_991;
+
+/// Suffixes of field names and the units that they stand for. `_bits_per_s` stands before `_s`.
+const UNITS: [(&str, &str); 9] = [
+    ("_us", "microseconds"),
+    ("_ms", "milliseconds"),
+    ("_bytes", "bytes"),
+    ("_bits_per_s", "bits per second"),
+    ("_percent", "percent"),
+    // The units below belong to no field; they are known only to explain a wrong suffix.
+    ("_mib", "mebibytes"),
+    ("_kib", "kibibytes"),
+    ("_minutes", "minutes"),
+    ("_s", "seconds"),
+];
+
+/// Says what kind of value this is and, for a short one, what it holds.
+pub(super) fn describe(value: &Value<'_>) -> String {
+    match value {
+        Value::StringLit(text) if text.value.len() <= 80 => format!("the text {:?}", text.value),
+        Value::StringLit(_) => "a long text".to_owned(),
+        Value::NumberLit(number) if number.value.len() <= 40 => number.value.to_string(),
+        Value::NumberLit(_) => "a long number".to_owned(),
+        Value::BooleanLit(boolean) => boolean.value.to_string(),
+        Value::Object(_) => "an object".to_owned(),
+        Value::Array(_) => "a list".to_owned(),
+        Value::NullKeyword(_) => "null".to_owned(),
+    }
+}
+
+fn split_unit(field: &str) -> (&str, Option<&'static str>) {
+    let unit = UNITS.iter().find_map(|(suffix, unit)| Some((field.strip_suffix(suffix)?, *unit)));
+    unit.map_or((field, None), |(stem, unit)| (stem, Some(unit)))
+}
+
+/// Returns the message and the expectation for a field that is not known.
+pub(super) fn explain_unknown_field(name: &str, known: &[&str]) -> (String, String) {
+    let stem = split_unit(name).0;
+    if let Some(right) = known.iter().find(|k| split_unit(k).1.is_some() && split_unit(k).0 == stem)
+    {
+        let unit = split_unit(right).1.unwrap_or_default();
+        return ("wrong unit in the field's name".to_owned(), format!("`{right}` in {unit}"));
+    }
+    ("unknown field".to_owned(), format!("one of {}", known.join(", ")))
+}
+
+/// Says what the value of a missing field would be.
+pub(super) fn expected_of_field(name: &str) -> String {
+    match split_unit(name).1 {
+        Some(unit) => format!("a whole number of {unit}"),
+        None => format!("a value for `{name}`"),
+    }
+}
+
+fn expected_number(path: &str) -> String {
+    let field = path.rsplit('.').next().unwrap_or(path);
+    match split_unit(field).1 {
+        Some(unit) => format!("a whole number of {unit} without quotes"),
+        None => "a whole number without quotes".to_owned(),
+    }
+}
+
+fn explain_number(value: &Value<'_>) -> String {
+    let found = describe(value);
+    match value {
+        Value::StringLit(text)
+            if text.value.trim_start().starts_with(|c: char| c.is_ascii_digit()) =>
+        {
+            format!("wrong unit or type, found {found}")
+        }
+        Value::NumberLit(number) if number.value.starts_with('-') => format!("{found} is negative"),
+        Value::NumberLit(number) if number.value.bytes().all(|b| b.is_ascii_digit()) => {
+            format!("{found} is above {MAX_NUMBER}")
+        }
+        Value::NumberLit(_) => format!("{found} is not a whole number in plain digits"),
+        _ => format!("wrong type, found {found}"),
+    }
+}
+
+fn read_number(reader: &mut Reader<'_>, node: &Node<'_>) -> Option<u64> {
+    let number = node.value.as_number_lit().and_then(|n| n.value.parse().ok());
+    let number = number.filter(|n| *n <= MAX_NUMBER);
+    if number.is_none() {
+        reader.unreadable(node, explain_number(node.value), expected_number(&node.path));
+    }
+    number
+}
+
+/// Reads a text and parses it; `expected` tells what would be accepted.
+pub(crate) fn read_text<T: FromStr>(
+    reader: &mut Reader<'_>,
+    node: &Node<'_>,
+    expected: &str,
+) -> Option<T> {
+    let Some(text) = node.value.as_string_lit() else {
+        let message = format!("wrong type, found {}", describe(node.value));
+        reader.unreadable(node, message, expected.to_owned());
+        return None;
+    };
+    let parsed = text.value.parse().ok();
+    if parsed.is_none() {
+        let message = format!("{} is not accepted", describe(node.value));
+        reader.unreadable(node, message, expected.to_owned());
+    }
+    parsed
+}
+
+impl Read for u64 {
+    fn placeholder() -> u64 {
+        0
+    }
+
+    fn read(reader: &mut Reader<'_>, node: &Node<'_>) -> u64 {
+        read_number(reader, node).unwrap_or_default()
+    }
+}
+
+impl Read for u32 {
+    fn placeholder() -> u32 {
+        0
+    }
+
+    fn read(reader: &mut Reader<'_>, node: &Node<'_>) -> u32 {
+        // A value that does not fit is far above every accepted one, so that a rule reports it.
+        read_number(reader, node).map_or(0, |n| n.try_into().unwrap_or(u32::MAX))
+    }
+}
+
+impl Read for bool {
+    fn placeholder() -> bool {
+        false
+    }
+
+    fn read(reader: &mut Reader<'_>, node: &Node<'_>) -> bool {
+        match node.value {
+            Value::BooleanLit(boolean) => boolean.value,
+            other => {
+                let message = format!("wrong type, found {}", describe(other));
+                reader.unreadable(node, message, "true or false".to_owned());
+                false
+            }
+        }
+    }
+}
+
+impl Read for String {
+    fn placeholder() -> String {
+        String::new()
+    }
+
+    fn read(reader: &mut Reader<'_>, node: &Node<'_>) -> String {
+        read_text(reader, node, "a text in quotes").unwrap_or_default()
+    }
+}
+
+impl Read for SocketAddr {
+    fn placeholder() -> SocketAddr {
+        SocketAddr::from(([0, 0, 0, 0], 0))
+    }
+
+    fn read(reader: &mut Reader<'_>, node: &Node<'_>) -> SocketAddr {
+        read_text(reader, node, "an IP address and port such as \"10.0.0.1:8000\"")
+            .unwrap_or_else(SocketAddr::placeholder)
+    }
+}
+
+impl<T: Read> Read for Option<T> {
+    fn placeholder() -> Option<T> {
+        None
+    }
+
+    fn read(reader: &mut Reader<'_>, node: &Node<'_>) -> Option<T> {
+        match node.value {
+            Value::NullKeyword(_) => None,
+            _ => Some(T::read(reader, node)),
+        }
+    }
+}
+
+macro_rules! read_unit {
+    ($($type:ident),+) => {$(
+        impl Read for $type {
+            fn placeholder() -> $type {
+                $type(0)
+            }
+
+            fn read(reader: &mut Reader<'_>, node: &Node<'_>) -> $type {
+                $type(u64::read(reader, node))
+            }
+        }
+    )+};
+}
+
+read_unit!(BitRate, ByteSize, Percent, Slots);
+
+macro_rules! read_name {
+    ($($type:ident),+) => {$(
+        impl Read for $type {
+            fn placeholder() -> $type {
+                $type::placeholder()
+            }
+
+            fn read(reader: &mut Reader<'_>, node: &Node<'_>) -> $type {
+                read_text(reader, node, crate::ids::NAME_FORM)
+                    .unwrap_or_else($type::placeholder)
+            }
+        }
+    )+};
+}
+
+read_name!(BackendServerName, FailureDomainName, InstanceName, RegionName, ServiceName, UserName);
--- /dev/null
+++ b/crates/state/src/reader/syntax.rs
@@ -0,0 +1,89 @@
+use jsonc_parser::{CollectOptions, ParseOptions, ast::Value, parse_to_ast};
+
+use crate::findings::{Finding, Position};
+
+/// Deepest nesting accepted. The parser is recursive, so that a file of opening brackets alone
+/// would overflow the stack; the documents themselves nest 7 levels deep.
+const MAX_DEPTH: usize = 32;
+
+/// Parses `text` without looking at names or types.
+///
+/// Comments and trailing commas are accepted; field names without quotes are not.
+pub(super) fn parse<'a>(file: &str, text: &'a str) -> Result<Value<'a>, Box<Finding>> {
+    let finding = |offset, message: String, expected: &str| {
+        Box::new(Finding {
+            file: file.to_owned(),
+            position: Some(Position::of_offset(text, offset)),
+            path: String::new(),
+            message,
+            expected: expected.to_owned(),
+        })
+    };
+    if let Some(offset) = first_too_deep(text) {
+        let message = format!("nested more than {MAX_DEPTH} levels deep");
+        return Err(finding(offset, message, "the documented fields"));
+    }
+    let options = ParseOptions {
+        allow_comments: true,
+        allow_loose_object_property_names: false,
+        allow_trailing_commas: true,
+    };
+    match parse_to_ast(text, &CollectOptions::default(), &options) {
+        Ok(result) => {
+            result.value.ok_or_else(|| finding(0, "the file is empty".to_owned(), "an object"))
+        }
+        Err(error) => {
+            let kind = error.kind().to_string();
+            let message = format!("not JSON with comments: {}", kind.to_lowercase());
+            Err(finding(error.range().start, message, "JSON with comments"))
+        }
+    }
+}
+
+/// Returns whether parsing `text` could overflow the stack.
+pub(crate) fn is_too_deep(text: &str) -> bool {
+    first_too_deep(text).is_some()
+}
+
+/// Returns the offset of the first bracket that nests too deeply, outside of strings and comments.
+fn first_too_deep(text: &str) -> Option<usize> {
+    let bytes = text.as_bytes();
+    let mut depth = 0_usize;
+    let mut i = 0;
+    while let Some(&byte) = bytes.get(i) {
+        match byte {
+            // The parser accepts strings in single quotes too.
+            b'"' | b'\'' => i = end_of_string(bytes, i),
+            b'/' if bytes.get(i + 1) == Some(&b'/') => {
+                i = text[i..].find('\n').map_or(bytes.len(), |n| i + n);
+            }
+            b'/' if bytes.get(i + 1) == Some(&b'*') => {
+                i = text[i + 2..].find("*/").map_or(bytes.len(), |n| i + n + 3);
+            }
+            b'[' | b'{' => {
+                depth += 1;
+                if depth > MAX_DEPTH {
+                    return Some(i);
+                }
+            }
+            b']' | b'}' => depth = depth.saturating_sub(1),
+            _ => {}
+        }
+        i += 1;
+    }
+    None
+}
+
+/// Returns the offset of the quote that ends the string, or the end of the text.
+fn end_of_string(bytes: &[u8], start: usize) -> usize {
+    let mut i = start + 1;
+    while let Some(&byte) = bytes.get(i) {
+        match byte {
+            b'\\' => i += 1,
+            byte if byte == bytes[start] => return i,
+            _ => {}
+        }
+        i += 1;
+    }
+    bytes.len()
+}
--- a/crates/state/src/settings/mod.rs
+++ b/crates/state/src/settings/mod.rs
@@ -1,14 +1,81 @@
 //! Settings of one instance: who it is, where it listens and whom it talks to.
+//!
+//! `docs/settings.md` lists every setting with its unit, default and accepted range.
+
+mod rules;
 
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    config::Config,
+    findings::{Findings, Problems},
     ids::{FailureDomainName, InstanceName},
+    reader::{self, read_defaulted_struct, read_struct},
     units::ByteSize,
 };
 
+pub use rules::{
+    MAX_CALLER_MEMORY_BYTES, MIN_PLATFORM_POLL_MS, POLL_READS_PER_S, READERS_AT_TARGET,
+    READS_PER_POLL,
+};
+
+/// Reads and checks settings in JSON with comments.
+///
+/// Returns all findings of the text at once, sorted by position. `file_name` is only used in them.
+pub fn parse(file_name: &str, text: &str) -> Result<Settings, Findings> {
+    reader::read_document(file_name, text, rules::check)
+}
+
+/// Reads settings as [`parse`] does and also checks them against the configuration in force.
+pub fn parse_for(file_name: &str, text: &str, config: &Config) -> Result<Settings, Findings> {
+    reader::read_document(file_name, text, |settings, problems: &mut Problems| {
+        rules::check(settings, problems);
+        rules::check_against(settings, config, problems);
+    })
+}
+
+impl Settings {
+    /// Checks settings that were built in code by the same rules as [`parse`].
+    ///
+    /// The findings have no position.
+    pub fn check(&self) -> Result<(), Findings> {
+        let mut problems = Problems::default();
+        rules::check(self, &mut problems);
+        Findings::or(problems.into_findings(), ())
+    }
+}
+
+read_struct!(Settings {
+    instance,
+    failure_domain,
+    caller_address,
+    peer_address,
+    operator_address,
+    platform_address,
+} optional { seed_peers, metrics_address, timing, caller_limits });
+read_defaulted_struct!(Timing {
+    lookup_ttl_ms,
+    binding_lifetime_ms,
+    gossip_period_ms,
+    suspect_after_ms,
+    dead_after_ms,
+    fence_after_ms,
+    platform_poll_ms,
+    platform_timeout_ms,
+    probe_period_ms,
+    headroom_ttl_ms,
+    stop_timeout_ms,
+});
+read_defaulted_struct!(CallerLimits {
+    max_connections,
+    max_head_bytes,
+    head_timeout_ms,
+    body_pause_timeout_ms,
+    max_buffered_bytes,
+});
+
 /// Settings file of one instance, described in `docs/settings.md`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- /dev/null
+++ b/crates/state/src/settings/rules.rs
@@ -0,0 +1,225 @@
+use std::net::SocketAddr;
+
+use super::{CallerLimits, Settings, Timing};
+use crate::{config::Config, findings::Problems};
+
+/// Readers that poll the platform at the two-year target: 3 in each of 40 failure domains.
+pub const READERS_AT_TARGET: u64 = 3 * 40;
+
+/// Reads of one poll: the head row and the instance list.
+pub const READS_PER_POLL: u64 = 2;
+
+/// Reads per second that polls may take. It is half of the 2,000 that the store bears; the rest is
+/// left to claims, submissions and readers that change during a poll.
+pub const POLL_READS_PER_S: u64 = 1_000;
+
+/// Shortest poll period at which all readers together stay within [`POLL_READS_PER_S`].
+pub const MIN_PLATFORM_POLL_MS: u64 = READERS_AT_TARGET * READS_PER_POLL * 1000 / POLL_READS_PER_S;
+
+/// Memory of an instance that callers may take, the 256 MB of the two-year target.
+pub const MAX_CALLER_MEMORY_BYTES: u64 = 256_000_000;
+
+/// Time in which a configuration must be in force everywhere.
+const CONFIG_IN_FORCE_MS: u64 = 20_000;
+
+/// Time after which a leaving backend server gets no new work.
+const LEAVING_SEEN_MS: u64 = 3_000;
+
+/// Adds a problem for each rule that `settings` break.
+pub(super) fn check(settings: &Settings, problems: &mut Problems) {
+    addresses(settings, problems);
+    seed_peers(settings, problems);
+    ranges(&settings.timing, problems);
+    membership(&settings.timing, problems);
+    lifetimes(&settings.timing, problems);
+    caller_limits(&settings.caller_limits, problems);
+}
+
+/// Adds a problem for each setting that does not fit the configuration.
+pub(super) fn check_against(settings: &Settings, config: &Config, problems: &mut Problems) {
+    let mut failure_domains = config.regions.iter().flat_map(|r| &r.failure_domains);
+    if !failure_domains.any(|name| *name == settings.failure_domain) {
+        let message = format!("{} is not in the configuration", settings.failure_domain);
+        problems.add("failure_domain", message, "a failure domain of the configuration");
+    }
+    let deadline = config.ranks.iter().map(|r| r.deadline_ms).max().unwrap_or(0);
+    if settings.timing.binding_lifetime_ms <= deadline {
+        // A ticket that is forgotten while its request runs could run again.
+        let message = format!("it must exceed the longest deadline, {deadline} ms");
+        let expected = format!("more than {deadline}");
+        problems.add("timing.binding_lifetime_ms", message, expected);
+    }
+    let request = config.services.iter().map(|s| s.max_request_bytes.0).max().unwrap_or(0);
+    if settings.caller_limits.max_buffered_bytes.0 < request {
+        let message = format!("the largest request of the configuration has {request} bytes");
+        problems.add("caller_limits.max_buffered_bytes", message, format!("{request} or more"));
+    }
+}
+
+/// Returns whether a process cannot listen at both addresses, or listen at one and connect to the
+/// other as to another process. Port 0 lets the system pick a free port.
+fn collide(a: SocketAddr, b: SocketAddr) -> bool {
+    let same_ip = a.ip() == b.ip() || a.ip().is_unspecified() || b.ip().is_unspecified();
+    same_ip && a.port() == b.port() && a.port() != 0
+}
+
+fn addresses(settings: &Settings, problems: &mut Problems) {
+    let all = [
+        ("caller_address", settings.caller_address),
+        ("peer_address", settings.peer_address),
+        ("operator_address", settings.operator_address),
+        ("platform_address", settings.platform_address),
+    ];
+    for (i, (field, address)) in all.iter().enumerate() {
+        if let Some((earlier, _)) = all[..i].iter().find(|(_, a)| collide(*a, *address)) {
+            problems
+                .add(*field, format!("{address} is taken by {earlier}"), "an address of its own")
+                .depends_on(*earlier);
+        }
+    }
+    for (field, address) in &all[..2] {
+        if address.ip().is_unspecified() {
+            // Other processes get this address from lookups and gossip and connect to it.
+            let message = format!("{address} cannot be announced to other processes");
+            problems.add(*field, message, "the IP address under which others reach this instance");
+        }
+    }
+    remote("platform_address", settings.platform_address, problems);
+    if let Some(address) = settings.metrics_address {
+        remote("metrics_address", address, problems);
+    }
+}
+
+fn remote(path: &str, address: SocketAddr, problems: &mut Problems) {
+    if address.port() == 0 || address.ip().is_unspecified() {
+        let message = format!("{address} cannot be connected to");
+        problems.add(path, message, "an IP address and port");
+    }
+}
+
+fn seed_peers(settings: &Settings, problems: &mut Problems) {
+    for (i, peer) in settings.seed_peers.iter().enumerate() {
+        let path = format!("seed_peers[{i}]");
+        remote(&path, *peer, problems);
+        if settings.seed_peers[..i].contains(peer) {
+            problems.add(path, format!("duplicate address {peer}"), "each peer once");
+        } else if *peer == settings.peer_address {
+            let message = format!("{peer} is this instance's own peer_address");
+            problems.add(path, message, "addresses of other instances").depends_on("peer_address");
+        }
+    }
+}
+
+fn ranges(timing: &Timing, problems: &mut Problems) {
+    let fields = [
+        ("lookup_ttl_ms", timing.lookup_ttl_ms, 100, 60_000),
+        ("binding_lifetime_ms", timing.binding_lifetime_ms, 1_000, 3_600_000),
+        ("gossip_period_ms", timing.gossip_period_ms, 10, 5_000),
+        ("suspect_after_ms", timing.suspect_after_ms, 20, 60_000),
+        ("dead_after_ms", timing.dead_after_ms, 20, 60_000),
+        ("fence_after_ms", timing.fence_after_ms, 20, 60_000),
+        ("platform_poll_ms", timing.platform_poll_ms, 0, CONFIG_IN_FORCE_MS),
+        ("platform_timeout_ms", timing.platform_timeout_ms, 10, CONFIG_IN_FORCE_MS),
+        // Two probes fit into the time in which a leaving backend server must be noticed.
+        ("probe_period_ms", timing.probe_period_ms, 10, LEAVING_SEEN_MS / 2),
+        ("headroom_ttl_ms", timing.headroom_ttl_ms, 20, 60_000),
+        ("stop_timeout_ms", timing.stop_timeout_ms, 100, 3_600_000),
+    ];
+    for (field, value, min, max) in fields {
+        problems.range(format!("timing.{field}"), value, min, max);
+    }
+    let poll = timing.platform_poll_ms;
+    if poll < MIN_PLATFORM_POLL_MS {
+        let message = match (READERS_AT_TARGET * READS_PER_POLL * 1000).checked_div(poll) {
+            Some(reads) => format!(
+                "{READERS_AT_TARGET} readers would take {reads} reads/s, the store leaves \
+                 {POLL_READS_PER_S} to polls"
+            ),
+            None => "a period of 0 polls without a pause".to_owned(),
+        };
+        problems.add("timing.platform_poll_ms", message, format!("{MIN_PLATFORM_POLL_MS} or more"));
+    }
+    // A change is found one period later, and one call that times out is allowed in between.
+    if poll.saturating_add(timing.platform_timeout_ms) > CONFIG_IN_FORCE_MS {
+        problems
+            .add(
+                "timing.platform_poll_ms",
+                "together with platform_timeout_ms a change takes too long to be found",
+                format!("a sum of at most {CONFIG_IN_FORCE_MS}"),
+            )
+            .depends_on("timing.platform_timeout_ms");
+    }
+}
+
+/// Adds a problem unless `low` is below `high`.
+fn below(low: (&str, u64), high: (&str, u64), problems: &mut Problems) {
+    if low.1 >= high.1 {
+        let message = format!("{} is not below {}, which is {}", low.1, high.0, high.1);
+        problems
+            .add(format!("timing.{}", low.0), message, format!("less than {}", high.1))
+            .depends_on(format!("timing.{}", high.0));
+    }
+}
+
+/// Adds a problem unless `field` spans two gossip periods, so that one lost message has no effect.
+fn two_gossip_periods(field: (&str, u64), timing: &Timing, problems: &mut Problems) {
+    let least = timing.gossip_period_ms.saturating_mul(2);
+    if field.1 < least {
+        let message = format!("{} is less than two gossip periods", field.1);
+        problems
+            .add(format!("timing.{}", field.0), message, format!("{least} or more"))
+            .depends_on("timing.gossip_period_ms");
+    }
+}
+
+fn membership(timing: &Timing, problems: &mut Problems) {
+    let suspect = ("suspect_after_ms", timing.suspect_after_ms);
+    let dead = ("dead_after_ms", timing.dead_after_ms);
+    let fence = ("fence_after_ms", timing.fence_after_ms);
+    let headroom = ("headroom_ttl_ms", timing.headroom_ttl_ms);
+    for field in [suspect, fence, headroom] {
+        two_gossip_periods(field, timing, problems);
+    }
+    below(suspect, dead, problems);
+    // A paused owner must stop before its peers give its backend servers to others.
+    below(fence, dead, problems);
+    // Headroom of a dead owner must not be used beside that of its successor.
+    below(headroom, dead, problems);
+}
+
+fn lifetimes(timing: &Timing, problems: &mut Problems) {
+    let lookup = ("lookup_ttl_ms", timing.lookup_ttl_ms);
+    // A caller gets its binding with the lookup and may use it as long as the answer is cached.
+    below(lookup, ("binding_lifetime_ms", timing.binding_lifetime_ms), problems);
+    // A stopping entry serves callers that cached its address for one lookup TTL.
+    below(lookup, ("stop_timeout_ms", timing.stop_timeout_ms), problems);
+}
+
+fn caller_limits(limits: &CallerLimits, problems: &mut Problems) {
+    let (head, buffered) = (limits.max_head_bytes.0, limits.max_buffered_bytes.0);
+    let fields = [
+        ("max_connections", limits.max_connections, 1, 1_000_000),
+        ("max_head_bytes", head, 1_024, 1_048_576),
+        ("head_timeout_ms", limits.head_timeout_ms, 1, 600_000),
+        ("body_pause_timeout_ms", limits.body_pause_timeout_ms, 1, 600_000),
+        ("max_buffered_bytes", buffered, 1_024, MAX_CALLER_MEMORY_BYTES),
+    ];
+    for (field, value, min, max) in fields {
+        problems.range(format!("caller_limits.{field}"), value, min, max);
+    }
+    let heads = limits.max_connections.saturating_mul(head);
+    let sum = heads.saturating_add(buffered);
+    if sum > MAX_CALLER_MEMORY_BYTES {
+        let message = format!(
+            "{} heads of {head} bytes and {buffered} buffered bytes make {sum} bytes",
+            limits.max_connections
+        );
+        problems
+            .add(
+                "caller_limits",
+                message,
+                format!("at most {MAX_CALLER_MEMORY_BYTES} bytes in sum"),
+            )
+            .depends_on("caller_limits");
+    }
+}
