state: document the printed form and give differences as JSON values

Cause: a library in another language needs the printed form field by field and the exact bytes of the canonical form; nothing described them. Scripts that read a difference got values as JSON inside of text. Change: docs/configuration.md with fields, ranges, rules and the canonical form; a test that every printed field and every limit stands on the page; Change holds serde_json values.

--- a/crates/state/src/config/diff.rs
+++ b/crates/state/src/config/diff.rs
@@ -18,26 +18,26 @@
     pub kind: ChangeKind,
 }
 
-/// What happened to a field. Values are printed as JSON on one line.
+/// What happened to a field. A list whose order changed is given by the keys of its entries.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 #[serde(tag = "change", rename_all = "snake_case")]
 pub enum ChangeKind {
     /// The new configuration has it and the old one does not.
     Added {
         /// Value in the new configuration.
-        new: String,
+        new: Value,
     },
     /// The old configuration has it and the new one does not.
     Removed {
         /// Value in the old configuration.
-        old: String,
+        old: Value,
     },
     /// Both have it with different values.
     Changed {
         /// Value in the old configuration.
-        old: String,
+        old: Value,
         /// Value in the new configuration.
-        new: String,
+        new: Value,
     },
 }
 
@@ -70,8 +70,8 @@
 fn compare(path: &str, old: Option<&Value>, new: Option<&Value>, changes: &mut Vec<Change>) {
     let kind = match (old, new) {
         (None, None) => return,
-        (None, Some(new)) => ChangeKind::Added { new: new.to_string() },
-        (Some(old), None) => ChangeKind::Removed { old: old.to_string() },
+        (None, Some(new)) => ChangeKind::Added { new: new.clone() },
+        (Some(old), None) => ChangeKind::Removed { old: old.clone() },
         (Some(old), Some(new)) if old == new => return,
         (Some(Value::Object(old)), Some(Value::Object(new))) => {
             let names: BTreeSet<&String> = old.keys().chain(new.keys()).collect();
@@ -84,9 +84,7 @@
         (Some(Value::Array(old)), Some(Value::Array(new))) => {
             return compare_lists(path, old, new, changes);
         }
-        (Some(old), Some(new)) => {
-            ChangeKind::Changed { old: old.to_string(), new: new.to_string() }
-        }
+        (Some(old), Some(new)) => ChangeKind::Changed { old: old.clone(), new: new.clone() },
     };
     changes.push(Change { path: path.to_owned(), kind });
 }
@@ -96,7 +94,7 @@
     let same_members = BTreeSet::from_iter(&old_keys) == BTreeSet::from_iter(&new_keys);
     if same_members && old_keys != new_keys {
         let kind =
-            ChangeKind::Changed { old: old_keys.join(" then "), new: new_keys.join(" then ") };
+            ChangeKind::Changed { old: old_keys.clone().into(), new: new_keys.clone().into() };
         changes.push(Change { path: path.to_owned(), kind });
     }
     let old: BTreeMap<&String, &Value> = old_keys.iter().zip(old).collect();
--- a/crates/state/tests/config_forms.rs
+++ b/crates/state/tests/config_forms.rs
@@ -32,6 +32,34 @@
     insta::assert_snapshot!(base().canonical_json());
 }
 
+/// Guards against a page that leaves out a field or a limit of the printed form.
+#[gtest]
+fn every_field_and_limit_is_documented() {
+    let page = include_str!("../../../docs/configuration.md");
+    let canonical = base().canonical_json();
+    let fields = canonical.lines().filter_map(|line| line.trim().split_once("\": "));
+    for (field, _) in fields {
+        let row = format!("| `{}` |", &field[1..]);
+        expect_that!(page, contains_substring(row));
+    }
+    let limits = [
+        ("deadline_ms", config::MAX_DEADLINE_MS),
+        ("to_clients_us", config::MAX_DELAY_US),
+        ("slots", config::MAX_SLOTS),
+        ("connections", config::MAX_CONNECTIONS),
+        ("interval_ms", config::MIN_SHIFT_INTERVAL_MS),
+        ("interval_ms", config::MAX_SHIFT_INTERVAL_MS),
+    ];
+    for (field, limit) in limits {
+        let row = page.lines().find(|line| line.starts_with(&format!("| `{field}` |")));
+        expect_that!(
+            row.unwrap_or_default().replace(',', ""),
+            contains_substring(limit.to_string())
+        );
+    }
+    expect_true!(config::METHODS.iter().all(|method| page.contains(method)));
+}
+
 /// Guards against an order of operations that is lost although the first match applies.
 #[gtest]
 fn order_of_operations_is_kept() {
--- a/crates/state/tests/support/mod.rs
+++ b/crates/state/tests/support/mod.rs
@@ -1,22 +1,19 @@
 //! Documents that tests start from, and changes of them by text.
+#![allow(dead_code, reason = "each test file uses a part of it")]
 
 /// An accepted configuration.
-#[allow(dead_code, reason = "not every test file uses it")]
 pub const CONFIG: &str = include_str!("../data/config.jsonc");
 
 /// Accepted settings.
-#[allow(dead_code, reason = "not every test file uses it")]
 pub const SETTINGS: &str = include_str!("../data/settings.jsonc");
 
 /// Replaces the first `old`, which must be there, so that a case cannot silently test nothing.
-#[allow(dead_code, reason = "not every test file uses it")]
 pub fn replaced(text: &str, old: &str, new: &str) -> String {
     assert!(text.contains(old), "{old:?} is not in the document");
     text.replacen(old, new, 1)
 }
 
 /// Applies one change at a time to `text` and lists each change with the findings of the result.
-#[allow(dead_code, reason = "not every test file uses it")]
 pub fn findings_of_changes<E: std::fmt::Display>(
     text: &str,
     changes: &[(&str, &str)],
