--- /dev/null
+++ b/crates/pollenshedctl/src/cmd/check.rs
@@ -0,0 +1,58 @@
+use std::path::PathBuf;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use pollenshed_state::check::{self, FileReport};
+use serde::Serialize;
+
+use crate::{
+    options::Options,
+    util::{self, Exit},
+};
+
+const USAGE: &str = "\
+Checks configurations and settings without contacting anything.
+
+Prints all findings of all files, one on each line, as
+
+    file:line:column: field: what is wrong; expected what would be accepted
+
+and for each accepted file its kind and, for a configuration, the digest under
+which it would be stored. Settings are also checked against the configuration
+if exactly one is among the files and it is accepted.";
+
+const EXAMPLE: &str = "\
+Example:
+    pollenshedctl check cali.json entry-1.jsonc
+    pollenshedctl check --json - < cali.json
+
+With --json the output is one object:
+    {\"files\": [{\"file\", \"kind\", \"digest\", \"findings\": [{\"file\",
+      \"position\": {\"line\", \"column\"}, \"path\", \"message\", \"expected\"}]}]}";
+
+pub fn command() -> Command {
+    Command::new("check")
+        .about("Checks configurations and settings")
+        .long_about(USAGE)
+        .after_help(format!("{EXAMPLE}\n\n{}", util::EXIT_CODES))
+        .arg(
+            Arg::new("FILE")
+                .help("Configuration or settings in JSON with comments; - reads standard input")
+                .required(true)
+                .num_args(1..)
+                .value_parser(value_parser!(PathBuf)),
+        )
+}
+
+#[derive(Serialize)]
+struct Output {
+    files: Vec<FileReport>,
+}
+
+pub fn run(args: &ArgMatches, options: &Options) -> eyre::Result<Exit> {
+    let paths = args.get_many::<PathBuf>("FILE").into_iter().flatten();
+    let files = paths.map(|path| options.read(path)).collect::<eyre::Result<Vec<_>>>()?;
+    let reports = check::files(&files);
+    let accepted = reports.iter().all(|report| report.findings.is_empty());
+    options.print(reports, |files| Output { files })?;
+    Ok(if accepted { Exit::Success } else { Exit::Negative })
+}
--- /dev/null
+++ b/crates/pollenshedctl/src/util.rs
@@ -0,0 +1,53 @@
+use std::{
+    io,
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
+
+use clap::ArgMatches;
+use eyre::eyre;
+
+/// Exit codes for the help texts.
+pub const EXIT_CODES: &str = "\
+Exit codes:
+    0  accepted, no difference, or done
+    1  findings, or differences
+    2  wrong usage
+    3  trouble: a file cannot be read or compared, or an instance or the platform
+       does not answer";
+
+/// How a run ended, as documented in [`EXIT_CODES`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Exit {
+    /// The answer is yes, or the work is done.
+    Success,
+    /// The answer is no.
+    Negative,
+    /// The arguments make no sense.
+    Usage,
+    /// There is no answer.
+    Trouble,
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> ExitCode {
+        ExitCode::from(match exit {
+            Exit::Success => 0,
+            Exit::Negative => 1,
+            Exit::Usage => 2,
+            Exit::Trouble => 3,
+        })
+    }
+}
+
+/// Returns a required path from the arguments.
+pub fn path<'a>(args: &'a ArgMatches, name: &str) -> eyre::Result<&'a Path> {
+    let path = args.get_one::<PathBuf>(name).map(PathBuf::as_path);
+    path.ok_or_else(|| eyre!("{name} is missing"))
+}
+
+/// Returns whether the reader of standard output has closed it, as `head` does.
+pub fn is_broken_pipe(report: &eyre::Report) -> bool {
+    let errors = report.chain().filter_map(|e| e.downcast_ref::<io::Error>());
+    errors.into_iter().any(|e| e.kind() == io::ErrorKind::BrokenPipe)
+}
