state: place findings in one pass and refuse single quotes

The parser also took single quotes, which other JSON libraries refuse. Ruled out: a limit on the number of findings, because all findings of a file are to be reported at once. Change: unreadable fields are looked up in an ordered set, positions are counted in one pass over sorted findings. Single quotes are refused at their place. A property test damages the document at random and requires findings with sorted positions, or a canonical form that is read back unchanged. Conclusion: the cost of a check grows with the file, not with its errors.

--- a/crates/state/src/check/mod.rs
+++ b/crates/state/src/check/mod.rs
@@ -71,7 +71,7 @@
 
 fn is_settings(text: &str) -> bool {
     // Nested lists of any depth would overflow the parser's stack, so they are refused first.
-    if crate::reader::is_too_deep(text) {
+    if crate::reader::is_refused(text) {
         return false;
     }
     let parsed = parse_to_ast(text, &CollectOptions::default(), &ParseOptions::default());
--- a/crates/state/src/findings/mod.rs
+++ b/crates/state/src/findings/mod.rs
@@ -13,16 +13,25 @@
     pub column: usize,
 }
 
-impl Position {
-    /// Returns the position of the byte at `offset` in `text`.
-    pub(crate) fn of_offset(text: &str, offset: usize) -> Position {
-        let before = text.get(..offset).unwrap_or(text);
-        let line_start = before.rfind('\n').map_or(0, |i| i + 1);
-        Position {
-            line: before.matches('\n').count() + 1,
-            column: before[line_start..].chars().count() + 1,
+/// Gives findings the positions of their byte offsets in `text` and sorts them.
+///
+/// One pass over the text serves all findings, because a large file printed on one line can have
+/// tens of thousands.
+pub(crate) fn place_in_text(text: &str, mut findings: Vec<(usize, Finding)>) -> Vec<Finding> {
+    findings.sort_by_key(|(offset, _)| *offset);
+    let mut position = Position { line: 1, column: 1 };
+    let mut passed = 0;
+    let place = |(offset, finding): (usize, Finding)| {
+        for c in text.get(passed..offset).unwrap_or_default().chars() {
+            match c {
+                '\n' => position = Position { line: position.line + 1, column: 1 },
+                _ => position.column += 1,
+            }
         }
-    }
+        passed = offset;
+        Finding { position: Some(position), ..finding }
+    };
+    findings.into_iter().map(place).collect()
 }
 
 /// One thing that is wrong.
@@ -61,13 +70,9 @@
 pub struct Findings(Vec<Finding>);
 
 impl Findings {
-    /// Returns `value` if there are no findings, otherwise the findings sorted by position.
-    pub(crate) fn or<T>(mut findings: Vec<Finding>, value: T) -> Result<T, Findings> {
-        if findings.is_empty() {
-            return Ok(value);
-        }
-        findings.sort_by_key(|finding| finding.position);
-        Err(Findings(findings))
+    /// Returns `value` if there are no findings.
+    pub(crate) fn or<T>(findings: Vec<Finding>, value: T) -> Result<T, Findings> {
+        if findings.is_empty() { Ok(value) } else { Err(Findings(findings)) }
     }
 
     /// Iterates over the findings in the order of their positions.
@@ -127,9 +132,9 @@
         self.depends.extend(paths);
     }
 
-    pub(crate) fn into_finding(self, file: &str, position: Option<Position>) -> Finding {
+    pub(crate) fn into_finding(self, file: &str) -> Finding {
         let Problem { path, message, expected, .. } = self;
-        Finding { file: file.to_owned(), position, path, message, expected }
+        Finding { file: file.to_owned(), position: None, path, message, expected }
     }
 }
 
@@ -168,6 +173,6 @@
 
     /// Turns the problems of a value that was built in code into findings.
     pub(crate) fn into_findings(self) -> Vec<Finding> {
-        self.0.into_iter().map(|p| p.into_finding("", None)).collect()
+        self.0.into_iter().map(|p| p.into_finding("")).collect()
     }
 }
--- a/crates/state/src/reader/mod.rs
+++ b/crates/state/src/reader/mod.rs
@@ -7,14 +7,14 @@
 mod scalar;
 mod syntax;
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use jsonc_parser::{
     ast::{Object, Value},
     common::Ranged,
 };
 
-use crate::findings::{Finding, Findings, Position, Problem, Problems};
+use crate::findings::{self, Finding, Findings, Problem, Problems};
 
 /// A value with its path.
 pub(crate) struct Node<'a> {
@@ -40,12 +40,12 @@
 /// Collects findings and the position of each field.
 pub(crate) struct Reader<'a> {
     file: &'a str,
-    text: &'a str,
-    findings: Vec<Finding>,
+    /// Findings with their byte offsets.
+    findings: Vec<(usize, Finding)>,
     /// Byte offset of each value, by path.
     offsets: HashMap<String, usize>,
     /// Paths of values that were replaced by placeholders.
-    unread: Vec<String>,
+    unread: BTreeSet<String>,
 }
 
 /// Reads a whole document, then applies `rules` to it.
@@ -56,23 +56,25 @@
 ) -> Result<T, Findings> {
     let root = match syntax::parse(file, text) {
         Ok(root) => root,
-        Err(finding) => return Findings::or(vec![*finding], T::placeholder()),
+        Err(found) => {
+            return Findings::or(findings::place_in_text(text, vec![*found]), T::placeholder());
+        }
     };
     let mut reader =
-        Reader { file, text, findings: Vec::new(), offsets: HashMap::new(), unread: Vec::new() };
+        Reader { file, findings: Vec::new(), offsets: HashMap::new(), unread: BTreeSet::new() };
     let value = reader.value(&Node { path: String::new(), value: &root });
     let mut problems = Problems::default();
     rules(&value, &mut problems);
     for problem in problems.into_vec() {
         reader.place(problem);
     }
-    Findings::or(reader.findings, value)
+    Findings::or(findings::place_in_text(text, reader.findings), value)
 }
 
 impl Reader<'_> {
     /// Keeps rules that depend on the value from being reported.
     pub(crate) fn mark_unread(&mut self, node: &Node<'_>) {
-        self.unread.push(node.path.clone());
+        self.unread.insert(node.path.clone());
     }
 
     /// Reports a value that cannot be used.
@@ -116,7 +118,7 @@
         match object.get(name) {
             Some(property) => self.value(&Node { path, value: &property.value }),
             None => {
-                self.unread.push(path.clone());
+                self.unread.insert(path.clone());
                 let expected = scalar::expected_of_field(name);
                 self.report(object.range.start, &path, "missing field".into(), expected);
                 T::placeholder()
@@ -135,24 +137,45 @@
     }
 
     fn report(&mut self, offset: usize, path: &str, message: String, expected: String) {
-        self.findings.push(Finding {
+        let finding = Finding {
             file: self.file.to_owned(),
-            position: Some(Position::of_offset(self.text, offset)),
+            position: None,
             path: path.to_owned(),
             message,
             expected,
-        });
+        };
+        self.findings.push((offset, finding));
     }
 
     /// Reports a broken rule at its field, unless a field that it compared was unreadable.
     fn place(&mut self, problem: Problem) {
-        let is_unread = |path: &String| self.unread.iter().any(|u| overlap(u, path));
+        let is_unread = |path: &String| self.is_unread(path);
         if is_unread(&problem.path) || problem.depends.iter().any(is_unread) {
             return;
         }
         let offset = self.nearest_offset(&problem.path);
-        let position = Position::of_offset(self.text, offset);
-        self.findings.push(problem.into_finding(self.file, Some(position)));
+        self.findings.push((offset, problem.into_finding(self.file)));
+    }
+
+    /// Returns whether the field, something that encloses it, or a part of it was unreadable.
+    ///
+    /// The lookups are ordered, because a large file can have tens of thousands of such fields.
+    fn is_unread(&self, path: &str) -> bool {
+        let has_part = |separator: &str| {
+            let start = format!("{path}{separator}");
+            self.unread.range(start.clone()..).next().is_some_and(|p| p.starts_with(&start))
+        };
+        let mut enclosing = Some(path);
+        while let Some(p) = enclosing {
+            if self.unread.contains(p) {
+                return true;
+            }
+            enclosing = p.rfind(['.', '[']).map(|end| &p[..end]);
+        }
+        self.unread.contains("")
+            || (path.is_empty() && !self.unread.is_empty())
+            || has_part(".")
+            || has_part("[")
     }
 
     /// Returns the offset of the field, or of the innermost enclosing value that is written down.
@@ -192,13 +215,6 @@
     if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") }
 }
 
-/// Returns whether one of the two paths leads to the other or to a part of it.
-fn overlap(a: &str, b: &str) -> bool {
-    let (short, long) = if a.len() <= b.len() { (a, b) } else { (b, a) };
-    long.strip_prefix(short)
-        .is_some_and(|rest| short.is_empty() || rest.is_empty() || rest.starts_with(['.', '[']))
-}
-
 /// Implements [`Read`] for a struct whose fields must all be there, but for those after `optional`.
 macro_rules! read_struct {
     ($type:ident { $($field:ident),+ $(,)? } optional { $($option:ident),* $(,)? }) => {
@@ -248,5 +264,5 @@
 }
 
 pub(crate) use scalar::{MAX_NUMBER, read_text};
-pub(crate) use syntax::is_too_deep;
+pub(crate) use syntax::is_refused;
 pub(crate) use {read_defaulted_struct, read_struct};
--- a/crates/state/src/reader/scalar.rs
+++ b/crates/state/src/reader/scalar.rs
@@ -80,7 +80,7 @@
             format!("wrong unit or type, found {found}")
         }
         Value::NumberLit(number) if number.value.starts_with('-') => format!("{found} is negative"),
-        Value::NumberLit(number) if number.value.bytes().all(|b| b.is_ascii_digit()) => {
+        Value::NumberLit(number) if is_plain(number.value) => {
             format!("{found} is above {MAX_NUMBER}")
         }
         Value::NumberLit(_) => format!("{found} is not a whole number in plain digits"),
@@ -88,8 +88,14 @@
     }
 }
 
+/// JSON knows neither leading zeros nor a plus sign, which `u64::from_str` accepts.
+fn is_plain(digits: &str) -> bool {
+    digits.bytes().all(|b| b.is_ascii_digit()) && (digits.len() == 1 || !digits.starts_with('0'))
+}
+
 fn read_number(reader: &mut Reader<'_>, node: &Node<'_>) -> Option<u64> {
-    let number = node.value.as_number_lit().and_then(|n| n.value.parse().ok());
+    let literal = node.value.as_number_lit().filter(|n| is_plain(n.value));
+    let number = literal.and_then(|n| n.value.parse().ok());
     let number = number.filter(|n| *n <= MAX_NUMBER);
     if number.is_none() {
         reader.unreadable(node, explain_number(node.value), expected_number(&node.path));
--- a/crates/state/src/reader/syntax.rs
+++ b/crates/state/src/reader/syntax.rs
@@ -1,6 +1,6 @@
 use jsonc_parser::{CollectOptions, ParseOptions, ast::Value, parse_to_ast};
 
-use crate::findings::{Finding, Position};
+use crate::findings::Finding;
 
 /// Deepest nesting accepted. The parser is recursive, so that a file of opening brackets alone
 /// would overflow the stack; the documents themselves nest 7 levels deep.
@@ -9,19 +9,19 @@
 /// Parses `text` without looking at names or types.
 ///
 /// Comments and trailing commas are accepted; field names without quotes are not.
-pub(super) fn parse<'a>(file: &str, text: &'a str) -> Result<Value<'a>, Box<Finding>> {
+pub(super) fn parse<'a>(file: &str, text: &'a str) -> Result<Value<'a>, Box<(usize, Finding)>> {
     let finding = |offset, message: String, expected: &str| {
-        Box::new(Finding {
+        let finding = Finding {
             file: file.to_owned(),
-            position: Some(Position::of_offset(text, offset)),
+            position: None,
             path: String::new(),
             message,
             expected: expected.to_owned(),
-        })
+        };
+        Box::new((offset, finding))
     };
-    if let Some(offset) = first_too_deep(text) {
-        let message = format!("nested more than {MAX_DEPTH} levels deep");
-        return Err(finding(offset, message, "the documented fields"));
+    if let Some((offset, message, expected)) = first_refused(text) {
+        return Err(finding(offset, message, expected));
     }
     let options = ParseOptions {
         allow_comments: true,
@@ -34,41 +34,42 @@
         }
         Err(error) => {
             let kind = error.kind().to_string();
-            let message = format!("not JSON with comments: {}", kind.to_lowercase());
+            let message = format!("syntax error: {}", kind.to_lowercase());
             Err(finding(error.range().start, message, "JSON with comments"))
         }
     }
 }
 
-/// Returns whether parsing `text` could overflow the stack.
-pub(crate) fn is_too_deep(text: &str) -> bool {
-    first_too_deep(text).is_some()
+/// Returns whether the text is refused before it is parsed.
+pub(crate) fn is_refused(text: &str) -> bool {
+    first_refused(text).is_some()
 }
 
-/// Returns the offset of the first bracket that nests too deeply, outside of strings and comments.
-fn first_too_deep(text: &str) -> Option<usize> {
+/// Returns the offset of the first bracket that nests too deeply or of the first single quote,
+/// outside of strings and comments, with a message and what is expected.
+fn first_refused(text: &str) -> Option<(usize, String, &'static str)> {
     let bytes = text.as_bytes();
     let mut depth = 0_usize;
     let mut i = 0;
     while let Some(&byte) = bytes.get(i) {
         match byte {
-            // The parser accepts strings in single quotes too.
-            b'"' | b'\'' => i = end_of_string(bytes, i),
+            b'"' => i = end_of_string(bytes, i),
+            // The parser takes them for quotes, other JSON libraries do not.
+            b'\'' => return Some((i, "a text in single quotes".to_owned(), "double quotes")),
             b'/' if bytes.get(i + 1) == Some(&b'/') => {
                 i = text[i..].find('\n').map_or(bytes.len(), |n| i + n);
             }
             b'/' if bytes.get(i + 1) == Some(&b'*') => {
                 i = text[i + 2..].find("*/").map_or(bytes.len(), |n| i + n + 3);
             }
-            b'[' | b'{' => {
-                depth += 1;
-                if depth > MAX_DEPTH {
-                    return Some(i);
-                }
-            }
+            b'[' | b'{' => depth += 1,
             b']' | b'}' => depth = depth.saturating_sub(1),
             _ => {}
         }
+        if depth > MAX_DEPTH {
+            let message = format!("nested more than {MAX_DEPTH} levels deep");
+            return Some((i, message, "the documented fields"));
+        }
         i += 1;
     }
     None
@@ -80,7 +81,7 @@
     while let Some(&byte) = bytes.get(i) {
         match byte {
             b'\\' => i += 1,
-            byte if byte == bytes[start] => return i,
+            b'"' => return i,
             _ => {}
         }
         i += 1;
--- a/crates/state/tests/config_findings.rs
+++ b/crates/state/tests/config_findings.rs
@@ -9,6 +9,7 @@
     ids::FailureDomainName,
     units::{BitRate, Percent, Slots},
 };
+use proptest::prelude::{ProptestConfig, prop_assert, prop_assert_eq, proptest};
 use support::{CONFIG, findings_of_changes, replaced};
 
 fn check(text: &str) -> std::result::Result<(), Findings> {
@@ -40,6 +41,9 @@
             (r#""interval_ms": 10000"#, r#""interval_ms": 1e4"#),
             (r#""interval_ms": 10000"#, r#""interval_ms": -1"#),
             (r#""interval_ms": 10000"#, r#""interval_ms": 99999999999999999999"#),
+            (r#""interval_ms": 10000"#, r#""interval_ms": 010000"#),
+            (r#""interval_ms": 10000"#, r#""interval_ms": +10000"#),
+            (r#""user": "cali""#, r#""user": 'cali'"#),
             (r#""slots": 3"#, r#""slots": null"#),
             (r#""rank": "urgent", "idempotent": true"#, r#""rank": "high", "idempotent": "yes""#),
             ("127.0.0.1:21001", "localhost:21001"),
@@ -126,7 +130,19 @@
 #[test]
 fn texts_that_are_not_json_are_refused() {
     let deep = "[".repeat(100_000);
-    let texts = ["", "{", "{\n  \"format\": 1,\n  user: \"cali\"\n}", "{} {}", "[]", &deep];
+    let texts = [
+        "",
+        "{",
+        "\u{feff}{}",
+        "/* no end",
+        "// no end",
+        "{\"a",
+        "{\"a\\",
+        "{\n  \"format\": 1,\n  user: \"cali\"\n}",
+        "{} {}",
+        "[]",
+        &deep,
+    ];
     let outcomes: Vec<_> = texts.iter().map(|t| check(t).unwrap_err().to_string()).collect();
     insta::assert_snapshot!(outcomes.join("\n\n"));
 }
@@ -159,3 +175,29 @@
     config.regions[1].failure_domains = vec!["palermo-a".parse::<FailureDomainName>().unwrap()];
     insta::assert_snapshot!(config.check().unwrap_err());
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards against a loader that crashes on damaged text, or whose canonical form it refuses.
+    #[test]
+    fn damaged_documents_never_crash(
+        at in 0..CONFIG.len(),
+        cut in 0..40_usize,
+        put in "[\\[\\]{}\"',:/*\\\\0-9a-zè \n]{0,6}",
+    ) {
+        let text = format!("{}{put}{}", &CONFIG[..at], &CONFIG[CONFIG.len().min(at + cut)..]);
+        match config::parse("config.jsonc", &text) {
+            Ok(config) => {
+                let canonical = config.canonical_json();
+                let again = config::parse("canonical", &canonical).unwrap();
+                prop_assert_eq!(again.canonical_json(), canonical);
+            }
+            Err(findings) => {
+                let positions: Vec<_> = findings.iter().map(|f| f.position).collect();
+                prop_assert!(!positions.is_empty() && positions.is_sorted());
+                prop_assert!(positions.iter().all(|p| p.is_some()));
+            }
+        }
+    }
+}
