pollenshedctl: keep the exit code when the output is closed early

Cause: `check FILE | head` with findings ended with 0, because a broken pipe counted as success; a script with pipefail would have submitted the file. Ruled out: the exit code for trouble, because the result is known. Change: Options::print ignores a broken pipe, so that the result decides. Before/after: a refused file with a closed output ended with 0 before and ends with 1 now; a test closes the output before the command gets its input. Conclusion: the exit code does not depend on the reader of the output.

--- a/crates/pollenshedctl/src/main.rs
+++ b/crates/pollenshedctl/src/main.rs
@@ -23,7 +23,6 @@
     };
     match (subcommand.run)(args, &Options::new(args)) {
         Ok(exit) => exit.into(),
-        Err(report) if util::is_broken_pipe(&report) => Exit::Success.into(),
         Err(report) => {
             eprintln!("pollenshedctl {name}: {report:#}");
             Exit::Trouble.into()
--- a/crates/pollenshedctl/src/options.rs
+++ b/crates/pollenshedctl/src/options.rs
@@ -1,5 +1,5 @@
 use std::{
-    fmt::Display,
+    fmt::{Display, Write as _},
     fs,
     io::{self, Read, Write},
     path::Path,
@@ -47,21 +47,26 @@
     }
 
     /// Prints one line for each entry, or with `--json` the object that `wrap` makes of them.
+    ///
+    /// A reader that closes the pipe early, as `head` does, is no error, so that the exit code still
+    /// tells the result.
     pub fn print<T: Display, O: Serialize>(
         &self,
         entries: Vec<T>,
         wrap: impl FnOnce(Vec<T>) -> O,
     ) -> eyre::Result<()> {
-        let mut out = io::stdout().lock();
+        let mut text = String::new();
         if self.json {
-            serde_json::to_writer_pretty(&mut out, &wrap(entries)).map_err(io::Error::from)?;
-            writeln!(out)?;
+            text = serde_json::to_string_pretty(&wrap(entries))? + "\n";
         } else {
             for entry in entries {
-                writeln!(out, "{entry}")?;
+                writeln!(text, "{entry}")?;
             }
         }
-        out.flush()?;
-        Ok(())
+        let mut out = io::stdout().lock();
+        match out.write_all(text.as_bytes()).and_then(|()| out.flush()) {
+            Err(error) if error.kind() == io::ErrorKind::BrokenPipe => Ok(()),
+            result => result.wrap_err("cannot write to standard output"),
+        }
     }
 }
--- a/crates/pollenshedctl/src/util.rs
+++ b/crates/pollenshedctl/src/util.rs
@@ -1,5 +1,4 @@
 use std::{
-    io,
     path::{Path, PathBuf},
     process::ExitCode,
 };
@@ -45,9 +44,3 @@
     let path = args.get_one::<PathBuf>(name).map(PathBuf::as_path);
     path.ok_or_else(|| eyre!("{name} is missing"))
 }
-
-/// Returns whether the reader of standard output has closed it, as `head` does.
-pub fn is_broken_pipe(report: &eyre::Report) -> bool {
-    let errors = report.chain().filter_map(|e| e.downcast_ref::<io::Error>());
-    errors.into_iter().any(|e| e.kind() == io::ErrorKind::BrokenPipe)
-}
--- a/crates/pollenshedctl/tests/check.rs
+++ b/crates/pollenshedctl/tests/check.rs
@@ -52,3 +52,12 @@
     let out = dir.run(&["check", "--json", "bad.json", "entry.jsonc"], "").out;
     insta::assert_snapshot!(out);
 }
+
+/// Guards against a success that only means that the reader of the findings stopped early.
+#[gtest]
+fn closed_output_does_not_hide_findings() {
+    let dir = Workdir::new();
+    let bad = changed("\"slots\": 3", "\"slots\": 0");
+    expect_that!(dir.run_without_reader(&["check", "-"], &bad), some(eq(1)));
+    expect_that!(dir.run_without_reader(&["check", "--json", "-"], CALI), some(eq(0)));
+}
--- a/crates/pollenshedctl/tests/support/mod.rs
+++ b/crates/pollenshedctl/tests/support/mod.rs
@@ -5,7 +5,7 @@
     env, fs,
     io::Write,
     path::PathBuf,
-    process::{self, Command, Stdio},
+    process::{self, Child, Command, Stdio},
     sync::atomic::{AtomicU64, Ordering},
 };
 
@@ -45,19 +45,32 @@
 
     /// Runs the command in the directory with `input` as standard input.
     pub fn run(&self, args: &[&str], input: &str) -> Run {
-        let mut child = Command::new(env!("CARGO_BIN_EXE_pollenshedctl"))
+        let mut child = self.start(args);
+        // The command may end without reading its input.
+        let _ = child.stdin.take().unwrap().write_all(input.as_bytes());
+        let output = child.wait_with_output().unwrap();
+        let text = |bytes| String::from_utf8(bytes).unwrap();
+        Run { code: output.status.code(), out: text(output.stdout), err: text(output.stderr) }
+    }
+
+    /// Runs the command as [`Workdir::run`] does, with a standard output that is closed before the
+    /// command gets its input, and returns the exit code.
+    pub fn run_without_reader(&self, args: &[&str], input: &str) -> Option<i32> {
+        let mut child = self.start(args);
+        drop(child.stdout.take());
+        child.stdin.take().unwrap().write_all(input.as_bytes()).unwrap();
+        child.wait().unwrap().code()
+    }
+
+    fn start(&self, args: &[&str]) -> Child {
+        Command::new(env!("CARGO_BIN_EXE_pollenshedctl"))
             .args(args)
             .current_dir(&self.path)
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .stderr(Stdio::piped())
             .spawn()
-            .unwrap();
-        // The command may end without reading its input.
-        let _ = child.stdin.take().unwrap().write_all(input.as_bytes());
-        let output = child.wait_with_output().unwrap();
-        let text = |bytes| String::from_utf8(bytes).unwrap();
-        Run { code: output.status.code(), out: text(output.stdout), err: text(output.stderr) }
+            .unwrap()
     }
 }
 
--- a/crates/state/src/reader/syntax.rs
+++ b/crates/state/src/reader/syntax.rs
@@ -3,7 +3,7 @@
 use crate::findings::Finding;
 
 /// Deepest nesting accepted. The parser is recursive, so that a file of opening brackets alone
-/// would overflow the stack; the documents themselves nest 7 levels deep.
+/// would overflow the stack; the documents themselves nest 6 levels deep.
 const MAX_DEPTH: usize = 32;
 
 /// Parses `text` without looking at names or types.
