Test rank shares and the quarantine bound, and repair what they showed

A rank that had used nothing waited until its credit was positive, so 11 less urgent requests started first. A bystander that ran beside the same culprit on two servers was refused. Quarantine entries came back from peers after they had expired. Ruled out: telling such a bystander from the culprit after the second crash (the record is the same for both), and a credit threshold above zero. Change: a rank without debt is served at once up to its whole slots and one more; content runs on one server at a time until it first completes, so that a second trial is always alone; only a crash with one candidate counts as second for proven content; expired entries hide peers' copies for a minute. Conclusion: shares hold within 5% of the share over 40 s, and a content takes down at most two servers of an owner in 600 random histories.

--- a/crates/coordination/src/limits/quarantine.rs
+++ b/crates/coordination/src/limits/quarantine.rs
@@ -1,15 +1,16 @@
 //! Content that crashes backend servers.
 //!
 //! Guarantee: content that crashes every server that runs it takes down at most two servers of an
-//! owner within the retention time, however its copies arrive. Content that never completed runs on
-//! at most two servers at once. After its first crash it runs on one more server, in one copy, and
+//! owner within the retention time, however its copies arrive. Until its first completion, content
+//! runs on one server at a time. After its first crash it runs on one other server, in one copy, and
 //! alone. After crashes on two servers it is refused. Copies that other owners were already running
 //! when the first crash became known to them are outside this bound.
 //!
 //! Several requests may run on a server that crashes. Those whose content completed lately are
 //! cleared if any other is a candidate; the rest are suspects. A suspect runs its second time alone,
-//! so a second crash has one possible cause, and completing clears it. An innocent suspect thus
-//! cannot share the second crash of another request.
+//! so its second crash has one possible cause, and completing clears it. Content that completed
+//! lately and is suspected all the same runs on several servers, so only a crash that it alone can
+//! have caused counts as its second, and peers are not told of its first.
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
 
@@ -20,14 +21,14 @@
 
 /// Crashes on different servers after which content is refused.
 const MAX_CRASHES: usize = 2;
-/// Servers that content without crashes and without a completion may run on at once.
-const MAX_UNPROVEN_SERVERS: usize = 2;
 /// Suspected or refused contents that are remembered.
 const MAX_SUSPECTS: usize = 4_096;
 /// Completed contents that are remembered.
 const MAX_COMPLETED: usize = 8_192;
 /// Time for which a completion speaks for the content.
 const COMPLETED_MS: u64 = 60_000;
+/// Time for which an expired entry still hides peers' copies of it, which expire a little later.
+const EXPIRED_MS: u64 = 60_000;
 /// Entries in one export.
 const MAX_EXPORTED: usize = 256;
 
@@ -59,6 +60,14 @@
 struct Suspect {
     crashed: Vec<BackendServerName>,
     until: Instant,
+    /// Whether the content had completed lately when it was first suspected.
+    had_completed: bool,
+}
+
+impl Suspect {
+    fn is_exported(&self) -> bool {
+        self.crashed.len() >= MAX_CRASHES || !self.had_completed
+    }
 }
 
 /// Tracks content that may crash backend servers.
@@ -116,8 +125,7 @@
         if self.has_completed(content, now) || running.contains(server) {
             return Trial::Free;
         }
-        let servers: BTreeSet<_> = running.iter().collect();
-        if servers.len() < MAX_UNPROVEN_SERVERS { Trial::Free } else { Trial::Wait }
+        if running.is_empty() { Trial::Free } else { Trial::Wait }
     }
 
     /// Records that a copy of the content starts on the server.
@@ -167,13 +175,20 @@
 
     /// Records that the server crashed while it ran these contents.
     pub fn crashed(&mut self, contents: &[Digest], server: &BackendServerName, now: Instant) {
-        let any_unproven = contents.iter().any(|c| !self.has_completed(c, now));
-        for content in contents {
-            if any_unproven && self.has_completed(content, now) {
+        let candidates: BTreeSet<Digest> = contents.iter().copied().collect();
+        let any_unproven = candidates.iter().any(|c| !self.has_completed(c, now));
+        let is_certain = candidates.len() == 1;
+        for content in candidates {
+            let had_completed = self.has_completed(&content, now);
+            let is_known = !self.crashes(&content, now).is_empty();
+            if (any_unproven && had_completed) || (is_known && !is_certain) {
                 continue;
             }
-            self.completed.remove(content);
-            self.add(*content, std::slice::from_ref(server), self.retention_ms, now);
+            self.completed.remove(&content);
+            self.add(content, std::slice::from_ref(server), self.retention_ms, now);
+            if let Some(suspect) = self.suspects.get_mut(&content).filter(|_| !is_known) {
+                suspect.had_completed = had_completed;
+            }
         }
     }
 
@@ -188,6 +203,9 @@
             if entry.ttl_left_ms == 0 || (is_single && self.has_completed(&entry.content, now)) {
                 continue;
             }
+            if self.has_expired(entry, now) {
+                continue;
+            }
             self.completed.remove(&entry.content);
             let ttl_ms = entry.ttl_left_ms.min(self.retention_ms);
             self.add(entry.content, &entry.crashed, ttl_ms, now);
@@ -199,7 +217,7 @@
         let mut entries: Vec<_> = self
             .suspects
             .iter()
-            .filter(|(_, suspect)| suspect.until > now)
+            .filter(|(_, suspect)| suspect.until > now && suspect.is_exported())
             .map(|(content, suspect)| QuarantineEntry {
                 content: *content,
                 crashed: suspect.crashed.clone(),
@@ -211,10 +229,22 @@
         entries
     }
 
+    /// Returns whether all crashes of the entry were known here and forgotten a short time ago.
+    fn has_expired(&self, entry: &QuarantineEntry, now: Instant) -> bool {
+        self.suspects.get(&entry.content).is_some_and(|suspect| {
+            suspect.until <= now
+                && now.since_ms(suspect.until) < EXPIRED_MS
+                && entry.crashed.iter().all(|server| suspect.crashed.contains(server))
+        })
+    }
+
     fn add(&mut self, content: Digest, servers: &[BackendServerName], ttl_ms: u64, now: Instant) {
         self.make_room(&content, now);
-        let suspect =
-            self.suspects.entry(content).or_insert(Suspect { crashed: Vec::new(), until: now });
+        let suspect = self.suspects.entry(content).or_insert(Suspect {
+            crashed: Vec::new(),
+            until: now,
+            had_completed: false,
+        });
         if suspect.until <= now {
             suspect.crashed.clear();
         }
--- a/crates/coordination/src/limits/shares.rs
+++ b/crates/coordination/src/limits/shares.rs
@@ -9,14 +9,17 @@
 /// Credit of each rank in slot-microseconds of one service.
 ///
 /// A server has 3 or 4 slots, so a share such as 10% cannot hold at each instant. A rank with queued
-/// work earns its share of all slots, less what its lent slots already give it. A rank with positive
-/// credit takes the next free slot, and that run is charged. Runs on lent slots are not charged, so
-/// using idle capacity is not paid back later.
+/// work earns its share of all slots, less what its lent slots already give it. A rank without debt
+/// that runs no more than its share takes the next free slot, and that run is charged. Runs on lent
+/// slots are not charged, so using idle capacity is not paid back later.
 #[derive(Debug, Default)]
 pub(super) struct Shares {
     credit_us: [f64; 3],
     charged: [u64; 3],
     lent: [u64; 3],
+    /// Runs up to which a rank counts as inside its share: its whole slots and one more, so that
+    /// fractions of a slot can be made up for.
+    max_running: [u64; 3],
     updated: Instant,
 }
 
@@ -33,6 +36,7 @@
         self.updated = self.updated.max(now);
         for rank in 0..3 {
             let share = shares[rank] * slots as f64;
+            self.max_running[rank] = if share > 0.0 { share as u64 + 1 } else { 0 };
             let earned = (share - self.lent[rank] as f64).max(0.0) * elapsed_us;
             let spent = self.charged[rank] as f64 * elapsed_us;
             let max = if backlogged[rank] { share * MAX_CREDIT_US } else { 0.0 };
@@ -63,6 +67,7 @@
     }
 
     fn is_due(&self, rank: usize) -> bool {
-        self.credit_us[rank] > 0.0
+        let running = self.charged[rank] + self.lent[rank];
+        self.credit_us[rank] >= 0.0 && running < self.max_running[rank]
     }
 }
--- /dev/null
+++ b/crates/coordination/tests/limits_quarantine.rs
@@ -0,0 +1,230 @@
+//! Content that crashes servers: at most two are lost, and bystanders are not refused.
+
+mod limits_support;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use googletest::prelude::*;
+use limits_support::*;
+use pollenshed_coordination::limits::{
+    Finished, Quarantine, Scheduler, SchedulerPolicy, Submitted, Trial, WorkId,
+};
+use pollenshed_state::{config::Rank, ids::Digest};
+use proptest::prelude::*;
+
+const SERVERS: usize = 6;
+const POISONS: u8 = 2;
+
+fn content(n: u8) -> Digest {
+    Digest::of(&[n])
+}
+
+fn policy() -> SchedulerPolicy {
+    SchedulerPolicy { ramp_ms: 0, ..SchedulerPolicy::default() }
+}
+
+#[derive(Debug, Clone)]
+enum Event {
+    Submit { content: u8, rank: usize },
+    Dispatch,
+    Answer { pick: usize },
+    Crash { pick: usize, seen: usize, restart: bool },
+    Pass { ms: u64 },
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        6 => (0..8u8, 0..3usize).prop_map(|(content, rank)| Event::Submit { content, rank }),
+        5 => Just(Event::Dispatch),
+        4 => any::<usize>().prop_map(|pick| Event::Answer { pick }),
+        2 => (any::<usize>(), 1..4usize, any::<bool>())
+            .prop_map(|(pick, seen, restart)| Event::Crash { pick, seen, restart }),
+        2 => (0..2_000u64).prop_map(|ms| Event::Pass { ms }),
+    ]
+}
+
+#[derive(Default)]
+struct Fleet {
+    now_ms: u64,
+    next_id: u64,
+    contents: BTreeMap<WorkId, u8>,
+    running: BTreeMap<WorkId, usize>,
+    lost: BTreeMap<u8, BTreeSet<usize>>,
+    crashes: BTreeMap<u8, usize>,
+    quarantined: BTreeSet<u8>,
+}
+
+impl Fleet {
+    fn submit(&mut self, scheduler: &mut Scheduler, n: u8, rank: usize) -> Submitted {
+        let deadline = at(self.now_ms + 60_000);
+        let mut work = work(self.next_id, Rank::ALL[rank], 0, deadline);
+        work.content = content(n);
+        self.contents.insert(work.id, n);
+        self.next_id += 1;
+        scheduler.submit(work, at(self.now_ms), 1)
+    }
+
+    fn dispatch(&mut self, scheduler: &mut Scheduler) {
+        while let Some(next) = scheduler.next(at(self.now_ms)) {
+            let i = (0..SERVERS).find(|i| server(*i) == next.server).expect("a known server");
+            self.running.insert(next.id, i);
+        }
+    }
+
+    /// The server dies by a request that it runs. All its connections break, seen one by one.
+    fn crash(&mut self, scheduler: &mut Scheduler, culprit: WorkId, restart: bool) {
+        let i = self.running[&culprit];
+        let n = self.contents[&culprit];
+        self.lost.entry(n).or_default().insert(i);
+        *self.crashes.entry(n).or_default() += 1;
+        let mut on_server: Vec<_> =
+            self.running.iter().filter(|(_, s)| **s == i).map(|(id, _)| *id).collect();
+        let turn = culprit.0 as usize % on_server.len();
+        on_server.rotate_left(turn);
+        for id in on_server {
+            self.running.remove(&id);
+            scheduler.finish(id, Finished::Crashed, at(self.now_ms));
+        }
+        if restart {
+            scheduler.set_up(&server(i), at(self.now_ms));
+        }
+    }
+
+    fn poisoned(&self) -> Vec<WorkId> {
+        self.running.keys().filter(|id| self.contents[*id] < POISONS).copied().collect()
+    }
+
+    fn apply(&mut self, scheduler: &mut Scheduler, event: Event) {
+        match event {
+            Event::Submit { content, rank } => drop(self.submit(scheduler, content, rank)),
+            Event::Dispatch => self.dispatch(scheduler),
+            Event::Answer { pick } => {
+                let innocent: Vec<_> = self
+                    .running
+                    .keys()
+                    .filter(|id| self.contents[*id] >= POISONS)
+                    .copied()
+                    .collect();
+                if let Some(id) = (!innocent.is_empty()).then(|| innocent[pick % innocent.len()]) {
+                    self.running.remove(&id);
+                    scheduler.finish(id, Finished::Answered { latency_us: 900 }, at(self.now_ms));
+                }
+            }
+            Event::Crash { pick, seen, restart } => {
+                for _ in 0..seen {
+                    let poisoned = self.poisoned();
+                    if poisoned.is_empty() {
+                        break;
+                    }
+                    self.crash(scheduler, poisoned[pick % poisoned.len()], restart);
+                }
+            }
+            Event::Pass { ms } => {
+                self.now_ms += ms;
+                (0..SERVERS).for_each(|i| scheduler.set_up(&server(i), at(self.now_ms)));
+            }
+        }
+        scheduler.expire(at(self.now_ms));
+        for n in 0..8 {
+            if scheduler.quarantine().is_refused(&content(n), at(self.now_ms)) {
+                self.quarantined.insert(n);
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(fixed(600))]
+
+    /// Guards against a third server lost to one content, and against refusing a bystander for the
+    /// crashes that poisonous content causes.
+    #[test]
+    fn content_takes_down_at_most_two_servers(
+        events in proptest::collection::vec(event(), 1..120),
+        servers in 1..=SERVERS,
+    ) {
+        let mut scheduler = scheduler(servers, 3, policy());
+        let mut fleet = Fleet::default();
+        for event in events {
+            fleet.apply(&mut scheduler, event);
+            for (n, lost) in &fleet.lost {
+                prop_assert!(lost.len() <= 2, "content {n} took down {lost:?}");
+                prop_assert!(fleet.crashes[n] <= 2, "content {n} crashed a server again");
+            }
+        }
+        let innocent: Vec<_> = fleet.quarantined.iter().filter(|n| **n >= POISONS).collect();
+        prop_assert!(innocent.is_empty(), "refused bystanders: {innocent:?}");
+    }
+}
+
+/// Guards against a bystander of two different crashes that is refused.
+#[gtest]
+fn bystander_of_a_crash_is_tried_alone_and_cleared() {
+    let mut scheduler = scheduler(2, 3, policy());
+    let mut fleet = Fleet::default();
+    for n in [0, 1, 5] {
+        fleet.submit(&mut scheduler, n, 0);
+    }
+    fleet.dispatch(&mut scheduler);
+    expect_that!(fleet.running[&WorkId(2)], eq(fleet.running[&WorkId(0)]));
+    fleet.crash(&mut scheduler, WorkId(0), true);
+    expect_true!(scheduler.quarantine().is_suspect(&content(5), at(0)));
+    fleet.submit(&mut scheduler, 5, 0);
+    fleet.dispatch(&mut scheduler);
+    expect_false!(fleet.running.contains_key(&WorkId(3)), "other work still runs there");
+    fleet.crash(&mut scheduler, WorkId(1), true);
+    fleet.submit(&mut scheduler, 6, 0);
+    fleet.dispatch(&mut scheduler);
+    let alone = fleet.running[&WorkId(3)];
+    expect_that!(fleet.running.values().filter(|s| **s == alone).count(), eq(1));
+    scheduler.finish(WorkId(3), Finished::Answered { latency_us: 900 }, at(1));
+    expect_false!(scheduler.quarantine().is_suspect(&content(5), at(1)));
+}
+
+/// Guards against a suspect that is retried where it crashed, or in two copies at once.
+#[gtest]
+fn suspect_runs_in_one_copy_on_another_server() {
+    let mut quarantine = Quarantine::new(600_000);
+    let poison = content(0);
+    quarantine.started(poison, &server(0));
+    quarantine.crashed(&[poison], &server(0), at(0));
+    quarantine.ended(&poison, &server(0));
+    expect_that!(quarantine.trial(&poison, &server(0), at(1)), eq(Trial::Wait));
+    expect_that!(quarantine.trial(&poison, &server(1), at(1)), eq(Trial::Alone));
+    quarantine.started(poison, &server(1));
+    expect_that!(quarantine.trial(&poison, &server(2), at(1)), eq(Trial::Wait));
+    quarantine.crashed(&[poison], &server(1), at(2));
+    quarantine.ended(&poison, &server(1));
+    expect_that!(quarantine.trial(&poison, &server(2), at(600_001)), eq(Trial::Refused));
+    expect_that!(quarantine.trial(&poison, &server(2), at(600_002)), eq(Trial::Free));
+}
+
+/// Guards against peers that keep an entry alive by sending it back, and against one that is lost.
+#[gtest]
+fn peers_learn_crashes_and_forget_them_in_time() {
+    let mut first = Quarantine::new(600_000);
+    let mut second = Quarantine::new(600_000);
+    first.crashed(&[content(0)], &server(0), at(0));
+    second.crashed(&[content(0)], &server(1), at(0));
+    for second_of_time in 0..=600 {
+        let now = at(second_of_time * 1_000);
+        second.merge(&first.export(now), now.plus_ms(50));
+        first.merge(&second.export(now.plus_ms(50)), now.plus_ms(100));
+        let is_refused = first.is_refused(&content(0), now.plus_ms(100));
+        expect_that!(is_refused, eq(second_of_time < 600), "at {second_of_time} s");
+    }
+}
+
+/// Guards against frequent content that is refused because servers crash by other causes.
+#[gtest]
+fn content_that_completes_is_not_suspected_beside_unproven_content() {
+    let mut quarantine = Quarantine::new(600_000);
+    quarantine.completed(content(5), at(0));
+    quarantine.crashed(&[content(5), content(0)], &server(0), at(1));
+    expect_false!(quarantine.is_suspect(&content(5), at(1)));
+    expect_true!(quarantine.is_suspect(&content(0), at(1)));
+    let mut peer = Quarantine::new(600_000);
+    peer.completed(content(0), at(0));
+    peer.merge(&quarantine.export(at(1)), at(1));
+    expect_false!(peer.is_suspect(&content(0), at(1)), "it completed there");
+}
--- /dev/null
+++ b/crates/coordination/tests/limits_shares.rs
@@ -0,0 +1,201 @@
+//! Minimum shares, priority and caller fairness over simulated time.
+
+mod limits_support;
+
+use std::collections::BTreeMap;
+
+use googletest::prelude::*;
+use limits_support::*;
+use pollenshed_coordination::limits::{Finished, Scheduler, SchedulerPolicy, Submitted, WorkId};
+use pollenshed_state::{config::Rank, units::Percent};
+use proptest::prelude::*;
+
+const STEP_MS: u64 = 5;
+const RUN_MS: u64 = 40_000;
+
+/// Servers that run each request for a fixed time, driven by offered load per rank.
+struct Simulation {
+    scheduler: Scheduler,
+    now_ms: u64,
+    next_id: u64,
+    ends: BTreeMap<(u64, WorkId), usize>,
+    ranks: BTreeMap<WorkId, (usize, u64)>,
+    waiting: [usize; 3],
+    service_ms: [u64; 3],
+    slot_ms: [u64; 3],
+    answered_by_caller: BTreeMap<u64, u64>,
+    started: [u64; 3],
+}
+
+impl Simulation {
+    fn new(servers: usize, slots: u64, shares: [u64; 3], service_ms: [u64; 3]) -> Simulation {
+        let min_shares = shares.map(Percent);
+        let policy = SchedulerPolicy { min_shares, max_queued: 200, ..SchedulerPolicy::default() };
+        Simulation {
+            scheduler: scheduler(servers, slots, policy),
+            now_ms: 0,
+            next_id: 0,
+            ends: BTreeMap::new(),
+            ranks: BTreeMap::new(),
+            waiting: [0; 3],
+            service_ms,
+            slot_ms: [0; 3],
+            answered_by_caller: BTreeMap::new(),
+            started: [0; 3],
+        }
+    }
+
+    fn offer(&mut self, rank: usize, caller: u64) -> bool {
+        let now = at(self.now_ms);
+        let work = work(self.next_id, Rank::ALL[rank], caller, now.plus_ms(20_000));
+        self.ranks.insert(work.id, (rank, caller));
+        self.next_id += 1;
+        let is_queued = self.scheduler.submit(work, now, 1) == Submitted::Queued;
+        self.waiting[rank] += usize::from(is_queued);
+        self.drop_refused();
+        is_queued
+    }
+
+    fn drop_refused(&mut self) {
+        for (id, _) in self.scheduler.expire(at(self.now_ms)) {
+            self.waiting[self.ranks[&id].0] -= 1;
+        }
+    }
+
+    /// Ends and starts work, then lets one step pass.
+    fn step(&mut self) {
+        let now = at(self.now_ms);
+        while let Some(((_, id), rank)) = self
+            .ends
+            .first_key_value()
+            .map(|(k, r)| (*k, *r))
+            .filter(|((t, _), _)| *t <= self.now_ms)
+        {
+            self.ends.pop_first();
+            let latency_us = self.service_ms[rank] * 1_000;
+            self.scheduler.finish(id, Finished::Answered { latency_us }, now);
+            *self.answered_by_caller.entry(self.ranks[&id].1).or_default() += 1;
+        }
+        while let Some(next) = self.scheduler.next(now) {
+            let rank = self.ranks[&next.id].0;
+            self.waiting[rank] -= 1;
+            self.started[rank] += 1;
+            self.ends.insert((self.now_ms + self.service_ms[rank], next.id), rank);
+        }
+        self.drop_refused();
+        for rank in self.ends.values() {
+            self.slot_ms[*rank] += STEP_MS;
+        }
+        self.now_ms += STEP_MS;
+    }
+
+    /// Keeps `load` requests of each rank waiting for `ms`.
+    fn saturate(&mut self, load: [usize; 3], ms: u64) {
+        for _ in 0..ms / STEP_MS {
+            for (rank, wanted) in load.into_iter().enumerate() {
+                while self.waiting[rank] < wanted && self.offer(rank, self.next_id % 3) {}
+            }
+            self.step();
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(fixed(24))]
+
+    /// Guards against a rank below its minimum share, whatever the other ranks offer.
+    #[test]
+    fn waiting_ranks_get_their_share_of_slot_time(
+        servers in 1..3usize,
+        slots in 3..5u64,
+        shares in (0..50u64, 5..30u64, 5..20u64),
+        load in (0..40usize, 0..40usize, 0..40usize),
+        service_steps in (1..30u64, 1..30u64, 1..30u64),
+    ) {
+        let shares = [shares.0, shares.1, shares.2];
+        let load = [load.0, load.1, load.2];
+        let service_ms = [service_steps.0, service_steps.1, service_steps.2].map(|n| n * STEP_MS);
+        let mut simulation = Simulation::new(servers, slots, shares, service_ms);
+        simulation.saturate(load, RUN_MS);
+        let capacity = servers as u64 * slots * RUN_MS;
+        // Fewer waiting requests than slots cannot use a share of all slots.
+        let waits = |rank: usize| load[rank] as u64 >= servers as u64 * slots;
+        for rank in (0..3).filter(|r| waits(*r)) {
+            let got = simulation.slot_ms[rank] as f64 / capacity as f64;
+            let share = shares[rank] as f64 / 100.0;
+            prop_assert!(got >= 0.95 * share, "rank {rank} got {got} of {share}");
+        }
+        if let Some(first) = (0..3).find(|rank| waits(*rank)) {
+            let others: u64 = (0..3).filter(|r| *r != first).map(|r| simulation.slot_ms[r]).sum();
+            let used = (simulation.slot_ms[first] + others) as f64 / capacity as f64;
+            prop_assert!(used > 0.97, "only {used} of the slots were used");
+            let due: f64 = (first + 1..3).map(|r| shares[r] as f64 / 100.0).sum();
+            let below: u64 = (first + 1..3).map(|r| simulation.slot_ms[r]).sum();
+            let below = below as f64 / capacity as f64;
+            prop_assert!(below <= due + 0.03, "less urgent ranks took {below} of {due}");
+        }
+    }
+
+    /// Guards against a rank inside its share that is passed over for a less urgent one.
+    #[test]
+    fn rank_inside_its_share_is_served_before_less_urgent_ones(
+        rank in 0..2usize,
+        flood in 10..60usize,
+        service_steps in (1..20u64, 1..20u64, 1..20u64),
+        warm_up_ms in 0..20_000u64,
+    ) {
+        let service_ms = [service_steps.0, service_steps.1, service_steps.2].map(|n| n * STEP_MS);
+        let mut simulation = Simulation::new(2, 3, [40, 30, 20], service_ms);
+        let mut load = [0; 3];
+        load[rank + 1..].fill(flood);
+        simulation.saturate(load, warm_up_ms);
+        prop_assert!(simulation.offer(rank, 50));
+        // The rank has used nothing yet, so the first slot that frees must be its own.
+        let (own, less) = (simulation.started[rank], simulation.started[rank + 1..].iter().sum::<u64>());
+        while simulation.started[rank] == own {
+            simulation.step();
+            prop_assert!(simulation.now_ms < 60_000, "never served");
+        }
+        let passed = simulation.started[rank + 1..].iter().sum::<u64>() - less;
+        prop_assert!(passed < 6, "{passed} less urgent requests started first");
+    }
+}
+
+/// Guards against shares that a flood of the most urgent rank takes from the others.
+#[gtest]
+fn urgent_flood_leaves_the_others_their_shares() {
+    let mut simulation = Simulation::new(2, 3, [50, 20, 10], [20, 100, 400]);
+    simulation.saturate([60, 40, 40], 60_000);
+    let capacity = 2.0 * 3.0 * 60_000.0;
+    let got = simulation.slot_ms.map(|used| used as f64 / capacity);
+    expect_that!(got[1], ge(0.19));
+    expect_that!(got[2], ge(0.095));
+    expect_that!(got[0], ge(0.67));
+}
+
+/// Guards against a rank that has to pay back slots which were idle when it used them.
+#[gtest]
+fn lent_slots_are_not_paid_back() {
+    let mut simulation = Simulation::new(2, 3, [40, 30, 20], [50, 50, 50]);
+    simulation.saturate([0, 0, 20], 30_000);
+    let before = simulation.slot_ms[2];
+    expect_that!(before as f64 / (6.0 * 30_000.0), gt(0.98));
+    simulation.saturate([20, 0, 20], 10_000);
+    expect_that!((simulation.slot_ms[2] - before) as f64 / (6.0 * 10_000.0), ge(0.19));
+}
+
+/// Guards against one caller's flood that delays another caller of the same rank.
+#[gtest]
+fn callers_of_a_rank_take_turns() {
+    let mut simulation = Simulation::new(2, 3, [50, 20, 10], [50, 50, 50]);
+    for _ in 0..2_000 {
+        for _ in 0..4 {
+            simulation.offer(1, 0);
+        }
+        simulation.offer(1, 1);
+        simulation.step();
+    }
+    let answered = &simulation.answered_by_caller;
+    let ratio = answered[&0] as f64 / answered[&1] as f64;
+    expect_that!(ratio, all!(gt(0.95), lt(1.05)), "{answered:?}");
+}
