Keep a running incarnation and test membership, ownership, routing and shift

Cause: the new folders had no tests. Writing them showed three faults: a newcomer at generation 0 could be replaced by a stale copy of its predecessor, two running processes of one name overtook each other without end because equal generations did not count as an answer, and a link budget of nothing let every request pass. Ruled out: accepting only first-hand records of a new incarnation (at 170 members a restart would be noticed late). Change: an incarnation whose counter advances is never replaced but told of the other one; an equal generation answers the raise before the last; no budget means no room. Before: the three faults above. Conclusion: the stated invariants hold for the generated sequences.

--- a/crates/coordination/src/membership/exchange.rs
+++ b/crates/coordination/src/membership/exchange.rs
@@ -31,9 +31,8 @@
 
     /// Builds the message for `peer`.
     ///
-    /// `peer_digest` is the digest that the peer sent last, or `None` if none is known. If `peer` is
-    /// known as another incarnation than `peer_record` says, the known record is always included so
-    /// that the peer can overtake it.
+    /// `peer_digest` is the digest that the peer sent last, or `None` if none is known. If two
+    /// incarnations of `peer` are known, both are included, so that the later one can overtake.
     pub fn records_for(
         &mut self,
         peer: &InstanceName,
@@ -43,8 +42,10 @@
         let digest = self.digest(now);
         self.sends += 1;
         let mut records = Vec::new();
-        if let Some(known) = self.members.get(peer) {
-            records.push(known.record.clone());
+        if let Some(known) = self.members.get(peer)
+            && let Some(rival) = &known.rival
+        {
+            records.extend([known.record.clone(), rival.clone()]);
         }
         if peer_digest != Some(digest) {
             records.extend(self.next_records(peer, now));
--- a/crates/coordination/src/membership/mod.rs
+++ b/crates/coordination/src/membership/mod.rs
@@ -15,6 +15,11 @@
 //! says so in its answer, so a restart costs one extra exchange. `identity` has the rule for two
 //! processes of one name that run at the same time.
 //!
+//! A process that just started may not have met its predecessor's record yet, so that a stale copy of
+//! that one has the higher generation. An incarnation whose counter still advances is therefore never
+//! replaced; it is told of the other one and overtakes. A restart within `suspect_after_ms` of the
+//! predecessor's last heartbeat is accepted when that time is over.
+//!
 //! # Cost
 //!
 //! A message holds the sender's own record, at most `max_heartbeats` counters in rotation and, only if
--- a/crates/coordination/src/membership/table.rs
+++ b/crates/coordination/src/membership/table.rs
@@ -34,6 +34,8 @@
 #[derive(Debug, Clone)]
 pub(super) struct Member {
     pub(super) record: MemberRecord,
+    /// Another incarnation that may be older or newer; the member itself is told of it.
+    pub(super) rival: Option<MemberRecord>,
     pub(super) heard_at: Instant,
     pub(super) is_confirmed: bool,
     pub(super) heartbeat_sent: u64,
@@ -150,12 +152,18 @@
             Some(known) if known.record.incarnation == record.incarnation => {
                 self.advance(record, is_first_hand, now, changes);
             }
-            Some(known) if record.generation > known.record.generation => {
-                self.by_key.remove(&known.record.key());
-                self.put(record, is_first_hand, now);
-                changes.push(Change::Restarted(record.instance.clone()));
+            Some(known) if record.generation < known.record.generation && !is_first_hand => {}
+            Some(known) => {
+                let is_higher = record.generation > known.record.generation;
+                let is_heard = self.judge(known, now) == MemberState::Alive;
+                if is_higher && !is_heard {
+                    self.by_key.remove(&known.record.key());
+                    self.put(record, is_first_hand, now);
+                    changes.push(Change::Restarted(record.instance.clone()));
+                } else if let Some(known) = self.members.get_mut(&record.instance) {
+                    known.rival = Some(record.clone());
+                }
             }
-            Some(_) => {}
         }
     }
 
@@ -216,6 +224,7 @@
         self.by_key.insert(record.key(), record.instance.clone());
         let member = Member {
             record: record.clone(),
+            rival: None,
             heard_at: now,
             is_confirmed: is_first_hand,
             heartbeat_sent: 0,
--- a/crates/coordination/src/routing/link.rs
+++ b/crates/coordination/src/routing/link.rs
@@ -50,6 +50,10 @@
         now: Instant,
     ) -> bool {
         let size = self.size;
+        // Without this, a budget of nothing would let everything pass, because nothing fills it.
+        if size == 0 {
+            return false;
+        }
         let link = self.link(region);
         link.requests.has(bits(request).min(size), now)
             && link.answers.has(bits(answer).min(size), now)
--- a/crates/coordination/src/routing/router.rs
+++ b/crates/coordination/src/routing/router.rs
@@ -150,7 +150,7 @@
         now: Instant,
     ) -> Result<Choice, NoCapacity> {
         if request.counted_for != Some(domain) {
-            ramp.check(domain, request.rank, lost_ppm, now).map_err(NoCapacity::from)?;
+            ramp.check_request(domain, request.rank, lost_ppm, now).map_err(NoCapacity::from)?;
         }
         let (reason, link) = self.distance(view.config, domain);
         if let Some(region) = &link {
--- a/crates/coordination/src/shift/ramp.rs
+++ b/crates/coordination/src/shift/ramp.rs
@@ -161,7 +161,7 @@
         (cap_ppm / STEPS_PER_INTERVAL as u32).min(cap_ppm.saturating_sub(used_ppm))
     }
 
-    /// Counts a request that arrived. Call it once per request, before [`Ramp::check`].
+    /// Counts a request that arrived. Call it once per request, before [`Ramp::check_request`].
     pub fn arrive(&mut self, rank: Rank, now: Instant) {
         self.is_fresh = false;
         self.requests.arrive(rank, now);
@@ -170,7 +170,7 @@
     /// Tells whether a request that arrived may go to `domain`.
     ///
     /// `lost_ppm` is the share of failure domains that can't serve now.
-    pub fn check(
+    pub fn check_request(
         &mut self,
         domain: &FailureDomainName,
         rank: Rank,
@@ -184,7 +184,7 @@
         Ok(())
     }
 
-    /// Counts that a request went to `domain`. Call it only after [`Ramp::check`] allowed it.
+    /// Counts that a request went to `domain`. Call it only after [`Ramp::check_request`] allowed it.
     pub fn sent(&mut self, domain: &FailureDomainName, rank: Rank, now: Instant) {
         self.requests.send(domain, rank, now);
     }
--- /dev/null
+++ b/crates/coordination/tests/membership_restart.rs
@@ -0,0 +1,145 @@
+//! Incarnations: restarts, stale gossip and two processes of one name.
+
+mod routing_support;
+
+use googletest::prelude::*;
+use pollenshed_coordination::membership::{Exchange, MemberState, Membership};
+use pollenshed_state::ids::Incarnation;
+use proptest::{collection::vec, prelude::*};
+use routing_support::{exchange, instance, membership, ms, proptest_config};
+
+#[derive(Debug, Clone)]
+enum Event {
+    Restart,
+    Exchange(usize, usize),
+    Replay(usize, usize),
+}
+
+fn events() -> impl Strategy<Value = Vec<Event>> {
+    let event = prop_oneof![
+        1 => Just(Event::Restart),
+        8 => (0usize..4, 0usize..4).prop_map(|(a, b)| Event::Exchange(a, b)),
+        4 => (any::<usize>(), 1usize..4).prop_map(|(a, b)| Event::Replay(a, b)),
+    ];
+    vec(event, 1..80)
+}
+
+/// Returns the incarnation of instance 0 that `observer` has, and its state.
+fn seen(observer: &Membership, now_ms: u64) -> Option<(u64, MemberState)> {
+    let state = observer.state_of(&instance(0), ms(now_ms))?;
+    Some((observer.record_of(&instance(0))?.incarnation.0, state))
+}
+
+/// Every message that can be replayed later, as a network with old copies would.
+fn record_messages(members: &mut [Membership], now_ms: u64, sent: &mut Vec<Exchange>) {
+    for member in members {
+        sent.push(member.clone().records_for(&instance(9), None, ms(now_ms)));
+    }
+}
+
+proptest! {
+    #![proptest_config(proptest_config(300))]
+
+    /// Guards against an old incarnation that replaces its running successor. Instance 0 restarts
+    /// with rising incarnations, and any message ever sent can arrive again.
+    #[test]
+    fn old_incarnation_never_replaces_a_running_one(events in events()) {
+        let new = |n, incarnation, now| membership(n, "north-a", incarnation, ms(now));
+        let mut members: Vec<_> = (0..4).map(|n| new(n, 1, 0)).collect();
+        let mut sent = Vec::new();
+        for (step, event) in events.into_iter().enumerate() {
+            let now_ms = step as u64 * 10;
+            members.iter_mut().for_each(|m| m.tick(ms(now_ms)));
+            let before: Vec<_> = members[1..].iter().map(|m| seen(m, now_ms)).collect();
+            match event {
+                Event::Restart => {
+                    let incarnation = members[0].own().incarnation.0 + 1;
+                    members[0] = new(0, incarnation, now_ms);
+                }
+                Event::Exchange(a, b) if a != b => exchange(&mut members, a, b, ms(now_ms)),
+                Event::Exchange(..) => {}
+                Event::Replay(message, to) if !sent.is_empty() => {
+                    let message: &Exchange = &sent[message % sent.len()];
+                    // A message never arrives at the instance that sent it.
+                    if message.sender.instance != members[to].own().instance {
+                        members[to].merge(message, ms(now_ms));
+                    }
+                }
+                Event::Replay(..) => {}
+            }
+            record_messages(&mut members, now_ms, &mut sent);
+            for (member, before) in members[1..].iter().zip(before) {
+                let Some((incarnation, MemberState::Alive)) = before else { continue };
+                let after = seen(member, now_ms).map_or(0, |(incarnation, _)| incarnation);
+                prop_assert!(after >= incarnation, "{incarnation} was replaced by {after}");
+            }
+        }
+    }
+
+    /// Guards against a restart that some members never notice.
+    #[test]
+    fn restart_reaches_everybody(seed in any::<u64>(), restarts in 1u64..5) {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut members: Vec<_> =
+            (0..6).map(|n| membership(n, "north-a", 1, ms(0))).collect();
+        let mut now_ms = 0;
+        for restart in 0..=restarts {
+            if restart > 0 {
+                members[0] = membership(0, "north-a", 1 + restart, ms(now_ms));
+            }
+            for _ in 0..24 {
+                now_ms += 250;
+                members.iter_mut().for_each(|m| m.tick(ms(now_ms)));
+                for from in 0..6 {
+                    let to = (from + random.usize(1..6)) % 6;
+                    exchange(&mut members, from, to, ms(now_ms));
+                }
+            }
+            for member in &members[1..] {
+                prop_assert_eq!(seen(member, now_ms), Some((1 + restart, MemberState::Alive)));
+            }
+        }
+    }
+}
+
+/// Guards against a leaving mark that is lost when an older record arrives.
+#[gtest]
+fn leaving_is_never_taken_back() {
+    let mut members = [membership(0, "north-a", 1, ms(0)), membership(1, "north-a", 1, ms(0))];
+    members[0].tick(ms(0));
+    let before = members[0].records_for(&instance(1), None, ms(0));
+    members[0].set_leaving();
+    exchange(&mut members, 0, 1, ms(0));
+    members[0].tick(ms(250));
+    members[1].merge(&before, ms(250));
+    expect_that!(members[1].state_of(&instance(0), ms(250)), some(eq(MemberState::Leaving)));
+}
+
+/// Guards against two processes of one name that both go on: the one that started later stays.
+#[gtest]
+fn older_process_gives_way_to_its_successor() {
+    let old = membership(0, "north-a", 1, ms(0));
+    let mut members = [old, membership(1, "north-a", 1, ms(0))];
+    exchange(&mut members, 0, 1, ms(1_000));
+    let [mut old, mut observer] = members;
+    // The successor's clock starts at 0 when the old process has run for 60 s.
+    let mut successor = membership(0, "north-a", 2, ms(0));
+    for period in 1..=40 {
+        let (own_ms, old_ms) = (period * 250, 60_000 + period * 250);
+        successor.tick(ms(own_ms));
+        old.tick(ms(old_ms));
+        observer.tick(ms(old_ms));
+        let processes = [(&mut successor, own_ms), (&mut old, old_ms)];
+        // A superseded process stops.
+        for (process, process_ms) in processes.into_iter().filter(|(p, _)| !p.is_superseded()) {
+            let request = process.records_for(&instance(1), None, ms(process_ms));
+            observer.merge(&request, ms(old_ms));
+            let reply = observer.records_for(&instance(0), None, ms(old_ms));
+            process.merge(&reply, ms(process_ms));
+        }
+    }
+    expect_true!(old.is_superseded());
+    expect_false!(successor.is_superseded());
+    let known = observer.record_of(&instance(0)).map(|r| r.incarnation);
+    expect_that!(known, some(eq(Incarnation(2))));
+}
--- /dev/null
+++ b/crates/coordination/tests/ownership_assignment.rs
@@ -0,0 +1,116 @@
+//! Owners of backend servers in one view, and taking over from a previous owner.
+
+mod routing_support;
+
+use googletest::prelude::*;
+use pollenshed_coordination::{
+    membership::MemberState,
+    ownership::{Assignment, OwnershipMap, live_entries, owner_of},
+};
+use pollenshed_state::settings::Timing;
+use proptest::{collection::vec, prelude::*};
+use routing_support::{
+    DOMAINS, config, domain, entry, exchange, instance, membership, ms, proptest_config,
+};
+
+proptest! {
+    #![proptest_config(proptest_config(200))]
+
+    /// Guards against a server with two owners or none in one view, whatever its order.
+    #[test]
+    fn every_server_has_exactly_one_owner(domains in vec(0usize..4, 1..12), rotate in 0usize..12) {
+        let entries: Vec<_> =
+            domains.iter().enumerate().map(|(n, d)| entry(n, DOMAINS[*d])).collect();
+        let mut rotated = entries.clone();
+        rotated.rotate_left(rotate % entries.len());
+        let config = config(12);
+        let assignment = Assignment::compute(&config, &entries);
+        prop_assert_eq!(&assignment, &Assignment::compute(&config, &rotated));
+        let mut maps: Vec<_> = entries
+            .iter()
+            .map(|e| OwnershipMap::new(e.instance.clone(), &Timing::default()))
+            .collect();
+        for map in &mut maps {
+            map.update(&config, &entries, |_| None, ms(0));
+        }
+        for server in &config.services[0].backend_servers {
+            let owners = maps.iter().filter(|m| m.owns(&server.name)).count();
+            let region = config.regions.iter().find(|r| {
+                r.failure_domains.contains(&server.failure_domain)
+            });
+            let is_served = region.is_some_and(|r| {
+                entries.iter().any(|e| r.failure_domains.contains(&e.failure_domain))
+            });
+            prop_assert_eq!(owners, usize::from(is_served));
+        }
+    }
+
+    /// Guards against a failure that moves servers of entries which still live.
+    #[test]
+    fn a_lost_entry_moves_only_its_own_servers(count in 2usize..8, lost in 0usize..8) {
+        let lost = lost % count;
+        let names: Vec<_> = (0..count).map(instance).collect();
+        for server in &config(12).services[0].backend_servers {
+            let before = owner_of(&server.name, &names).unwrap();
+            let left = names.iter().filter(|n| **n != names[lost]);
+            if *before != names[lost] {
+                prop_assert_eq!(owner_of(&server.name, left), Some(before));
+            }
+        }
+    }
+}
+
+/// Guards against servers without an owner when their failure domain has no entry.
+#[gtest]
+fn next_failure_domain_of_the_region_owns_an_empty_one() {
+    let config = config(3);
+    let assignment = Assignment::compute(&config, &[entry(0, "north-b"), entry(1, "south-a")]);
+    let of = |name: &str| assignment.owner(&name.parse().unwrap()).map(|o| o.instance.clone());
+    expect_that!(of("north-a-0"), some(eq(&instance(0))));
+    expect_that!(of("south-b-2"), some(eq(&instance(1))));
+    let other_region = Assignment::compute(&config, &[entry(1, "south-a")]);
+    expect_that!(other_region.owner(&"north-a-0".parse().unwrap()), none());
+}
+
+/// Guards against two owners of a server at the same time after a change of ownership.
+#[gtest]
+fn new_owner_waits_for_the_previous_one() {
+    let config = config(1);
+    let both = [entry(0, "north-a"), entry(1, "north-a")];
+    let previous = Assignment::compute(&config, &both);
+    let server = "north-a-0".parse().unwrap();
+    let owner = previous.owner(&server).unwrap().clone();
+    let successor = both.iter().find(|e| e.instance != owner.instance).unwrap();
+    for (state, wait_ms) in [
+        (Some(MemberState::Leaving), 0),
+        (Some(MemberState::Dead), 1_000),
+        (Some(MemberState::Alive), 3_000),
+        (None, 3_000),
+    ] {
+        let mut map = OwnershipMap::new(successor.instance.clone(), &Timing::default());
+        map.update(&config, &both, |_| Some(MemberState::Alive), ms(0));
+        expect_false!(map.owns(&server));
+        let change = map.update(&config, std::slice::from_ref(successor), |_| state, ms(10_000));
+        let takeover = change.gained.iter().find(|t| t.server == server).unwrap();
+        expect_that!(takeover.previous, some(eq(&owner.instance)));
+        expect_that!(takeover.usable_at, eq(ms(10_000 + wait_ms)));
+        expect_true!(map.is_usable(&server, ms(10_000 + wait_ms)));
+        expect_that!(map.is_usable(&server, ms(9_999 + wait_ms)), eq(false));
+        let change = map.update(&config, &both, |_| None, ms(20_000));
+        expect_that!(change.lost, contains(eq(&server)));
+        expect_false!(map.is_usable(&server, ms(30_000)));
+    }
+}
+
+/// Guards against ownership by an entry that is stopping.
+#[gtest]
+fn leaving_entry_is_not_live() {
+    let mut members = [membership(0, "north-a", 0, ms(0)), membership(1, "north-a", 0, ms(0))];
+    members[0].set_leaving();
+    exchange(&mut members, 0, 1, ms(0));
+    for member in &members {
+        let names: Vec<_> = live_entries(member, ms(0)).into_iter().map(|e| e.instance).collect();
+        expect_that!(names, elements_are![eq(&instance(1))]);
+    }
+    expect_that!(members[1].own().failure_domain, eq(&domain("north-a")));
+}
--- /dev/null
+++ b/crates/coordination/tests/shift_cap.rs
@@ -0,0 +1,249 @@
+//! The cap on shifts, for any order of events and any passage of time.
+
+mod routing_support;
+
+use googletest::prelude::*;
+use pollenshed_coordination::shift::{Ramp, Shares, StayReason};
+use pollenshed_state::config::Rank;
+use proptest::{collection::vec, prelude::*};
+use routing_support::{DOMAINS, domain, ms, proptest_config, shift_policy};
+
+const INTERVAL_MS: u64 = 2_000;
+const AWAY: [&str; 3] = [DOMAINS[1], DOMAINS[2], DOMAINS[3]];
+
+#[derive(Debug, Clone)]
+enum Event {
+    /// Drain, loss, return and reversal all change the target.
+    Target([u32; 3]),
+    Step {
+        cold: bool,
+    },
+    Requests(Vec<(Rank, usize)>),
+    Lookup(usize),
+    Cap(u64),
+    Restart,
+}
+
+fn shares(parts: [u32; 3]) -> Shares {
+    Shares::away(AWAY.iter().map(|d| domain(d)).zip(parts))
+}
+
+fn gap_ms() -> impl Strategy<Value = i64> {
+    // A clock that steps back must not matter either.
+    prop_oneof![4 => Just(0), 8 => 1i64..120, 4 => 100i64..101, 1 => 1_000i64..600_000, 1 => -500i64..0]
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let target = prop_oneof![
+        Just([0, 0, 0]),
+        Just([1_000_000, 0, 0]),
+        Just([0, 1_000_000, 0]),
+        [0u32..333_333, 0u32..333_333, 0u32..333_333],
+    ];
+    let rank = prop_oneof![Just(Rank::Urgent), Just(Rank::Standard), Just(Rank::Deferrable)];
+    prop_oneof![
+        1 => target.prop_map(Event::Target),
+        10 => prop::bool::weighted(0.2).prop_map(|cold| Event::Step { cold }),
+        4 => vec((rank, 0usize..4), 1..12).prop_map(Event::Requests),
+        1 => (0usize..4).prop_map(Event::Lookup),
+        1 => prop_oneof![Just(10u64), Just(3u64)].prop_map(Event::Cap),
+        1 => Just(Event::Restart),
+    ]
+}
+
+fn new_ramp() -> Ramp {
+    Ramp::new(domain(DOMAINS[0]), shift_policy(10, 4, INTERVAL_MS))
+}
+
+proptest! {
+    #![proptest_config(proptest_config(400))]
+
+    /// Guards against a position that moves by more than the cap within any sliding interval,
+    /// through drains, returns, reversals, pauses, clock steps or restarts that take a peer's
+    /// position.
+    #[test]
+    fn position_stays_within_the_cap(events in vec((gap_ms(), event()), 1..250)) {
+        let mut ramp = new_ramp();
+        let mut clock_ms = 0i64;
+        let mut latest_ms = 0i64;
+        let mut moves: Vec<(i64, u32)> = Vec::new();
+        for (gap, event) in events {
+            clock_ms = (clock_ms + gap).max(0);
+            latest_ms = latest_ms.max(clock_ms);
+            let now = ms(clock_ms as u64);
+            let before = ramp.position().clone();
+            match event {
+                Event::Target(parts) => ramp.set_target(shares(parts)),
+                Event::Step { cold } => {
+                    let step = ramp.step(cold, now);
+                    let distance = before.distance_ppm(ramp.position());
+                    prop_assert_eq!(step.moved_ppm, distance, "the position moved by another amount");
+                    moves.push((clock_ms, distance));
+                }
+                Event::Cap(percent) => ramp.set_policy(shift_policy(percent, 4, INTERVAL_MS), now),
+                Event::Restart => {
+                    let target = ramp.target().clone();
+                    ramp = new_ramp();
+                    prop_assert!(ramp.adopt(before.clone(), now), "a fresh ramp refused a position");
+                    ramp.set_target(target);
+                }
+                Event::Requests(_) | Event::Lookup(_) => {}
+            }
+            let in_window = |(at, _): &&(i64, u32)| (clock_ms - at).abs() <= INTERVAL_MS as i64;
+            let moved: u32 = moves.iter().filter(in_window).map(|(_, moved)| moved).sum();
+            prop_assert!(moved <= 100_000, "{moved} ppm moved up to {clock_ms} ms");
+        }
+    }
+
+    /// Guards against more requests outside the base than its share of the arrivals of the interval,
+    /// rounded down, including the share that lookup answers moved.
+    #[test]
+    fn requests_stay_within_the_position(
+        start in [0u32..333_333, 0u32..333_333, 0u32..400_000],
+        events in vec((gap_ms(), event()), 1..250),
+    ) {
+        let mut ramp = ramp_at(start);
+        let mut clock_ms = 0i64;
+        let mut arrived: Vec<i64> = Vec::new();
+        let mut sent: Vec<(i64, usize)> = Vec::new();
+        for (gap, event) in events {
+            clock_ms += gap.max(0);
+            let now = ms(clock_ms as u64);
+            match event {
+                Event::Target(parts) => ramp.set_target(shares(parts)),
+                Event::Step { cold } => drop(ramp.step(cold, now)),
+                Event::Requests(requests) => {
+                    for (rank, wanted) in requests {
+                        ramp.arrive(rank, now);
+                        arrived.push(clock_ms);
+                        if ramp.check_request(&domain(DOMAINS[wanted]), rank, 0, now).is_ok() {
+                            ramp.sent(&domain(DOMAINS[wanted]), rank, now);
+                            sent.push((clock_ms, wanted));
+                            let from = clock_ms - INTERVAL_MS as i64;
+                            let total = arrived.iter().filter(|at| **at > from).count() as u64;
+                            let used = sent.iter().filter(|(at, d)| *at > from && *d == wanted);
+                            let share = u64::from(ramp.share_ppm(&domain(DOMAINS[wanted])));
+                            let allowed = total * share / 1_000_000;
+                            let is_base = *ramp.base() == domain(DOMAINS[wanted]);
+                            prop_assert!(is_base || used.count() as u64 <= allowed);
+                        }
+                    }
+                }
+                Event::Lookup(wanted) => {
+                    ramp.lookup_arrived(now);
+                    let _ = ramp.admit_lookup(&domain(DOMAINS[wanted]), now);
+                }
+                Event::Cap(_) | Event::Restart => {}
+            }
+        }
+    }
+}
+
+fn ramp_at(parts: [u32; 3]) -> Ramp {
+    let mut ramp = new_ramp();
+    ramp.adopt(shares(parts), ms(0));
+    ramp
+}
+
+/// Sends requests of the given ranks, one each millisecond, and returns how many went to `to`.
+fn sent(ramp: &mut Ramp, ranks: &[Rank], to: &str, lost_ppm: u32) -> usize {
+    let mut count = 0;
+    for (n, rank) in ranks.iter().enumerate() {
+        let now = ms(10_000 + n as u64);
+        ramp.arrive(*rank, now);
+        if ramp.check_request(&domain(to), *rank, lost_ppm, now).is_ok() {
+            ramp.sent(&domain(to), *rank, now);
+            count += 1;
+        }
+    }
+    count
+}
+
+/// Guards against one request that is more than its share of a few.
+#[gtest]
+fn shares_are_rounded_down_for_few_requests() {
+    let to = DOMAINS[1];
+    expect_that!(sent(&mut ramp_at([100_000, 0, 0]), &[Rank::Urgent; 9], to, 0), eq(0));
+    expect_that!(sent(&mut ramp_at([100_000, 0, 0]), &[Rank::Urgent; 10], to, 0), eq(1));
+    expect_that!(sent(&mut ramp_at([100_000, 0, 0]), &[Rank::Urgent; 109], to, 0), eq(10));
+}
+
+/// Guards against traffic that is refused although the whole position serves.
+#[gtest]
+fn base_takes_everything_when_it_has_the_whole_share() {
+    let to = DOMAINS[1];
+    let mut ramp = ramp_at([1_000_000, 0, 0]);
+    expect_that!(sent(&mut ramp, &[Rank::Deferrable; 500], to, 0), eq(500));
+}
+
+/// Guards against a return to the home failure domain in one jump.
+#[gtest]
+fn home_is_bound_by_its_share_after_a_loss() {
+    let mut ramp = ramp_at([950_000, 0, 0]);
+    expect_that!(sent(&mut ramp, &[Rank::Urgent; 100], DOMAINS[0], 0), eq(5));
+}
+
+/// Guards against deferrable work that uses the cap while urgent work is refused.
+#[gtest]
+fn urgent_work_moves_first_when_the_home_domain_is_lost() {
+    let mut ramp = ramp_at([100_000, 0, 0]);
+    let mix: Vec<_> = [Rank::Deferrable, Rank::Urgent, Rank::Standard, Rank::Deferrable]
+        .repeat(100)
+        .into_iter()
+        .collect();
+    let mut served = [0; 3];
+    for (n, rank) in mix.iter().enumerate() {
+        let now = ms(10_000 + n as u64);
+        ramp.arrive(*rank, now);
+        if ramp.check_request(&domain(DOMAINS[1]), *rank, 900_000, now).is_ok() {
+            ramp.sent(&domain(DOMAINS[1]), *rank, now);
+            served[rank.index()] += 1;
+        }
+    }
+    // The last urgent request is the 398th arrival, so 39.8 is rounded down.
+    expect_that!(served, eq([39, 0, 0]));
+}
+
+/// Guards against lookup answers and relayed requests that each use the whole share.
+#[gtest]
+fn lookup_answers_and_requests_share_the_cap() {
+    let mut ramp = ramp_at([100_000, 0, 0]);
+    let to = domain(DOMAINS[1]);
+    let mut named = 0;
+    for n in 0..100 {
+        ramp.lookup_arrived(ms(9_000 + n));
+        named += usize::from(ramp.admit_lookup(&to, ms(9_000 + n)).is_ok());
+    }
+    expect_that!(named, eq(10));
+    expect_that!(sent(&mut ramp, &[Rank::Urgent; 100], DOMAINS[1], 0), eq(0));
+    expect_that!(
+        ramp.check_request(&to, Rank::Urgent, 0, ms(10_100)),
+        err(eq(StayReason::ShareUsed))
+    );
+}
+
+/// Guards against a ramp that never arrives, or that arrives sooner or later than its cap says.
+#[gtest]
+fn shift_takes_as_long_as_its_cap_says() {
+    for (cold, intervals) in [(false, 10), (true, 25)] {
+        let mut ramp = new_ramp();
+        ramp.set_target(shares([0, 1_000_000, 0]));
+        let mut now_ms = 0;
+        while ramp.position().home_ppm() > 0 {
+            ramp.step(cold, ms(now_ms));
+            now_ms += 100;
+        }
+        let expected_ms = intervals * INTERVAL_MS;
+        // The window is closed at both ends, so each interval has one step less than it could.
+        expect_that!(now_ms, all!(ge(expected_ms), le(expected_ms + expected_ms / 10)));
+    }
+}
+
+/// Guards against a position that a late message from a peer replaces.
+#[gtest]
+fn only_a_fresh_ramp_adopts_a_position() {
+    let mut ramp = new_ramp();
+    ramp.arrive(Rank::Urgent, ms(0));
+    expect_false!(ramp.adopt(shares([500_000, 0, 0]), ms(1)));
+    expect_that!(ramp.position().home_ppm(), eq(1_000_000));
+}
