Let the backend server stand-in fail in every way that tests need

Cause: the stand-in could only run, shed and drain; tests of crashes, cold starts, cancellation, deadlines and misleading reports had nothing to run against. Ruled out: rouille as its base. A crash must cut open connections and close the port, and a cut answer must end in the middle of its body; rouille gives no access to its sockets or listener. Change: a thread-per-connection server on std::net with slots, service time by value or closure, cold start, draining, cancel calls, deadlines, crash by mark or call with restart on the same port, reports that are true, lag, freeze, lie or fail, cut and delayed answers and a limit on connections. Runs carry length and digest of the body; bodies of up to 64 KiB are kept whole. Conclusion: tests can switch faults at run time through Backend::set_*.

--- a/crates/standins/src/backend/mod.rs
+++ b/crates/standins/src/backend/mod.rs
@@ -1,25 +1,33 @@
 //! A stand-in for a backend server with a fixed number of slots.
 //!
 //! The wire form is described in `pollenshed_protocol::backend`. Each request that runs is recorded,
-//! so that tests can count runs.
+//! so that tests can count runs. Faults are switched on and off at run time.
+//!
+//! It is built on `std::net` and not on `rouille`, because its faults cut single connections and
+//! stop the listener, which `rouille` does not allow.
+
+mod http;
+mod reports;
+mod server;
+mod state;
+mod work;
 
 use std::{
-    io::Read,
     net::SocketAddr,
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicBool, AtomicU64, Ordering},
-        mpsc::Sender,
-    },
-    thread,
-    time::Duration,
+    sync::Arc,
+    time::{Duration, Instant},
 };
 
-use eyre::{Result, eyre};
-use pollenshed_protocol::backend::{
-    HealthBody, HealthStatus, LoadBody, REQUEST_ID_HEADER, SHED_HEADER,
-};
-use rouille::{Request, Response, Server};
+use eyre::{Result, WrapErr};
+use pollenshed_state::ids::Digest;
+
+pub use reports::{Report, Reports};
+use server::Listening;
+use state::Shared;
+pub use state::{Counts, Faults};
+
+/// Longest body that is recorded whole; of longer ones only length and digest are kept.
+pub const MAX_RECORDED_BODY_BYTES: usize = 64 * 1024;
 
 /// How a stand-in behaves.
 #[derive(Debug, Clone)]
@@ -41,118 +49,152 @@
     pub method: String,
     /// Path with query.
     pub path: String,
-    /// Body as it arrived.
+    /// Body as it arrived; empty if it is longer than [`MAX_RECORDED_BODY_BYTES`].
     pub body: Vec<u8>,
+    /// Length of the body.
+    pub body_bytes: u64,
+    /// Digest of the body.
+    pub body_digest: Digest,
 }
 
-struct Shared {
-    behaviour: Behaviour,
-    in_use: AtomicU64,
-    max_in_use: AtomicU64,
-    draining: AtomicBool,
-    runs: Mutex<Vec<Run>>,
+/// A cold start: requests take longer at first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ColdStart {
+    /// Time that the first request takes in addition.
+    pub extra: Duration,
+    /// Requests after which the server is warm; the extra time shrinks evenly until then.
+    pub requests: u64,
 }
 
 /// A running backend server stand-in. It stops when dropped.
 pub struct Backend {
-    address: SocketAddr,
     shared: Arc<Shared>,
-    stop: Sender<()>,
+    listening: Listening,
 }
 
 impl Backend {
     /// Listens on `address`; port 0 lets the system choose.
     pub fn bind(address: SocketAddr, behaviour: Behaviour) -> Result<Backend> {
-        let shared = Arc::new(Shared {
-            behaviour,
-            in_use: AtomicU64::new(0),
-            max_in_use: AtomicU64::new(0),
-            draining: AtomicBool::new(false),
-            runs: Mutex::new(Vec::new()),
-        });
-        let handler = shared.clone();
-        let server = Server::new(address, move |request| handle(&handler, request))
-            .map_err(|e| eyre!("backend server stand-in cannot listen on {address}: {e}"))?;
-        let address = server.server_addr();
-        let (_thread, stop) = server.stoppable();
-        Ok(Backend { address, shared, stop })
-    }
-
-    /// Returns the address that the stand-in listens on.
+        let shared = Arc::new(Shared::new(behaviour));
+        let listening = Listening::bind(address, shared.clone())
+            .wrap_err_with(|| format!("backend server stand-in cannot listen on {address}"))?;
+        Ok(Backend { shared, listening })
+    }
+
+    /// Starts `count` stand-ins on ports of the system's choice; their names get a number each.
+    pub fn bind_many(count: usize, behaviour: &Behaviour) -> Result<Vec<Backend>> {
+        let bind = |number| {
+            let name = format!("{}-{number}", behaviour.name);
+            Backend::bind(([127, 0, 0, 1], 0).into(), Behaviour { name, ..behaviour.clone() })
+        };
+        (1..=count).map(bind).collect()
+    }
+
+    /// Returns the address that the stand-in listens on, also while it is down.
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.listening.address()
     }
 
     /// Returns the requests that ran so far.
     pub fn runs(&self) -> Vec<Run> {
-        self.shared.runs.lock().unwrap_or_else(|e| e.into_inner()).clone()
+        self.shared.lock().runs.clone()
+    }
+
+    /// Returns the number of requests that run now.
+    pub fn in_use(&self) -> u64 {
+        self.shared.lock().in_use
     }
 
     /// Returns the largest number of requests that ran at the same time.
     pub fn max_in_use(&self) -> u64 {
-        self.shared.max_in_use.load(Ordering::SeqCst)
+        self.shared.lock().max_in_use
+    }
+
+    /// Returns counters of what happened besides whole runs.
+    pub fn counts(&self) -> Counts {
+        self.shared.lock().counts
+    }
+
+    /// Returns when requests arrived, other than health, load and cancel calls, while the stand-in
+    /// was draining.
+    pub fn received_while_draining(&self) -> Vec<Instant> {
+        self.shared.lock().received_while_draining.clone()
+    }
+
+    /// Returns when the present draining began.
+    pub fn draining_since(&self) -> Option<Instant> {
+        self.shared.lock().draining_since
     }
 
     /// Makes the stand-in say that it is draining.
     pub fn set_draining(&self, draining: bool) {
-        self.shared.draining.store(draining, Ordering::SeqCst);
+        self.shared.set_draining(draining);
     }
-}
 
-impl Drop for Backend {
-    fn drop(&mut self) {
-        // The thread ends by itself. It is not joined, because it waits for idle connections.
-        let _ = self.stop.send(());
+    /// Changes the number of requests that run at the same time.
+    pub fn set_slots(&self, slots: u64) {
+        self.shared.lock().behaviour.slots = slots;
+    }
+
+    /// Changes the time that one request takes.
+    pub fn set_service_time(&self, service_time: Duration) {
+        let mut state = self.shared.lock();
+        state.behaviour.service_time = service_time;
+        state.service_time_of = None;
+    }
+
+    /// Lets a closure decide how long each request takes.
+    pub fn set_service_time_by(
+        &self,
+        service_time: impl Fn(&Run) -> Duration + Send + Sync + 'static,
+    ) {
+        self.shared.lock().service_time_of = Some(Arc::new(service_time));
+    }
+
+    /// Lets a closure decide status and body of each answer.
+    pub fn set_answer_by(&self, answer: impl Fn(&Run) -> (u16, Vec<u8>) + Send + Sync + 'static) {
+        self.shared.lock().answer_of = Some(Arc::new(answer));
+    }
+
+    /// Makes the stand-in cold from now on.
+    pub fn start_cold(&self, cold: ColdStart) {
+        let mut state = self.shared.lock();
+        state.cold = Some(cold);
+        state.runs_since_cold = 0;
+    }
+
+    /// Switches faults; those that `change` leaves alone stay as they are.
+    pub fn set_faults(&self, change: impl FnOnce(&mut Faults)) {
+        change(&mut self.shared.lock().faults);
+    }
+
+    /// Changes what the health and load endpoints say.
+    pub fn set_reports(&self, reports: Reports) {
+        self.shared.set_reports(reports);
+    }
+
+    /// Drops all connections with what runs on them and stops listening, as a crashed process does.
+    pub fn crash(&mut self) {
+        self.shared.crash();
+        self.listening.stop();
     }
-}
 
-fn handle(shared: &Shared, request: &Request) -> Response {
-    match (request.method(), request.url().as_str()) {
-        ("GET", "/health") => {
-            let draining = shared.draining.load(Ordering::SeqCst);
-            let status = if draining { HealthStatus::Draining } else { HealthStatus::Ok };
-            Response::json(&HealthBody { status })
-        }
-        ("GET", "/load") => Response::json(&LoadBody {
-            in_use: shared.in_use.load(Ordering::SeqCst),
-            slots: shared.behaviour.slots,
-        }),
-        _ => run(shared, request),
+    /// Tells whether the stand-in accepts connections.
+    pub fn is_up(&self) -> bool {
+        self.shared.lock().up
+    }
+
+    /// Listens again on the same port after a crash. Runs and counters are kept.
+    pub fn restart(&mut self) -> Result<()> {
+        self.listening.stop();
+        self.listening = Listening::bind(self.address(), self.shared.clone())
+            .wrap_err("backend server stand-in cannot listen again")?;
+        Ok(())
     }
 }
 
-fn run(shared: &Shared, request: &Request) -> Response {
-    let mut body = Vec::new();
-    let whole = request.data().is_some_and(|mut data| data.read_to_end(&mut body).is_ok());
-    let announced = request.header("content-length").and_then(|v| v.parse::<usize>().ok());
-    if !whole || announced.is_some_and(|n| n != body.len()) {
-        return Response::empty_400();
-    }
-    let in_use = shared.in_use.fetch_add(1, Ordering::SeqCst) + 1;
-    if in_use > shared.behaviour.slots {
-        shared.in_use.fetch_sub(1, Ordering::SeqCst);
-        return Response::text("shed")
-            .with_status_code(503)
-            .with_additional_header(SHED_HEADER, "1");
-    }
-    shared.max_in_use.fetch_max(in_use, Ordering::SeqCst);
-    let request_id = request.header(REQUEST_ID_HEADER).unwrap_or_default().to_owned();
-    let run = Run {
-        request_id: request_id.clone(),
-        method: request.method().to_owned(),
-        path: request.raw_url().to_owned(),
-        body,
-    };
-    let answer = format!(
-        "{} ran {} {} with {} bytes\n",
-        shared.behaviour.name,
-        run.method,
-        run.path,
-        run.body.len()
-    );
-    shared.runs.lock().unwrap_or_else(|e| e.into_inner()).push(run);
-    // The pause stands for the server's work.
-    thread::sleep(shared.behaviour.service_time);
-    shared.in_use.fetch_sub(1, Ordering::SeqCst);
-    Response::text(answer).with_additional_header(REQUEST_ID_HEADER, request_id)
+impl Drop for Backend {
+    fn drop(&mut self) {
+        self.crash();
+    }
 }
