Add a fault-injecting TCP proxy to the stand-ins

Cause: tests need partitions, one-way losses, delays, resets and cut connections between real processes on loopback. Ruled out: one thread per direction (a delay would then limit the throughput to one piece per delay), polling readers (hundreds of idle connections would use the processor), refusing by accepting and closing (a caller could not tell it from a request that was sent). Change: crates/standins/src/proxy forwards bytes with a reading and a writing thread per direction and switches faults at run time. Refusal closes the port. Conclusion: ready for the process tests; dropping the handle stops it.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,3 +4,4 @@
 
 pub mod backend;
 pub mod platform;
+pub mod proxy;
--- /dev/null
+++ b/crates/standins/src/proxy/faults.rs
@@ -0,0 +1,129 @@
+//! The faults in force and the open connections of one proxy.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError, Weak, atomic::AtomicU64},
+    time::{Duration, Instant},
+};
+
+use super::{Direction, connection::Connection};
+
+/// Faults of one direction.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Way {
+    pub cut: bool,
+    pub delay: Duration,
+    pub cut_after_bytes: Option<u64>,
+}
+
+pub(super) struct Faults {
+    pub target: SocketAddr,
+    pub frozen: bool,
+    to_target: Way,
+    to_caller: Way,
+}
+
+impl Faults {
+    pub fn way(&mut self, direction: Direction) -> &mut Way {
+        match direction {
+            Direction::ToTarget => &mut self.to_target,
+            Direction::ToCaller => &mut self.to_caller,
+        }
+    }
+
+    pub fn each(&mut self, change: impl Fn(&mut Way)) {
+        change(&mut self.to_target);
+        change(&mut self.to_caller);
+    }
+
+    pub fn clear(&mut self) {
+        self.frozen = false;
+        self.each(|way| *way = Way::default());
+    }
+}
+
+pub(super) struct Shared {
+    faults: Mutex<Faults>,
+    changed: Condvar,
+    connections: Mutex<Vec<Weak<Connection>>>,
+    forwarded_to_target: AtomicU64,
+    forwarded_to_caller: AtomicU64,
+}
+
+impl Shared {
+    pub fn new(target: SocketAddr) -> Shared {
+        let faults =
+            Faults { target, frozen: false, to_target: Way::default(), to_caller: Way::default() };
+        Shared {
+            faults: Mutex::new(faults),
+            changed: Condvar::new(),
+            connections: Mutex::new(Vec::new()),
+            forwarded_to_target: AtomicU64::new(0),
+            forwarded_to_caller: AtomicU64::new(0),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Faults> {
+        self.faults.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub fn change(&self, change: impl FnOnce(&mut Faults)) {
+        change(&mut self.lock());
+        self.wake();
+    }
+
+    pub fn wake(&self) {
+        // Taking the lock first makes sure that no thread is between its check and its wait.
+        drop(self.lock());
+        self.changed.notify_all();
+    }
+
+    pub fn target(&self) -> SocketAddr {
+        self.lock().target
+    }
+
+    pub fn forwarded_bytes(&self, direction: Direction) -> &AtomicU64 {
+        match direction {
+            Direction::ToTarget => &self.forwarded_to_target,
+            Direction::ToCaller => &self.forwarded_to_caller,
+        }
+    }
+
+    pub fn register(&self, connection: &Arc<Connection>) {
+        let mut connections = self.connections.lock().unwrap_or_else(PoisonError::into_inner);
+        connections.retain(|c| c.strong_count() > 0);
+        connections.push(Arc::downgrade(connection));
+    }
+
+    pub fn connections(&self) -> Vec<Arc<Connection>> {
+        let connections = self.connections.lock().unwrap_or_else(PoisonError::into_inner);
+        connections.iter().filter_map(Weak::upgrade).collect()
+    }
+
+    /// Waits until a piece that arrived at `arrived` may be forwarded, and returns the faults that
+    /// apply to it; nothing when the connection was closed meanwhile.
+    pub fn wait_for_turn(
+        &self,
+        direction: Direction,
+        arrived: Instant,
+        is_closed: impl Fn() -> bool,
+    ) -> Option<Way> {
+        let mut faults = self.lock();
+        loop {
+            if is_closed() {
+                return None;
+            }
+            let way = *faults.way(direction);
+            let left = (arrived + way.delay).saturating_duration_since(Instant::now());
+            if !faults.frozen && left.is_zero() {
+                return Some(way);
+            }
+            faults = if faults.frozen {
+                self.changed.wait(faults).unwrap_or_else(PoisonError::into_inner)
+            } else {
+                let waited = self.changed.wait_timeout(faults, left);
+                waited.unwrap_or_else(PoisonError::into_inner).0
+            };
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/proxy/mod.rs
@@ -0,0 +1,193 @@
+//! A TCP proxy that injects faults between two processes.
+//!
+//! It forwards bytes and never looks into them. Four threads serve each connection: for each
+//! direction one that reads and one that writes, so that a delay does not limit the throughput.
+
+mod connection;
+mod faults;
+
+use std::{
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use eyre::{Result, WrapErr};
+
+use connection::Connection;
+use faults::Shared;
+
+/// Timeout of connecting to the target, and of the connection that wakes the accepting thread.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Which way bytes flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Direction {
+    /// From the process that connected to the proxy towards the target.
+    ToTarget,
+    /// From the target back.
+    ToCaller,
+}
+
+/// A running proxy. It closes its connections and stops when dropped.
+pub struct Proxy {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    listening: Option<Listening>,
+}
+
+struct Listening {
+    stop: Arc<AtomicBool>,
+    thread: JoinHandle<()>,
+}
+
+impl Proxy {
+    /// Forwards a port of the system's choice on 127.0.0.1 to `target`.
+    pub fn bind(target: SocketAddr) -> Result<Proxy> {
+        Proxy::bind_at(([127, 0, 0, 1], 0).into(), target)
+    }
+
+    /// Forwards `address` to `target`.
+    pub fn bind_at(address: SocketAddr, target: SocketAddr) -> Result<Proxy> {
+        let shared = Arc::new(Shared::new(target));
+        let listener = TcpListener::bind(address)
+            .wrap_err_with(|| format!("proxy cannot listen on {address}"))?;
+        let address = listener.local_addr()?;
+        let listening = Listening::spawn(listener, shared.clone())?;
+        Ok(Proxy { address, shared, listening: Some(listening) })
+    }
+
+    /// Returns the address to connect to.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sends connections that are made from now on to another target.
+    pub fn set_target(&self, target: SocketAddr) {
+        self.shared.change(|faults| faults.target = target);
+    }
+
+    /// Drops all bytes both ways; connections stay open, as in a partition.
+    pub fn cut(&self) {
+        self.shared.change(|faults| faults.each(|way| way.cut = true));
+    }
+
+    /// Drops the bytes of one direction; connections stay open.
+    pub fn cut_one_way(&self, direction: Direction) {
+        self.shared.change(|faults| faults.way(direction).cut = true);
+    }
+
+    /// Forwards each byte this long after it arrived, both ways.
+    pub fn set_delay(&self, delay: Duration) {
+        self.shared.change(|faults| faults.each(|way| way.delay = delay));
+    }
+
+    /// Forwards each byte of one direction this long after it arrived.
+    pub fn set_delay_one_way(&self, direction: Direction, delay: Duration) {
+        self.shared.change(|faults| faults.way(direction).delay = delay);
+    }
+
+    /// Closes each connection once it has forwarded `bytes` in one direction, counted from its
+    /// start. Nothing means no limit.
+    pub fn cut_after(&self, direction: Direction, bytes: Option<u64>) {
+        self.shared.change(|faults| faults.way(direction).cut_after_bytes = bytes);
+    }
+
+    /// Stops forwarding without losing bytes, until [`Proxy::resume`].
+    pub fn freeze(&self) {
+        self.shared.change(|faults| faults.frozen = true);
+    }
+
+    /// Goes on forwarding after [`Proxy::freeze`].
+    pub fn resume(&self) {
+        self.shared.change(|faults| faults.frozen = false);
+    }
+
+    /// Closes the port, so that connecting fails at once. Open connections go on.
+    pub fn refuse_new(&mut self) {
+        if let Some(listening) = self.listening.take() {
+            listening.stop(self.address);
+        }
+    }
+
+    /// Opens the same port again after [`Proxy::refuse_new`].
+    pub fn accept_new(&mut self) -> Result<()> {
+        if self.listening.is_none() {
+            let listener = TcpListener::bind(self.address)
+                .wrap_err_with(|| format!("proxy cannot listen again on {}", self.address))?;
+            self.listening = Some(Listening::spawn(listener, self.shared.clone())?);
+        }
+        Ok(())
+    }
+
+    /// Resets all open connections on both sides.
+    pub fn reset_connections(&self) {
+        for connection in self.shared.connections() {
+            connection.reset();
+        }
+        self.shared.wake();
+    }
+
+    /// Ends all faults and accepts connections. Bytes that were dropped stay lost.
+    pub fn heal(&mut self) -> Result<()> {
+        self.shared.change(faults::Faults::clear);
+        self.accept_new()
+    }
+
+    /// Returns the number of open connections.
+    pub fn connections(&self) -> usize {
+        self.shared.connections().len()
+    }
+
+    /// Returns the bytes that were forwarded in one direction so far.
+    pub fn forwarded_bytes(&self, direction: Direction) -> u64 {
+        self.shared.forwarded_bytes(direction).load(Ordering::SeqCst)
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        self.refuse_new();
+        self.reset_connections();
+    }
+}
+
+impl Listening {
+    fn spawn(listener: TcpListener, shared: Arc<Shared>) -> Result<Listening> {
+        let stop = Arc::new(AtomicBool::new(false));
+        let stopping = stop.clone();
+        let thread = thread::Builder::new()
+            .name("proxy-accept".to_owned())
+            .spawn(move || accept(&listener, &shared, &stopping))?;
+        Ok(Listening { stop, thread })
+    }
+
+    /// Returns when the port is closed.
+    fn stop(self, address: SocketAddr) {
+        self.stop.store(true, Ordering::SeqCst);
+        let _ = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT);
+        let _ = self.thread.join();
+    }
+}
+
+fn accept(listener: &TcpListener, shared: &Arc<Shared>, stop: &AtomicBool) {
+    for stream in listener.incoming() {
+        if stop.load(Ordering::SeqCst) {
+            return;
+        }
+        let Ok(stream) = stream else { continue };
+        let shared = shared.clone();
+        let builder = thread::Builder::new().name("proxy-connect".to_owned());
+        let _ = builder.spawn(move || {
+            let target = shared.target();
+            // A caller whose target can't be reached sees its connection end.
+            if let Ok(target) = TcpStream::connect_timeout(&target, CONNECT_TIMEOUT) {
+                let _ = Connection::spawn(&shared, stream, target);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/standins/tests/proxy.rs
@@ -0,0 +1,110 @@
+//! Faults of the proxy, seen from a pair of plain sockets.
+
+mod support;
+
+use std::{
+    io::{ErrorKind, Read, Write},
+    net::{TcpListener, TcpStream},
+    time::{Duration, Instant},
+};
+
+use googletest::prelude::*;
+use pollenshed_standins::proxy::{Direction, Proxy};
+use support::PATIENCE;
+
+/// A proxy with one open connection: the caller's end and the target's end.
+fn connected() -> (Proxy, TcpStream, TcpStream, TcpListener) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let proxy = Proxy::bind(listener.local_addr().unwrap()).unwrap();
+    let caller = TcpStream::connect(proxy.address()).unwrap();
+    let (target, _) = listener.accept().unwrap();
+    for stream in [&caller, &target] {
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    }
+    (proxy, caller, target, listener)
+}
+
+fn pass(from: &mut TcpStream, to: &mut TcpStream, text: &str) {
+    from.write_all(text.as_bytes()).unwrap();
+    expect_arrival(to, text);
+}
+
+fn expect_arrival(to: &mut TcpStream, text: &str) {
+    let mut bytes = vec![0; text.len()];
+    to.read_exact(&mut bytes).unwrap();
+    expect_that!(String::from_utf8_lossy(&bytes), eq(text));
+}
+
+/// Guards against a proxy that changes, reorders or loses bytes, or that hides the end of a stream.
+#[gtest]
+fn bytes_and_ends_pass_both_ways() {
+    let (proxy, mut caller, mut target, _listener) = connected();
+    pass(&mut caller, &mut target, "question");
+    pass(&mut target, &mut caller, "answer");
+    drop(target);
+    expect_that!(caller.read(&mut [0]).unwrap(), eq(0));
+    expect_that!(proxy.forwarded_bytes(Direction::ToCaller), eq(6));
+}
+
+/// Guards against a one-way cut that also stops the other way or closes the connection.
+#[gtest]
+fn one_way_cut_loses_one_direction_only() {
+    let (mut proxy, mut caller, mut target, _listener) = connected();
+    proxy.cut_one_way(Direction::ToTarget);
+    caller.write_all(b"lost").unwrap();
+    pass(&mut target, &mut caller, "answer");
+    target.set_read_timeout(Some(Duration::from_millis(50))).unwrap();
+    let error = target.read(&mut [0]).unwrap_err();
+    expect_that!(error.kind(), any![eq(ErrorKind::WouldBlock), eq(ErrorKind::TimedOut)]);
+    target.set_read_timeout(Some(PATIENCE)).unwrap();
+    proxy.heal().unwrap();
+    pass(&mut caller, &mut target, "found");
+}
+
+/// Guards against a delay that does not apply, and a freeze that loses bytes.
+#[gtest]
+fn delay_and_freeze_keep_all_bytes() {
+    let (proxy, mut caller, mut target, _listener) = connected();
+    proxy.set_delay(Duration::from_millis(50));
+    let start = Instant::now();
+    pass(&mut caller, &mut target, "late");
+    expect_that!(start.elapsed(), ge(Duration::from_millis(50)));
+    proxy.set_delay(Duration::ZERO);
+    proxy.freeze();
+    caller.write_all(b"kept").unwrap();
+    target.set_read_timeout(Some(Duration::from_millis(50))).unwrap();
+    expect_that!(target.read(&mut [0]).is_err(), eq(true));
+    target.set_read_timeout(Some(PATIENCE)).unwrap();
+    proxy.resume();
+    expect_arrival(&mut target, "kept");
+}
+
+/// Guards against a reset that looks like an orderly end, and a refusal that cuts open connections.
+#[gtest]
+fn reset_and_refusal_are_told_apart() {
+    let (mut proxy, mut caller, mut target, listener) = connected();
+    proxy.refuse_new();
+    let refused = TcpStream::connect(proxy.address()).unwrap_err();
+    expect_that!(refused.kind(), eq(ErrorKind::ConnectionRefused));
+    pass(&mut caller, &mut target, "open");
+    proxy.reset_connections();
+    expect_that!(caller.read(&mut [0]).unwrap_err().kind(), eq(ErrorKind::ConnectionReset));
+    expect_that!(target.read(&mut [0]).unwrap_err().kind(), eq(ErrorKind::ConnectionReset));
+    proxy.accept_new().unwrap();
+    let mut caller = TcpStream::connect(proxy.address()).unwrap();
+    let (mut target, _) = listener.accept().unwrap();
+    pass(&mut caller, &mut target, "again");
+}
+
+/// Guards against a cut that comes too early, too late or in the wrong direction.
+#[gtest]
+fn connection_ends_after_given_bytes() {
+    let (proxy, mut caller, mut target, _listener) = connected();
+    proxy.cut_after(Direction::ToCaller, Some(3));
+    pass(&mut caller, &mut target, "question");
+    target.write_all(b"answer").unwrap();
+    let mut bytes = Vec::new();
+    let _ = caller.read_to_end(&mut bytes);
+    expect_that!(String::from_utf8_lossy(&bytes), eq("ans"));
+    support::wait_for("the closed connection", || (proxy.connections() == 0).then_some(()));
+}
