standins: switch faults of the platform while it runs and count its calls

Cause: tests of the store need outages, delays, lost replies, missing objects and a store that goes back in time, in the middle of a run. Ruled out: closing the socket for a lost reply; rouille offers no way to drop one connection, and a 504 means the same to the client (the write may have taken effect). Change: Faults, Counts, save and restore; 32 answering threads, because each added delay holds one.

--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -1,31 +1,47 @@
 //! A stand-in for the platform's table service, object store and instance list.
 //!
-//! The wire form is described in `pollenshed_protocol::platform`.
+//! The wire form is described in `pollenshed_protocol::platform`. Tests switch its [`Faults`] while it
+//! runs and read its [`Counts`].
+
+mod faults;
 
 use std::{
     collections::HashMap,
     io::Read,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, mpsc::Sender},
+    thread,
 };
 
 use eyre::{Result, eyre};
 use pollenshed_protocol::platform::{InstanceList, PutRow, Row};
 use rouille::{Request, Response, Server};
 
-/// Threads that answer calls.
-const SERVER_THREADS: usize = 4;
+pub use faults::{Counts, Faults};
+
+/// Threads that answer calls. Each sleeps through an added delay, so they bound concurrent calls.
+const SERVER_THREADS: usize = 32;
 
 /// Largest object that is stored.
 const MAX_OBJECT_BYTES: u64 = 512 * 1024 * 1024;
 
 #[derive(Default)]
 struct Tables {
+    content: Content,
+    instances: InstanceList,
+    faults: Faults,
+    counts: Counts,
+}
+
+#[derive(Clone, Default)]
+struct Content {
     rows: HashMap<(String, String), Row>,
     objects: HashMap<String, Arc<Vec<u8>>>,
-    instances: InstanceList,
 }
 
+/// Rows and objects at one time.
+pub struct Saved(Content);
+
 /// A running platform stand-in. It stops when dropped.
 pub struct Platform {
     address: SocketAddr,
@@ -55,6 +71,26 @@
     pub fn set_instances(&self, instances: InstanceList) {
         lock(&self.tables).instances = instances;
     }
+
+    /// Replaces the faults; calls that began before keep the old ones.
+    pub fn set_faults(&self, faults: Faults) {
+        lock(&self.tables).faults = faults;
+    }
+
+    /// Returns how many calls arrived since the start.
+    pub fn counts(&self) -> Counts {
+        lock(&self.tables).counts
+    }
+
+    /// Saves all rows and objects.
+    pub fn save(&self) -> Saved {
+        Saved(lock(&self.tables).content.clone())
+    }
+
+    /// Goes back to an older state, as a service does that was restored from a backup.
+    pub fn restore(&self, saved: Saved) {
+        lock(&self.tables).content = saved.0;
+    }
 }
 
 impl Drop for Platform {
@@ -69,6 +105,27 @@
 }
 
 fn handle(tables: &Mutex<Tables>, request: &Request) -> Response {
+    let faults = {
+        let mut tables = lock(tables);
+        tables.counts.add(request.method());
+        tables.faults.clone()
+    };
+    thread::sleep(faults.delay);
+    if faults.down {
+        return Response::text("down").with_status_code(503);
+    }
+    let hidden = faults.hide_objects
+        && request.method() == "GET"
+        && request.raw_url().starts_with("/objects/");
+    let answer = if hidden { Response::empty_404() } else { route(tables, request) };
+    let is_lost = match request.method() {
+        "GET" => faults.lose_read_replies,
+        _ => faults.lose_write_replies,
+    };
+    if is_lost { Response::text("lost").with_status_code(504) } else { answer }
+}
+
+fn route(tables: &Mutex<Tables>, request: &Request) -> Response {
     let url = request.url();
     let parts: Vec<&str> = url.trim_matches('/').split('/').collect();
     match (request.method(), parts.as_slice()) {
@@ -82,7 +139,7 @@
 }
 
 fn get_row(tables: &Mutex<Tables>, table: &str, key: &str) -> Response {
-    match lock(tables).rows.get(&(table.to_owned(), key.to_owned())) {
+    match lock(tables).content.rows.get(&(table.to_owned(), key.to_owned())) {
         Some(row) => Response::json(row),
         None => Response::empty_404(),
     }
@@ -94,17 +151,17 @@
     };
     let mut tables = lock(tables);
     let key = (table.to_owned(), key.to_owned());
-    let present = tables.rows.get(&key).cloned();
+    let present = tables.content.rows.get(&key).cloned();
     if present.as_ref().map_or(0, |row| row.revision) != put.expected_revision {
         return Response::json(&present).with_status_code(409);
     }
     let row = Row { revision: put.expected_revision + 1, value: put.value };
-    tables.rows.insert(key, row.clone());
+    tables.content.rows.insert(key, row.clone());
     Response::json(&row)
 }
 
 fn get_object(tables: &Mutex<Tables>, key: &str) -> Response {
-    match lock(tables).objects.get(key).cloned() {
+    match lock(tables).content.objects.get(key).cloned() {
         Some(object) => Response::from_data("application/octet-stream", object.to_vec()),
         None => Response::empty_404(),
     }
@@ -123,6 +180,6 @@
     if announced.is_some_and(|n| n != bytes.len()) {
         return Response::empty_400();
     }
-    lock(tables).objects.insert(key.to_owned(), Arc::new(bytes));
+    lock(tables).content.objects.insert(key.to_owned(), Arc::new(bytes));
     Response::text("")
 }
