Replicate configurations: submissions, replicas and readers

Cause: a submitter whose reply was lost could not tell its outcome, an instance only compared version numbers, and every instance polled the store. Ruled out: settling by the id in the head row alone, because a later submission replaces it; a failure detector for readers that run but are cut off from the store, because it needs a message of its own. Change: Submission (pure) with a head row that names the last 16 submissions; Platform::submit carries it out. Versions are above the highest in force, so a restored store gives no number twice. Replica refuses older and conflicting versions and says when a log line is due. Two readers per failure domain by rendezvous hash and one poll per period drawn by lot among the others; polls back off with jitter; the instance list is read within 4 KB/s; seed_peers are candidates until a list names somebody.

--- a/crates/pollenshed/src/config.rs
+++ b/crates/pollenshed/src/config.rs
@@ -2,15 +2,18 @@
 
 use std::{
     fmt,
-    sync::{Arc, PoisonError, RwLock},
+    sync::{Arc, Mutex, PoisonError, RwLock},
 };
 
 use bytes::Bytes;
+use pollenshed_coordination::replication::{Offer, Replica, Report};
 use pollenshed_state::{
     config::Config,
     ids::{ConfigVersion, Digest},
 };
 
+use crate::util::lock;
+
 /// A configuration that was accepted, with its canonical document for peers.
 #[derive(Debug, Clone)]
 pub struct InForce {
@@ -33,6 +36,16 @@
     Older {
         /// The version in force.
         in_force: ConfigVersion,
+        /// Whether a log line is due.
+        report: Report,
+    },
+    /// The offered version has the number of the one in force and another document. It is reported
+    /// and not obeyed.
+    Conflict {
+        /// Digest of the document in force.
+        in_force: Digest,
+        /// Whether a log line is due.
+        report: Report,
     },
     /// The document does not have the announced digest.
     WrongDigest,
@@ -40,13 +53,30 @@
     Malformed(String),
 }
 
+impl Rejected {
+    /// Returns whether a log line is due. The store offers the same version in every poll, so a
+    /// refusal by number is logged once.
+    pub fn is_news(&self) -> bool {
+        match self {
+            Rejected::Same => false,
+            Rejected::Older { report, .. } | Rejected::Conflict { report, .. } => {
+                *report == Report::First
+            }
+            Rejected::WrongDigest | Rejected::Malformed(_) => true,
+        }
+    }
+}
+
 impl fmt::Display for Rejected {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Rejected::Same => f.write_str("the version is in force already"),
-            Rejected::Older { in_force } => {
+            Rejected::Older { in_force, .. } => {
                 write!(f, "the version is older than version {in_force} in force")
             }
+            Rejected::Conflict { in_force, .. } => {
+                write!(f, "the version is in force with another document, {in_force}")
+            }
             Rejected::WrongDigest => f.write_str("the document does not have the announced digest"),
             Rejected::Malformed(e) => write!(f, "the document can't be read: {e}"),
         }
@@ -57,6 +87,7 @@
 #[derive(Debug, Default)]
 pub struct ConfigSlot {
     current: RwLock<Option<Arc<InForce>>>,
+    replica: Mutex<Replica>,
 }
 
 impl ConfigSlot {
@@ -77,7 +108,7 @@
         digest: Digest,
         document: Bytes,
     ) -> Result<Arc<InForce>, Rejected> {
-        self.check_version(version)?;
+        self.check_version(version, Some(digest))?;
         if Digest::of(&document) != digest {
             return Err(Rejected::WrongDigest);
         }
@@ -86,20 +117,25 @@
         let offered = Arc::new(InForce { version, digest, document, config });
         let mut current = self.current.write().unwrap_or_else(PoisonError::into_inner);
         // Another thread may have taken a higher version while the document was parsed.
-        if let Some(present) = current.as_ref().filter(|c| c.version >= version) {
-            return Err(Rejected::Older { in_force: present.version });
+        if !lock(&self.replica).accept(version, digest) {
+            self.check_version(version, Some(digest))?;
+            return Err(Rejected::Same);
         }
         *current = Some(offered.clone());
         Ok(offered)
     }
 
     /// Tells whether a version would be taken, before its document is fetched.
-    pub fn check_version(&self, version: ConfigVersion) -> Result<(), Rejected> {
-        let in_force = self.version();
-        match version.cmp(&in_force) {
-            std::cmp::Ordering::Greater => Ok(()),
-            std::cmp::Ordering::Equal => Err(Rejected::Same),
-            std::cmp::Ordering::Less => Err(Rejected::Older { in_force }),
+    pub fn check_version(
+        &self,
+        version: ConfigVersion,
+        digest: Option<Digest>,
+    ) -> Result<(), Rejected> {
+        match lock(&self.replica).offer(version, digest) {
+            Offer::Take => Ok(()),
+            Offer::Same => Err(Rejected::Same),
+            Offer::Older { in_force, report } => Err(Rejected::Older { in_force, report }),
+            Offer::Conflict { in_force, report } => Err(Rejected::Conflict { in_force, report }),
         }
     }
 }
--- a/crates/pollenshed/src/reader/mod.rs
+++ b/crates/pollenshed/src/reader/mod.rs
@@ -1,61 +1,91 @@
 //! Reader: polls the platform for the configuration and the instance list.
+//!
+//! Few instances of a failure domain poll ([`poll_plan`]); all others get the configuration by
+//! gossip and need no instance list, because they know members. An instance that knows nobody polls.
+
+mod candidates;
 
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use pollenshed_coordination::membership::Candidate;
-use pollenshed_protocol::platform::{CONFIG_TABLE, HEAD_KEY, Head};
-use pollenshed_state::ids::{ConfigVersion, Digest};
+use pollenshed_coordination::replication::{PollPlan, poll_gap_ms, poll_plan};
+use pollenshed_state::time::Instant;
 use pollenshed_transport::platform::PlatformError;
 
 use crate::{config::Rejected, gossip, instance::Shared, util::lock};
 
+/// Failures in a row for each log line, so that a long outage does not fill the log.
+const FAILURES_PER_LOG_LINE: u32 = 30;
+
 /// Runs until the instance ends.
 pub async fn run(shared: Arc<Shared>) {
-    let period = Duration::from_millis(shared.settings.timing.platform_poll_ms);
-    let mut interval = tokio::time::interval(period);
-    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    candidates::use_seeds(&shared);
+    let period_ms = shared.settings.timing.platform_poll_ms;
+    let mut failures = 0;
+    let mut list_due = Instant::START;
+    let mut last_plan = PollPlan::Skip;
+    // Instances that start together, as after a power failure, do not poll together.
+    let mut gap_ms = fastrand::u64(..) % (period_ms / 2).max(1);
     loop {
-        interval.tick().await;
-        let polled = shared.clone();
-        // The platform's client blocks, so it must not run on the control threads.
-        let result = tokio::task::spawn_blocking(move || poll(&polled)).await;
-        if let Ok(Err(e)) = result {
-            log::warn!("reader: {e}; goes on with configuration {}", shared.config.version());
+        tokio::time::sleep(Duration::from_millis(gap_ms)).await;
+        let now = shared.clock.now();
+        let plan = poll_plan(&lock(&shared.membership), now, fastrand::u64(..));
+        log_plan(&mut last_plan, plan);
+        if plan.polls() {
+            let with_list = plan == PollPlan::Alone || now >= list_due;
+            match poll(&shared, with_list).await {
+                Ok(list_gap_ms) => {
+                    failures = 0;
+                    list_due = list_gap_ms.map_or(list_due, |gap_ms| now.plus_ms(gap_ms));
+                }
+                Err(e) => {
+                    log_failure(&shared, failures, &e);
+                    failures += 1;
+                }
+            }
         }
+        gap_ms = poll_gap_ms(period_ms, failures, fastrand::u64(..));
     }
 }
 
-fn poll(shared: &Shared) -> Result<(), PlatformError> {
-    let list = shared.platform.instances()?;
-    let candidates = list
-        .instances
-        .iter()
-        .map(|i| Candidate { instance: i.name.clone(), peer_address: i.peer_address })
-        .collect();
-    lock(&shared.membership).set_candidates(candidates);
-    read_config(shared)
+fn log_plan(last: &mut PollPlan, plan: PollPlan) {
+    let is_reader = plan == PollPlan::Reader;
+    if is_reader != (*last == PollPlan::Reader) {
+        let word = if is_reader { "polls" } else { "no longer polls" };
+        log::info!("reader: {word} the platform for its failure domain");
+    }
+    *last = plan;
+}
+
+fn log_failure(shared: &Shared, failures: u32, error: &PlatformError) {
+    if failures.is_multiple_of(FAILURES_PER_LOG_LINE) {
+        let version = shared.config.version();
+        log::warn!("reader: {error}; goes on with configuration {version}");
+    }
+}
+
+/// Polls once. Returns the time until the list should be read again, if it was read.
+async fn poll(shared: &Arc<Shared>, with_list: bool) -> Result<Option<u64>, PlatformError> {
+    let polled = shared.clone();
+    // The platform's client blocks, so it must not run on the control threads.
+    let call = tokio::task::spawn_blocking(move || {
+        let list_gap_ms = with_list.then(|| candidates::read(&polled));
+        // A list that can't be read does not keep the configuration from being read.
+        read_config(&polled)?;
+        list_gap_ms.transpose()
+    });
+    call.await.unwrap_or_else(|e| Err(PlatformError::Unavailable(e.to_string())))
 }
 
 fn read_config(shared: &Shared) -> Result<(), PlatformError> {
-    let Some(row) = shared.platform.get_row(CONFIG_TABLE, HEAD_KEY)? else {
+    let Some(stored) = shared.platform.head()? else {
         return Ok(());
     };
-    let head: Head = serde_json::from_value(row.value)
-        .map_err(|e| PlatformError::Malformed(format!("head row: {e}")))?;
-    let version = ConfigVersion(head.version);
-    match shared.config.check_version(version) {
-        Ok(()) => {}
-        Err(Rejected::Same) => return Ok(()),
-        Err(rejected) => {
-            log::warn!("config: version {version} of the store is not obeyed: {rejected}");
-            return Ok(());
-        }
+    let (version, digest) = (stored.head.version, stored.head.digest);
+    if let Err(rejected) = shared.config.check_version(version, Some(digest)) {
+        log_rejected(version, &rejected);
+        return Ok(());
     }
-    let digest: Digest = head
-        .digest
-        .parse()
-        .map_err(|e| PlatformError::Malformed(format!("digest in head row: {e}")))?;
     let Some(document) = shared.platform.get_object(&digest.hex())? else {
         return Err(PlatformError::Malformed(format!("object {digest} is missing")));
     };
@@ -64,7 +94,13 @@
             log::info!("config: version {version} in force, from the store");
             gossip::update_ownership(shared);
         }
-        Err(rejected) => log::warn!("config: version {version} of the store: {rejected}"),
+        Err(rejected) => log_rejected(version, &rejected),
     }
     Ok(())
 }
+
+fn log_rejected(version: pollenshed_state::ids::ConfigVersion, rejected: &Rejected) {
+    if rejected.is_news() {
+        log::warn!("config: version {version} of the store is not obeyed: {rejected}");
+    }
+}
--- a/crates/pollenshed/tests/support/mod.rs
+++ b/crates/pollenshed/tests/support/mod.rs
@@ -206,6 +206,7 @@
             version: revision + 1,
             digest: digest.to_string(),
             submission_id: format!("test-{revision}"),
+            past: Vec::new(),
         };
         let value = serde_json::to_value(head).unwrap();
         client.put_row(CONFIG_TABLE, HEAD_KEY, revision, value).unwrap();
--- a/crates/pollenshedctl/src/cmd/submit.rs
+++ b/crates/pollenshedctl/src/cmd/submit.rs
@@ -53,7 +53,7 @@
         None => 1,
     };
     let submission_id = format!("{:016x}", fastrand::u64(..));
-    let head = Head { version, digest: digest.to_string(), submission_id };
+    let head = Head { version, digest: digest.to_string(), submission_id, past: Vec::new() };
     match platform.put_row(CONFIG_TABLE, HEAD_KEY, revision, serde_json::to_value(head)?)? {
         Put::Written(_) => Ok(version),
         Put::Refused(_) => Err(eyre!("another operator submitted at the same time")),
--- a/crates/protocol/src/platform/mod.rs
+++ b/crates/protocol/src/platform/mod.rs
@@ -71,4 +71,17 @@
     pub digest: String,
     /// Random id of the submission, which settles a lost reply.
     pub submission_id: String,
+    /// Submissions before this one, the latest first, so that a lost reply can be settled after
+    /// later submissions.
+    #[serde(default)]
+    pub past: Vec<PastHead>,
+}
+
+/// A submission that a later one replaced, in a [`Head`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PastHead {
+    /// Version that it made.
+    pub version: u64,
+    /// Id of the submission.
+    pub submission_id: String,
 }
--- a/crates/transport/src/platform/mod.rs
+++ b/crates/transport/src/platform/mod.rs
@@ -1,11 +1,16 @@
 //! Client of the platform's table service, object store and instance list.
 
+mod head;
+mod submit;
+
 use std::{fmt, io::Read, net::SocketAddr, time::Duration};
 
 use pollenshed_protocol::platform::{InstanceList, PutRow, Row};
 use serde::de::DeserializeOwned;
 use ureq::{Agent, http::StatusCode};
 
+pub use submit::{SubmitRequest, submit};
+
 /// Largest object that is read; larger ones are refused, so that memory stays bounded.
 const MAX_OBJECT_BYTES: u64 = 512 * 1024 * 1024;
 
