--- a/crates/coordination/tests/routing_support/mod.rs
+++ b/crates/coordination/tests/routing_support/mod.rs
@@ -40,6 +40,7 @@
         counter: 0,
         leaving: false,
         peer_address: ([127, 0, 0, 1], 1_000 + number as u16).into(),
+        relay_address: ([127, 0, 0, 1], 2_000 + number as u16).into(),
         caller_address: ([127, 0, 0, 1], 20_000 + number as u16).into(),
         config_version: ConfigVersion(1),
         stamp_ms: 0,
--- a/crates/pollenshed/src/gossip/config_fetch.rs
+++ b/crates/pollenshed/src/gossip/config_fetch.rs
@@ -30,6 +30,12 @@
             log::info!("config: version {version} in force, from peer {}", sender.instance);
             super::update(shared, &current, shared.clock.now());
         }
-        Err(rejected) => log::debug!("config: version {version} of a peer not taken: {rejected}"),
+        Err(rejected) if rejected.is_news() => {
+            log::warn!(
+                "config: version {version} of peer {} not taken: {rejected}",
+                sender.instance
+            );
+        }
+        Err(_) => {}
     }
 }
--- a/crates/pollenshed/src/lib.rs
+++ b/crates/pollenshed/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod entry;
 pub mod gossip;
 pub mod instance;
+pub mod leaving;
 pub mod lookup;
 pub mod owner;
 pub mod reader;
--- a/crates/pollenshed/src/owner/servers.rs
+++ b/crates/pollenshed/src/owner/servers.rs
@@ -21,7 +21,8 @@
     };
     let longest_ms = current.config.ranks.iter().map(|r| r.deadline_ms).max().unwrap_or(0);
     let occupancy = Occupancy::UnknownUntil(now.plus_ms(longest_ms));
-    let leaving = lock(&shared.leaving_backend_servers).clone();
+    let mut leaving = lock(&shared.leaving_backend_servers);
+    leaving.expire(now);
     shared.owner.with_scheduler(|scheduler| {
         scheduler.set_policy(SchedulerPolicy::with_ranks(&current.config.ranks));
         let known: BTreeSet<_> = scheduler.snapshot(now).into_iter().map(|s| s.name).collect();
