Let a drained failure domain serve until the ramp has moved its share

Cause: a drain of a failure domain or region refused all of its traffic that the shift cap did not let move yet; a planned drain must interrupt nobody. An idempotent request whose first attempt may have run could end as not run when its second attempt was refused, which made the refusal untrue. Ruled out: lifting the cap for drains (the receivers are cold). Change: the router leaves drained domains to the ramp, whose target excludes them. Backend servers that are drained one by one still get nothing. The entry keeps track of attempts that may have run, charges repeats to the retry budget, and waits up to 1.5 s while backend servers change hands.

--- a/crates/coordination/src/routing/router.rs
+++ b/crates/coordination/src/routing/router.rs
@@ -28,6 +28,8 @@
     pub excluded: &'a [InstanceName],
     /// For a further attempt, the failure domain that the request was counted for.
     pub counted_for: Option<&'a FailureDomainName>,
+    /// Whether an earlier call counted the arrival of this request.
+    pub has_arrived: bool,
     /// Spreads requests over the owners of a failure domain.
     pub random: u64,
 }
@@ -120,7 +122,7 @@
         ramp: &mut Ramp,
         now: Instant,
     ) -> Result<Target, NoCapacity> {
-        if request.counted_for.is_none() {
+        if !request.has_arrived {
             ramp.arrive(request.rank, now);
         }
         let home = self.home.clone();
@@ -208,6 +210,9 @@
     }
 
     /// Returns the live owners that can serve the service in `domain`, with weights.
+    ///
+    /// A drained failure domain serves the share that the ramp has not moved yet, so that a planned
+    /// drain refuses nobody. Its share ends at nothing.
     fn owners<'a>(
         &self,
         view: RouteView<'a>,
@@ -215,9 +220,6 @@
         request: &RouteRequest<'_>,
         now: Instant,
     ) -> Vec<(&'a LiveEntry, u64)> {
-        if is_drained(view.config, domain) {
-            return Vec::new();
-        }
         let mut owners = if *domain == self.home {
             self.home_owners(view, domain, now)
         } else {
@@ -280,18 +282,6 @@
     }
 }
 
-/// Returns whether the failure domain or its region is drained.
-fn is_drained(config: &Config, domain: &FailureDomainName) -> bool {
-    config.drains.iter().any(|drain| match drain {
-        Drain::BackendServer(_) => false,
-        Drain::FailureDomain(name) => name == domain,
-        Drain::Region(name) => {
-            let region = config.regions.iter().find(|r| r.name == *name);
-            region.is_some_and(|r| r.failure_domains.contains(domain))
-        }
-    })
-}
-
 /// Picks an owner with a probability in proportion to its weight.
 fn pick<'a>(owners: &[(&'a LiveEntry, u64)], random: u64) -> Option<&'a LiveEntry> {
     let total: u64 = owners.iter().fold(0, |sum, (_, weight)| sum.saturating_add(*weight));
--- a/crates/pollenshed/src/entry/dispatch.rs
+++ b/crates/pollenshed/src/entry/dispatch.rs
@@ -1,6 +1,6 @@
-//! Hands requests to owners: chooses a target, sends, and settles what a failed call left open.
+//! Hands requests to owners: chooses a target, sends, and decides about another attempt.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use pollenshed_coordination::{
@@ -8,28 +8,33 @@
     routing::{NoCapacity, RouteRequest, RouteView, Target},
 };
 use pollenshed_protocol::peer::{
-    AnswerReply, DispatchRequest, NotRunReason, SettleRequest, UnknownReason, answer_reply,
-    settle_reply,
-};
-use pollenshed_state::{
-    ids::{FailureDomainName, InstanceName},
-    units::ByteSize,
+    AnswerReply, DispatchRequest, NotRunReason, UnknownReason, answer_reply,
 };
+use pollenshed_state::{ids::InstanceName, time::Instant, units::ByteSize};
 
-use super::http::Classified;
+use super::{
+    attempts::{Next, Tried},
+    http::Classified,
+    settle::{SETTLE_GRACE_MS, settle},
+};
 use crate::{instance::Shared, owner, util::lock, wire};
 
-/// Owners that are tried for one request, so that a request can't circle among refusing owners.
-const MAX_OWNERS: usize = 3;
+/// Attempts of one request, so that it can't circle among refusing owners.
+const MAX_ATTEMPTS: usize = 4;
 
-/// Time beyond the deadline in which an owner can still say what became of a request.
-const SETTLE_GRACE_MS: u64 = 1_000;
+/// How long a request waits for an owner while backend servers change hands. A planned change takes
+/// a few gossip periods; after a failure the request is refused rather than held for
+/// `dead_after_ms`.
+const WAIT_FOR_OWNER_MS: u64 = 1_500;
 
-/// Period in which a running attempt is asked about again.
-const SETTLE_PERIOD: Duration = Duration::from_millis(50);
+/// Period in which a waiting request looks for an owner.
+const OWNER_LOOK_PERIOD: Duration = Duration::from_millis(25);
+
+/// Answer size that a request is expected to put on a link before its real size is known.
+const EXPECTED_ANSWER_BYTES: u64 = 16 * 1024;
 
-/// Timeout of one settle call.
-const SETTLE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time after which a refused caller is told to try again.
+const MAX_RETRY_AFTER_MS: u64 = 4_000;
 
 /// What one attempt at an owner came to.
 enum Attempt {
@@ -39,119 +44,93 @@
     Lost(String),
 }
 
-/// Runs an idempotent request. An attempt that failed is repeated elsewhere, within the budget.
-pub async fn run_idempotent(shared: &Arc<Shared>, work: &Classified) -> AnswerReply {
-    let mut tried = Tried::default();
-    let mut last = wire::not_run(NotRunReason::NoBackendServer, "no owner was tried");
-    for _ in 0..MAX_OWNERS {
-        let target = match choose(shared, work, &tried) {
-            Ok(target) => target,
-            Err(refused) if tried.is_empty() => return refused,
-            Err(_) => return last,
-        };
-        let id = format!("{:016x}{:016x}", fastrand::u64(..), fastrand::u64(..));
-        last = match attempt(shared, work, &target, &tried, &id).await {
-            Attempt::Replied(reply) => reply,
-            Attempt::Lost(e) => wire::unknown(UnknownReason::ConnectionLost, e),
-        };
-        note_home(shared, work, &target, &last);
-        if shared.clock.now() >= work.deadline || !tried.may_repeat(&target, &last) {
-            return last;
-        }
-    }
-    last
-}
-
-/// Runs a non-idempotent request. `ticket` names the attempts.
+/// Runs a request at a backend server.
 ///
-/// Another owner is tried only after the former one has promised that the request will not run.
-pub async fn run_once(shared: &Arc<Shared>, work: &Classified, ticket: &str) -> AnswerReply {
+/// `name` identifies the attempts. A non-idempotent request goes to another owner only after the
+/// former one has promised not to run it. An idempotent request is also repeated after a failure,
+/// within the service's retry budget.
+pub async fn run(shared: &Arc<Shared>, work: &Classified, name: &str) -> AnswerReply {
     let mut tried = Tried::default();
-    let mut last = wire::not_run(NotRunReason::NoBackendServer, "no owner was tried");
-    for number in 0..MAX_OWNERS {
-        let target = match choose(shared, work, &tried) {
+    let mut last = None;
+    let first_try = shared.clock.now();
+    record_first_try(shared, work, first_try);
+    for number in 0..MAX_ATTEMPTS {
+        let target = match find_target(shared, work, &mut tried, first_try).await {
             Ok(target) => target,
-            Err(refused) if tried.is_empty() => return refused,
-            Err(_) => return last,
+            Err(refused) => return tried.outcome(last.unwrap_or(refused)),
         };
-        let id = format!("{ticket}#{number}");
-        last = match attempt(shared, work, &target, &tried, &id).await {
+        let reply = match attempt(shared, work, &target, &tried, &format!("{name}#{number}")).await
+        {
             Attempt::Replied(reply) => reply,
-            Attempt::Lost(e) => settle(shared, work, &target, &id, e).await,
+            Attempt::Lost(e) if work.operation.idempotent => {
+                wire::unknown(UnknownReason::ConnectionLost, e)
+            }
+            Attempt::Lost(e) => settle(shared, work, &target, &format!("{name}#{number}"), e).await,
         };
-        note_home(shared, work, &target, &last);
-        let is_not_run = matches!(last.outcome, Some(answer_reply::Outcome::NotRun(_)));
-        if !is_not_run || shared.clock.now() >= work.deadline || !tried.may_repeat(&target, &last) {
-            return last;
+        note_load(shared, work, &target, &reply);
+        let next = tried.note(&target, &reply);
+        let now = shared.clock.now();
+        if now >= work.deadline || !may_go_on(shared, work, next, now) {
+            return tried.outcome(reply);
         }
+        last = Some(reply);
     }
-    last
+    tried.outcome(last.unwrap_or_else(|| wire::not_run(NotRunReason::NoBackendServer, "no owner")))
 }
 
-#[derive(Default)]
-struct Tried {
-    owners: Vec<InstanceName>,
-    backend_servers: Vec<String>,
-    counted_for: Option<FailureDomainName>,
+fn record_first_try(shared: &Shared, work: &Classified, now: Instant) {
+    if let Some(service) = work.service() {
+        lock(&shared.routing).retry_budget(service).record_first_try(now);
+    }
 }
 
-impl Tried {
-    fn is_empty(&self) -> bool {
-        self.owners.is_empty() && self.backend_servers.is_empty()
+fn may_go_on(shared: &Shared, work: &Classified, next: Next, now: Instant) -> bool {
+    match next {
+        Next::Stop => false,
+        Next::AskAnother => true,
+        Next::Retry => work.service().is_some_and(|service| {
+            let is_idempotent = work.operation.idempotent;
+            lock(&shared.routing).retry_budget(service).try_retry(is_idempotent, now)
+        }),
     }
+}
 
-    /// Takes note of a failed attempt. Returns whether another one may have more luck.
-    ///
-    /// An owner that has nothing for the request is not asked again. A backend server that failed is
-    /// excluded, but its owner may have others.
-    fn may_repeat(&mut self, target: &Target, reply: &AnswerReply) -> bool {
-        self.counted_for = Some(target.failure_domain.clone());
-        let excludes_owner = match &reply.outcome {
-            Some(answer_reply::Outcome::NotRun(not_run)) => match not_run.reason() {
-                NotRunReason::NotOwner
-                | NotRunReason::WrongIncarnation
-                | NotRunReason::NoBackendServer
-                | NotRunReason::Overloaded
-                | NotRunReason::Stopping => true,
-                NotRunReason::Shed | NotRunReason::ConnectFailed => reply.backend_server.is_empty(),
-                _ => return false,
-            },
-            Some(answer_reply::Outcome::Unknown(unknown)) => match unknown.reason() {
-                UnknownReason::ConnectionLost => reply.backend_server.is_empty(),
-                _ => return false,
-            },
-            _ => return false,
+/// Chooses a target; waits a little if no owner is ready, as while backend servers change hands.
+async fn find_target(
+    shared: &Shared,
+    work: &Classified,
+    tried: &mut Tried,
+    first_try: Instant,
+) -> Result<Target, AnswerReply> {
+    let until = first_try.plus_ms(WAIT_FOR_OWNER_MS).min(work.deadline);
+    loop {
+        let chosen = choose(shared, work, tried);
+        tried.has_arrived = true;
+        let reason = match chosen {
+            Ok(target) => {
+                log_target(work, &target);
+                return Ok(target);
+            }
+            Err(reason) => reason,
         };
-        if excludes_owner {
-            self.owners.push(target.owner.clone());
-        } else {
-            self.backend_servers.push(reply.backend_server.clone());
+        if reason != Some(NoCapacity::NoBackendServer) || shared.clock.now() >= until {
+            log::info!(
+                "route: {} {} refused ({reason:?})",
+                work.request.service,
+                work.operation.rank
+            );
+            return Err(refusal(shared, reason));
         }
-        true
+        // An owner that refused a moment ago may be ready now.
+        tried.owners.clear();
+        tokio::time::sleep(OWNER_LOOK_PERIOD).await;
     }
 }
 
-/// Tells the steering whether the home failure domain could serve the request.
-fn note_home(shared: &Shared, work: &Classified, target: &Target, reply: &AnswerReply) {
-    if target.failure_domain != shared.settings.failure_domain {
-        return;
-    }
-    let Some(service) = work.service() else { return };
-    let was_refused = match &reply.outcome {
-        Some(answer_reply::Outcome::NotRun(not_run)) => matches!(
-            not_run.reason(),
-            NotRunReason::Overloaded | NotRunReason::Deadline | NotRunReason::Shed
-        ),
-        _ => false,
-    };
-    lock(&shared.routing).note_home(&service.name, was_refused);
-}
-
-fn choose(shared: &Shared, work: &Classified, tried: &Tried) -> Result<Target, AnswerReply> {
+/// Returns the reason of a refusal, or no reason if the service was removed.
+fn choose(shared: &Shared, work: &Classified, tried: &Tried) -> Result<Target, Option<NoCapacity>> {
     let now = shared.clock.now();
-    let service = work
-        .service()
-        .ok_or_else(|| wire::not_run(NotRunReason::Invalid, "the service was removed"))?;
+    let service = work.service().ok_or(None)?;
     let entries = live_entries(&lock(&shared.membership), now);
     let assignment = lock(&shared.ownership).assignment().clone();
     let request = RouteRequest {
@@ -160,6 +139,7 @@
         answer_bytes: ByteSize(service.max_answer_bytes.0.min(EXPECTED_ANSWER_BYTES)),
         excluded: &tried.owners,
         counted_for: tried.counted_for.as_ref(),
+        has_arrived: tried.has_arrived,
         random: fastrand::u64(..),
     };
     let view = RouteView {
@@ -168,42 +148,31 @@
         assignment: &assignment,
         entries: &entries,
     };
-    let chosen = lock(&shared.routing).choose(&request, view, now);
-    match &chosen {
-        Ok(target) => log::info!(
-            "route: {} {} {} to {} of {} ({:?})",
-            work.request.service,
-            work.operation.rank,
-            work.request.method,
-            target.owner,
-            target.failure_domain,
-            target.reason
-        ),
-        Err(reason) => log::info!(
-            "route: {} {} {} refused ({reason:?})",
-            work.request.service,
-            work.operation.rank,
-            work.request.method
-        ),
-    }
-    chosen.map_err(|reason| refusal(shared, reason))
+    lock(&shared.routing).choose(&request, view, now).map_err(Some)
 }
 
-/// Answer size that a request is expected to put on a link before its real size is known.
-const EXPECTED_ANSWER_BYTES: u64 = 16 * 1024;
-
-/// Longest time after which a refused caller is told to try again.
-const MAX_RETRY_AFTER_MS: u64 = 4_000;
+fn log_target(work: &Classified, target: &Target) {
+    log::info!(
+        "route: {} {} {} to {} of {} ({:?})",
+        work.request.service,
+        work.operation.rank,
+        work.request.method,
+        target.owner,
+        target.failure_domain,
+        target.reason
+    );
+}
 
-fn refusal(shared: &Shared, reason: NoCapacity) -> AnswerReply {
+fn refusal(shared: &Shared, reason: Option<NoCapacity>) -> AnswerReply {
     let retry_after_ms = fastrand::u64(shared.settings.timing.gossip_period_ms..MAX_RETRY_AFTER_MS);
     match reason {
-        NoCapacity::NoBackendServer => wire::not_run_retry(
+        None => wire::not_run(NotRunReason::Invalid, "the service was removed"),
+        Some(NoCapacity::NoBackendServer) => wire::not_run_retry(
             NotRunReason::NoBackendServer,
             retry_after_ms,
             "no backend server of the service can be reached",
         ),
-        other => wire::not_run_retry(
+        Some(other) => wire::not_run_retry(
             NotRunReason::Overloaded,
             retry_after_ms,
             format!("no capacity: {other:?}"),
@@ -211,6 +180,27 @@
     }
 }
 
+/// Tells steering and link budgets what an attempt came to.
+fn note_load(shared: &Shared, work: &Classified, target: &Target, reply: &AnswerReply) {
+    let Some(service) = work.service() else { return };
+    let mut routing = lock(&shared.routing);
+    if let Some(region) = &target.link {
+        let expected = ByteSize(service.max_answer_bytes.0.min(EXPECTED_ANSWER_BYTES));
+        let real = ByteSize(wire::reply_bytes(reply) as u64);
+        routing.router.links.settle(region, expected, real);
+    }
+    if target.failure_domain == shared.settings.failure_domain {
+        let was_refused = match &reply.outcome {
+            Some(answer_reply::Outcome::NotRun(not_run)) => matches!(
+                not_run.reason(),
+                NotRunReason::Overloaded | NotRunReason::Deadline | NotRunReason::Shed
+            ),
+            _ => false,
+        };
+        routing.note_home(&service.name, was_refused);
+    }
+}
+
 async fn attempt(
     shared: &Arc<Shared>,
     work: &Classified,
@@ -247,48 +237,7 @@
     }
 }
 
-fn relay_address(shared: &Shared, instance: &InstanceName) -> Option<std::net::SocketAddr> {
+/// Returns where an instance accepts requests of peers.
+pub(super) fn relay_address(shared: &Shared, instance: &InstanceName) -> Option<SocketAddr> {
     lock(&shared.membership).record_of(instance).map(|r| r.relay_address)
 }
-
-/// Asks the owner what became of an attempt whose call failed.
-async fn settle(
-    shared: &Shared,
-    work: &Classified,
-    target: &Target,
-    id: &str,
-    error: String,
-) -> AnswerReply {
-    let until = work.deadline.plus_ms(SETTLE_GRACE_MS);
-    loop {
-        let now = shared.clock.now();
-        if now >= until {
-            return wire::unknown(UnknownReason::ConnectionLost, error);
-        }
-        if let Some(reply) = settle_once(shared, target, id).await {
-            return reply;
-        }
-        tokio::time::sleep(SETTLE_PERIOD).await;
-    }
-}
-
-/// Returns the final outcome, or nothing while it is open.
-async fn settle_once(shared: &Shared, target: &Target, id: &str) -> Option<AnswerReply> {
-    let address = relay_address(shared, &target.owner)?;
-    let request =
-        SettleRequest { attempt_id: id.to_owned(), owner_incarnation: target.incarnation.0 };
-    let mut client = shared.work_peers.work(address);
-    let reply = tokio::time::timeout(SETTLE_TIMEOUT, client.settle(request)).await.ok()?.ok()?;
-    let reply = reply.into_inner();
-    match reply.state() {
-        settle_reply::State::NotRun => Some(wire::not_run(
-            NotRunReason::ConnectFailed,
-            "the owner was not reached in time and has promised not to run the request",
-        )),
-        settle_reply::State::Ended => reply.reply,
-        settle_reply::State::Unknown => {
-            Some(wire::unknown(UnknownReason::ConnectionLost, "the owner restarted"))
-        }
-        settle_reply::State::Running | settle_reply::State::Unspecified => None,
-    }
-}
--- a/crates/pollenshed/src/entry/http.rs
+++ b/crates/pollenshed/src/entry/http.rs
@@ -134,7 +134,7 @@
     let request = HttpRequest { service: service_name, method, path, headers, body, caller };
     let work = Classified { request, operation, deadline, current };
     let reply = match (work.operation.idempotent, ticket) {
-        (true, _) => dispatch::run_idempotent(&shared, &work).await,
+        (true, _) => dispatch::run(&shared, &work, &new_request_id()).await,
         (false, Some(ticket)) => ticketed::run(&shared, ticket, work).await,
         (false, None) => {
             return Err(refuse(
@@ -146,6 +146,11 @@
     Ok(from_reply(reply))
 }
 
+/// Identifies the attempts of a request without a ticket.
+fn new_request_id() -> String {
+    format!("{:016x}{:016x}", fastrand::u64(..), fastrand::u64(..))
+}
+
 fn read_deadline(
     shared: &Shared,
     request: &Request<Incoming>,
--- a/crates/pollenshed/src/entry/mod.rs
+++ b/crates/pollenshed/src/entry/mod.rs
@@ -1,9 +1,11 @@
 //! Entry: takes callers' requests, routes them to owners and answers.
 
 mod answer;
+mod attempts;
 mod dispatch;
 mod http;
 mod routing;
+mod settle;
 mod ticketed;
 
 use std::{io, sync::Arc};
--- a/crates/pollenshed/src/entry/routing.rs
+++ b/crates/pollenshed/src/entry/routing.rs
@@ -3,11 +3,12 @@
 use std::collections::HashMap;
 
 use pollenshed_coordination::{
+    limits::RetryBudget,
     routing::{Advertisements, LinkBudget, NoCapacity, RouteRequest, RouteView, Router, Target},
     shift::{ONE_PPM, Ramp},
 };
 use pollenshed_state::{
-    config::{Config, Network},
+    config::{Config, Network, Service},
     ids::ServiceName,
     settings::Settings,
     time::Instant,
@@ -37,6 +38,7 @@
     pub router: Router,
     /// One ramp per service.
     pub ramps: HashMap<ServiceName, Ramp>,
+    retry_budgets: HashMap<ServiceName, RetryBudget>,
 }
 
 impl Routing {
@@ -57,6 +59,7 @@
             router: Router::new(settings.failure_domain.clone(), adverts, links),
             ramps: HashMap::new(),
             home_loads: HashMap::new(),
+            retry_budgets: HashMap::new(),
             settings: settings.clone(),
         }
     }
@@ -89,6 +92,17 @@
         self.router.choose(request, view, ramp, now)
     }
 
+    /// Returns the retry budget of a service.
+    pub fn retry_budget(&mut self, service: &Service) -> &mut RetryBudget {
+        let share = service.retry_budget_percent;
+        let budget = self
+            .retry_budgets
+            .entry(service.name.clone())
+            .or_insert_with(|| RetryBudget::new(share));
+        budget.set_share(share);
+        budget
+    }
+
     /// Counts a request that an owner of the home failure domain ran or refused for lack of slots.
     pub fn note_home(&mut self, service: &ServiceName, was_refused: bool) {
         let load = self.home_loads.entry(service.clone()).or_default();
--- a/crates/pollenshed/src/entry/ticketed.rs
+++ b/crates/pollenshed/src/entry/ticketed.rs
@@ -58,7 +58,7 @@
     let runner = shared.clone();
     // A task of its own goes on when the caller disconnects, so that a resend finds the outcome.
     shared.work.spawn(async move {
-        let reply = dispatch::run_once(&runner, &work, &ticket.to_string()).await;
+        let reply = dispatch::run(&runner, &work, &ticket.to_string()).await;
         let bytes = wire::reply_bytes(&reply);
         lock(&runner.ledger).record(&ticket, reply.clone(), bytes);
         if let Some(sender) = lock(&runner.waiting).remove(&ticket) {
