Drop the outcome of an attempt when nobody asks for it any more

An owner kept each answer for the lifetime of a binding, 600 s, which no limit bounded. An entry asks until a second after its deadline, so 10 s are enough; the mark that forbids a second dispatch stays.

--- a/crates/coordination/src/ledger/attempts.rs
+++ b/crates/coordination/src/ledger/attempts.rs
@@ -1,7 +1,10 @@
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use pollenshed_state::time::Instant;
 
+/// How long the outcome of an attempt is kept. An entry gives up asking a second after its deadline.
+const OUTCOME_MS: u64 = 10_000;
+
 /// Whether an owner may go on with an attempt that has just arrived.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Begin {
@@ -24,6 +27,8 @@
     Running,
     /// Ended with this outcome.
     Ended(O),
+    /// Ended; the outcome was dropped, because nobody asks for it any more.
+    Dropped,
     /// Never runs.
     Forbidden,
 }
@@ -48,6 +53,7 @@
     max_attempts: usize,
     states: HashMap<String, AttemptState<O>>,
     by_expiry: BTreeMap<(Instant, u64), String>,
+    ended: VecDeque<(Instant, String)>,
     next_sequence: u64,
 }
 
@@ -60,6 +66,7 @@
             max_attempts,
             states: HashMap::new(),
             by_expiry: BTreeMap::new(),
+            ended: VecDeque::new(),
             next_sequence: 0,
         }
     }
@@ -99,22 +106,27 @@
     }
 
     /// Records the outcome of an attempt. An attempt that was forbidden stays forbidden.
-    pub fn end(&mut self, id: &str, outcome: O) {
+    ///
+    /// The outcome is kept for [`OUTCOME_MS`], in which an entry that lost the answer asks again.
+    pub fn end(&mut self, id: &str, outcome: O, now: Instant) {
         if let Some(state) = self.states.get_mut(id)
             && !matches!(state, AttemptState::Forbidden)
         {
             *state = AttemptState::Ended(outcome);
+            self.ended.push_back((now.plus_ms(OUTCOME_MS), id.to_owned()));
         }
     }
 
     /// Answers what became of an attempt and forbids it if it was not dispatched.
     ///
-    /// Returns nothing when no more attempts can be remembered: then nothing can be promised.
+    /// Returns nothing if the outcome was dropped, or if no more attempts can be remembered: then
+    /// nothing can be promised.
     pub fn settle(&mut self, id: &str, now: Instant) -> Option<Settlement<O>> {
         let full = self.states.len() >= self.max_attempts;
         match self.states.get_mut(id) {
             Some(AttemptState::Running) => Some(Settlement::Running),
             Some(AttemptState::Ended(outcome)) => Some(Settlement::Ended(outcome.clone())),
+            Some(AttemptState::Dropped) => None,
             Some(state) => {
                 *state = AttemptState::Forbidden;
                 Some(Settlement::NotRun)
@@ -134,6 +146,12 @@
 
     /// Forgets attempts that are older than the retention. Running ones are kept until they end.
     pub fn expire(&mut self, now: Instant) {
+        while self.ended.front().is_some_and(|(until, _)| *until <= now) {
+            let id = self.ended.pop_front().map(|(_, id)| id).unwrap_or_default();
+            if let Some(state @ AttemptState::Ended(_)) = self.states.get_mut(&id) {
+                *state = AttemptState::Dropped;
+            }
+        }
         while let Some((&(expiry, sequence), _)) = self.by_expiry.first_key_value()
             && expiry <= now
         {
--- a/crates/pollenshed/src/owner/dispatch.rs
+++ b/crates/pollenshed/src/owner/dispatch.rs
@@ -52,7 +52,7 @@
     let task = shared.work.spawn(async move {
         let id = attempt.id.clone();
         let reply = run(&runner, attempt, work).await;
-        lock(&runner.attempts).end(&id, reply.clone());
+        lock(&runner.attempts).end(&id, reply.clone(), runner.clock.now());
         reply
     });
     task.await.unwrap_or_else(|e| wire::unknown(UnknownReason::ConnectionLost, e.to_string()))
