Limit what one caller can take on the callers' side

Cause: the interface had no limit on connections, idle time, pauses in bodies or buffered bytes, and no orderly end; a request with both content-length and transfer-encoding was run. Change: Edge::spawn takes Limits (CallerLimits convert) and hands out RequestBody, whose read_whole returns bytes that count against max_buffered_bytes until their last clone is dropped. Progress of each connection drives 408 and idle closing; connections beyond the limit get 503; ended connections are read for up to a second, so that refusals are not lost to a reset. Edge::discourage and Edge::drain end an interface. Conclusion: entry/http.rs only maps BodyError to answers.

--- a/crates/pollenshed/src/entry/http.rs
+++ b/crates/pollenshed/src/entry/http.rs
@@ -2,8 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use http_body_util::{BodyExt, Limited};
-use hyper::{Request, Response, StatusCode, body::Incoming};
+use hyper::{Request, Response, StatusCode};
 use pollenshed_protocol::{
     caller::{CALLER_HEADER, DEADLINE_HEADER, Outcome, TICKET_HEADER},
     peer::{Header, HttpRequest},
@@ -13,7 +12,7 @@
     ids::{ServiceName, Ticket},
     time::Instant,
 };
-use pollenshed_transport::edge::AnswerBody;
+use pollenshed_transport::edge::{AnswerBody, BodyError, RequestBody};
 
 use super::{
     answer::{from_reply, json, refusal},
@@ -33,7 +32,7 @@
 /// Answers one request of a caller.
 pub async fn handle(
     shared: Arc<Shared>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
     peer: SocketAddr,
 ) -> Response<AnswerBody> {
     let path = request.uri().path();
@@ -51,7 +50,7 @@
 
 fn lookup_request(
     shared: &Shared,
-    request: &Request<Incoming>,
+    request: &Request<RequestBody>,
     peer: SocketAddr,
 ) -> Response<AnswerBody> {
     let query = request.uri().query().unwrap_or_default();
@@ -99,7 +98,7 @@
 
 async fn run_request(
     shared: Arc<Shared>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Result<Response<AnswerBody>, Refused> {
     let current = shared.config.get().ok_or_else(|| {
         Box::new(unavailable("no-configuration", "no configuration has reached this instance yet"))
@@ -124,13 +123,9 @@
     let ticket = read_ticket(&request)?;
     let caller = header(&request, CALLER_HEADER).unwrap_or("anonymous").to_owned();
     let headers = passed_headers(&request);
-    let limit = usize::try_from(service.max_request_bytes.0).unwrap_or(usize::MAX);
+    let limit = service.max_request_bytes.0;
     let service_name = service.name.to_string();
-    let body = Limited::new(request.into_body(), limit)
-        .collect()
-        .await
-        .map_err(|e| body_error(&*e, limit))?
-        .to_bytes();
+    let body = request.into_body().read_whole(limit).await.map_err(|e| body_error(&e))?;
     let request = HttpRequest { service: service_name, method, path, headers, body, caller };
     let work = Classified { request, operation, deadline, current };
     let reply = match (work.operation.idempotent, ticket) {
@@ -148,7 +143,7 @@
 
 fn read_deadline(
     shared: &Shared,
-    request: &Request<Incoming>,
+    request: &Request<RequestBody>,
     current: &InForce,
     operation: &Operation,
 ) -> Result<Instant, Refused> {
@@ -163,7 +158,7 @@
     Ok(shared.clock.now().plus_ms(wanted_ms.min(longest_ms)))
 }
 
-fn read_ticket(request: &Request<Incoming>) -> Result<Option<Ticket>, Refused> {
+fn read_ticket(request: &Request<RequestBody>) -> Result<Option<Ticket>, Refused> {
     match header(request, TICKET_HEADER).map(str::parse::<Ticket>) {
         None => Ok(None),
         Some(Ok(ticket)) => Ok(Some(ticket)),
@@ -171,11 +166,11 @@
     }
 }
 
-fn header<'a>(request: &'a Request<Incoming>, name: &str) -> Option<&'a str> {
+fn header<'a>(request: &'a Request<RequestBody>, name: &str) -> Option<&'a str> {
     request.headers().get(name)?.to_str().ok()
 }
 
-fn passed_headers(request: &Request<Incoming>) -> Vec<Header> {
+fn passed_headers(request: &Request<RequestBody>) -> Vec<Header> {
     request
         .headers()
         .iter()
@@ -187,12 +182,10 @@
         .collect()
 }
 
-fn body_error(error: &(dyn std::error::Error + 'static), limit: usize) -> Refused {
-    if error.is::<http_body_util::LengthLimitError>() {
-        let detail = format!("the body is larger than {limit} bytes; use an upload in parts");
-        return refuse(StatusCode::PAYLOAD_TOO_LARGE, &detail);
-    }
-    refuse(StatusCode::BAD_REQUEST, "the body ended before its announced length")
+/// Builds the answer for a body that could not be read; the request did not run.
+fn body_error(error: &BodyError) -> Refused {
+    let (status, reason) = (error.status(), error.reason());
+    Box::new(refusal(status, Outcome::NotRun, reason, &error.to_string()))
 }
 
 fn refuse(status: StatusCode, detail: &str) -> Refused {
--- a/crates/transport/src/edge/mod.rs
+++ b/crates/transport/src/edge/mod.rs
@@ -2,35 +2,80 @@
 //!
 //! It is built on `hyper`, on which `tonic` stands too, and not on `rouille`: `rouille` starts a
 //! thread for each open connection and limits neither connections, heads nor slow senders.
+//!
+//! `hyper` answers malformed requests with 400 and too large heads with 431. This module adds the
+//! limits on connections, time and memory, so that one caller can't disturb another.
+
+mod body;
+mod connection;
+mod head;
+mod limits;
+mod progress;
+mod refuse;
+mod stream;
 
-use std::{convert::Infallible, future::Future, io, net::SocketAddr, time::Duration};
+use std::{future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use http_body_util::Full;
-use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use pollenshed_state::settings::CallerLimits;
-use tokio::{net::TcpListener, task::JoinHandle};
+use hyper::{Request, Response};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    task::JoinHandle,
+};
+
+pub use body::{BodyError, RequestBody};
+pub use limits::Limits;
+
+use connection::Context;
+use limits::Budget;
+use refuse::Refuser;
 
 /// Body of an answer to a caller.
 pub type AnswerBody = Full<bytes::Bytes>;
 
+/// Pause after a failed accept, which mostly means that file descriptors are short.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// How far the interface has gone towards its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Stage {
+    /// Connections are accepted and kept.
+    Open,
+    /// Connections are accepted; each answer asks the caller to close its connection.
+    Closing,
+    /// No connection is accepted; open ones end after their current request.
+    Draining,
+}
+
 /// A running callers' interface.
 pub struct Edge {
     address: SocketAddr,
     accept: JoinHandle<()>,
+    stage: Arc<watch::Sender<Stage>>,
+    open: watch::Receiver<u64>,
 }
 
 impl Edge {
     /// Answers each request that arrives on `listener` with `handler`, which gets the request and
     /// the caller's address. Must be called inside a runtime.
-    pub fn spawn<H, F>(listener: TcpListener, limits: CallerLimits, handler: H) -> io::Result<Edge>
+    pub fn spawn<H, F>(
+        listener: TcpListener,
+        limits: impl Into<Limits>,
+        handler: H,
+    ) -> io::Result<Edge>
     where
-        H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
+        H: Fn(Request<RequestBody>, SocketAddr) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response<AnswerBody>> + Send + 'static,
     {
+        let limits = limits.into();
         let address = listener.local_addr()?;
-        let accept = tokio::spawn(accept_loop(listener, limits, handler));
-        Ok(Edge { address, accept })
+        let (stage, stages) = watch::channel(Stage::Open);
+        let (count, open) = watch::channel(0);
+        let context =
+            Context { limits, budget: Budget::new(limits.max_buffered_bytes), stage: stages };
+        let accept = tokio::spawn(accept_loop(listener, context, Arc::new(count), handler));
+        Ok(Edge { address, accept, stage: Arc::new(stage), open })
     }
 
     /// Returns the address that callers connect to.
@@ -38,34 +83,109 @@
         self.address
     }
 
+    /// Returns the number of open connections.
+    pub fn open_connections(&self) -> u64 {
+        // The accepting task counts as one while it runs.
+        let accepting = u64::from(!self.accept.is_finished());
+        self.open.borrow().saturating_sub(accepting)
+    }
+
+    /// Asks callers with each answer to close their connection, so that few are left when
+    /// [`Edge::drain`] follows. New connections are still accepted.
+    pub fn discourage(&self) {
+        self.advance(Stage::Closing);
+    }
+
+    /// Stops accepting connections, lets each open one finish its current request, and returns when
+    /// none is left. Connections between two requests are closed.
+    pub async fn drain(&self) {
+        self.advance(Stage::Draining);
+        let mut open = self.open.clone();
+        // The channel also ends when the accepting task and all connections have ended.
+        let _ = open.wait_for(|count| *count == 0).await;
+    }
+
     /// Stops accepting connections; open ones go on.
     pub fn close(&self) {
         self.accept.abort();
     }
+
+    fn advance(&self, to: Stage) {
+        self.stage.send_if_modified(|stage| {
+            let advances = to > *stage;
+            *stage = to.max(*stage);
+            advances
+        });
+    }
 }
 
-async fn accept_loop<H, F>(listener: TcpListener, limits: CallerLimits, handler: H)
-where
-    H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
+async fn accept_loop<H, F>(
+    listener: TcpListener,
+    context: Context,
+    count: Arc<watch::Sender<u64>>,
+    handler: H,
+) where
+    H: Fn(Request<RequestBody>, SocketAddr) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<AnswerBody>> + Send + 'static,
 {
+    let refuser = Refuser::default();
+    // The accepting task counts as one, so that a drain waits until the backlog is empty.
+    let _own = Counted::new(&count);
+    let mut stage = context.stage.clone();
+    let mut stopping = false;
     loop {
-        let Ok((stream, peer)) = listener.accept().await else {
-            tokio::time::sleep(Duration::from_millis(10)).await;
+        let accepted = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            () = std::future::ready(()), if stopping => return,
+            _ = stage.wait_for(|s| *s >= Stage::Draining), if !stopping => {
+                // Connections that the system accepted before are still served.
+                stopping = true;
+                continue;
+            }
+        };
+        let Ok((stream, peer)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
         let _ = stream.set_nodelay(true);
-        let handler = handler.clone();
-        tokio::spawn(async move {
-            let service = service_fn(move |request| {
-                let answer = handler(request, peer);
-                async move { Ok::<_, Infallible>(answer.await) }
-            });
-            let _ = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(Duration::from_millis(limits.head_timeout_ms))
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-        });
+        if *count.borrow() > context.limits.max_connections {
+            refuser.refuse(stream);
+            continue;
+        }
+        spawn_connection(stream, peer, &context, Counted::new(&count), handler.clone());
+    }
+}
+
+fn spawn_connection<H, F>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    context: &Context,
+    counted: Counted,
+    handler: H,
+) where
+    H: Fn(Request<RequestBody>, SocketAddr) -> F + Send + Sync + 'static,
+    F: Future<Output = Response<AnswerBody>> + Send + 'static,
+{
+    let context = context.clone();
+    tokio::spawn(async move {
+        connection::serve(stream, peer, context, handler).await;
+        drop(counted);
+    });
+}
+
+/// Counts one open connection while it lives.
+struct Counted(Arc<watch::Sender<u64>>);
+
+impl Counted {
+    fn new(count: &Arc<watch::Sender<u64>>) -> Counted {
+        count.send_modify(|n| *n += 1);
+        Counted(count.clone())
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.send_modify(|n| *n -= 1);
     }
 }
