Stop an instance as planned and answer for tickets of entries that left

Cause: SIGTERM ended an instance at once, which cut off requests in flight, left its backend servers without an owner for 4 s and lost its outcomes. Ruled out: two owners during the change (slots could be exceeded), telling peers with the next gossip period (a gap of up to 250 ms). Change: the owner stops, tells all members at once, serves cached callers for a lookup TTL, drains connections, waits for backend servers and hands ticket outcomes to two heirs, which all members find by rendezvous hash. A change of members updates ownership at once and probes gained servers. Lookups follow the ramp and count as moved traffic. Settings are read by the position-keeping loader.

--- /dev/null
+++ b/crates/coordination/src/ledger/inherited.rs
@@ -0,0 +1,75 @@
+use std::collections::{BTreeMap, HashMap};
+
+use pollenshed_state::{
+    ids::{Digest, Ticket},
+    time::Instant,
+};
+
+use super::{Admission, RecordedTicket};
+
+/// Outcomes that entries handed over at their planned stop.
+///
+/// Requests of these tickets are answered and never run: the incarnation that they name is gone.
+pub struct Inherited<O> {
+    max_tickets: usize,
+    records: HashMap<Ticket, (Digest, Option<O>)>,
+    by_expiry: BTreeMap<(Instant, u64), Ticket>,
+    next_sequence: u64,
+}
+
+impl<O: Clone> Inherited<O> {
+    /// Starts empty and keeps at most `max_tickets`.
+    pub fn new(max_tickets: usize) -> Inherited<O> {
+        Inherited {
+            max_tickets,
+            records: HashMap::new(),
+            by_expiry: BTreeMap::new(),
+            next_sequence: 0,
+        }
+    }
+
+    /// Takes a ticket over. Returns whether there was room.
+    pub fn take_over(&mut self, recorded: RecordedTicket<O>, now: Instant) -> bool {
+        self.expire(now);
+        if self.records.contains_key(&recorded.ticket) {
+            return true;
+        }
+        if self.records.len() >= self.max_tickets {
+            return false;
+        }
+        let expiry = now.plus_ms(recorded.ttl_left_ms);
+        self.by_expiry.insert((expiry, self.next_sequence), recorded.ticket.clone());
+        self.next_sequence += 1;
+        self.records.insert(recorded.ticket, (recorded.content, recorded.outcome));
+        true
+    }
+
+    /// Answers for a ticket of an entry that is gone: recorded, dropped, in conflict or not named.
+    pub fn admit(&mut self, ticket: &Ticket, content: Digest, now: Instant) -> Admission<O> {
+        self.expire(now);
+        match self.records.get(ticket) {
+            None => Admission::NotNamed,
+            Some((known, _)) if *known != content => Admission::Conflict,
+            Some((_, Some(outcome))) => Admission::Recorded(outcome.clone()),
+            Some((_, None)) => Admission::OutcomeDropped,
+        }
+    }
+
+    /// Returns the number of tickets kept.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Tells whether no ticket is kept.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    fn expire(&mut self, now: Instant) {
+        while let Some(first) = self.by_expiry.first_entry()
+            && first.key().0 <= now
+        {
+            self.records.remove(&first.remove());
+        }
+    }
+}
--- a/crates/coordination/src/ownership/mod.rs
+++ b/crates/coordination/src/ownership/mod.rs
@@ -24,10 +24,12 @@
 
 mod assignment;
 mod fence;
+mod heirs;
 mod map;
 mod rendezvous;
 
 pub use assignment::{Assignment, LiveEntry, domain_order, live_entries};
 pub use fence::Fence;
+pub use heirs::rank_heirs;
 pub use map::{OwnershipChange, OwnershipMap, Takeover};
 pub use rendezvous::owner_of;
--- a/crates/pollenshed/src/cmd/serve.rs
+++ b/crates/pollenshed/src/cmd/serve.rs
@@ -3,7 +3,7 @@
 use clap::{Arg, ArgMatches, Command};
 use eyre::{Result, WrapErr, eyre};
 use pollenshed::instance::Instance;
-use pollenshed_state::settings::Settings;
+use pollenshed_state::settings::{self, Settings};
 
 use super::{EXIT_FAILED, EXIT_REFUSED, fail};
 
@@ -32,7 +32,7 @@
 
 fn read(file: &str) -> Result<Settings> {
     let text = fs::read_to_string(file).wrap_err_with(|| format!("cannot read {file}"))?;
-    serde_json::from_str(&text).map_err(|e| eyre!("{file}: {e}"))
+    settings::parse(file, &text).map_err(|findings| eyre!("{file} is not accepted\n{findings}"))
 }
 
 fn serve(settings: Settings) -> Result<()> {
@@ -42,6 +42,6 @@
     println!("ready: operators http://{}", instance.operator_address());
     println!("ready: peers http://{}", instance.shared().settings.peer_address);
     instance.wait_for_signal()?;
-    instance.kill();
+    instance.stop();
     Ok(())
 }
--- a/crates/pollenshed/src/entry/mod.rs
+++ b/crates/pollenshed/src/entry/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod attempts;
 mod dispatch;
+mod heirs;
 mod http;
 mod routing;
 mod settle;
@@ -10,11 +11,12 @@
 
 use std::{io, sync::Arc};
 
-use pollenshed_protocol::peer::{AnswerReply, NotRunReason, RelayRequest};
+use pollenshed_protocol::peer::{AnswerReply, NotRunReason, RelayRequest, UnknownReason};
 use pollenshed_state::ids::Ticket;
 use pollenshed_transport::edge::Edge;
 use tokio::net::TcpListener;
 
+pub use heirs::{hand_over, take_over};
 pub use routing::Routing;
 use ticketed::run_named;
 
@@ -46,5 +48,10 @@
     };
     let deadline = shared.clock.now().plus_us(relayed.deadline_left_us);
     let work = http::Classified { request, operation, deadline, current };
+    if relayed.only_inherited {
+        return heirs::answer(shared, &ticket, &work).unwrap_or_else(|| {
+            wire::unknown(UnknownReason::EntryGone, "the entry handed nothing over for the ticket")
+        });
+    }
     run_named(shared, ticket, work).await
 }
--- a/crates/pollenshed/src/entry/ticketed.rs
+++ b/crates/pollenshed/src/entry/ticketed.rs
@@ -7,7 +7,7 @@
 use pollenshed_state::{ids::Ticket, time::Instant};
 use tokio::sync::watch;
 
-use super::{dispatch, http::Classified};
+use super::{dispatch, heirs, http::Classified};
 use crate::{instance::Shared, util::lock, wire};
 
 /// Time beyond the deadline in which a waiting copy still learns the outcome.
@@ -44,7 +44,7 @@
             return wire::unknown(UnknownReason::TicketExpired, "the ticket has expired");
         }
         Admission::NotNamed => {
-            return wire::unknown(UnknownReason::EntryGone, "the named entry has restarted");
+            return ask_heirs(shared, &ticket, &work, "the named entry has restarted").await;
         }
         Admission::Full => {
             return wire::not_run_retry(
@@ -102,7 +102,6 @@
 
 /// Hands a request to the entry that its ticket names; nobody else may run it.
 async fn relay(shared: &Arc<Shared>, ticket: &Ticket, work: &Classified) -> AnswerReply {
-    let gone = |detail: &str| wire::unknown(UnknownReason::EntryGone, detail);
     let address = {
         let membership = lock(&shared.membership);
         membership
@@ -111,13 +110,15 @@
             .map(|r| r.relay_address)
     };
     let Some(address) = address else {
-        return gone("the entry that the ticket names is not known or has restarted");
+        return ask_heirs(shared, ticket, work, "the named entry is not known or has restarted")
+            .await;
     };
     let left_us = work.deadline.since_us(shared.clock.now());
     let request = RelayRequest {
         ticket: ticket.to_string(),
         request: Some(work.request.clone()),
         deadline_left_us: left_us,
+        only_inherited: false,
     };
     log::info!(
         "route: {} {} relayed to {}, which its ticket names",
@@ -129,7 +130,19 @@
     let mut client = shared.work_peers.work(address);
     match tokio::time::timeout(timeout, client.relay(request)).await {
         Ok(Ok(reply)) => reply.into_inner(),
-        Ok(Err(status)) => gone(status.message()),
-        Err(_) => gone("the entry that the ticket names did not answer in time"),
+        Ok(Err(status)) => ask_heirs(shared, ticket, work, status.message()).await,
+        Err(_) => wire::unknown(UnknownReason::Timeout, "the named entry did not answer in time"),
     }
 }
+
+/// Looks for an outcome that the named entry handed over at its planned stop.
+async fn ask_heirs(
+    shared: &Arc<Shared>,
+    ticket: &Ticket,
+    work: &Classified,
+    detail: &str,
+) -> AnswerReply {
+    heirs::ask(shared, ticket, work)
+        .await
+        .unwrap_or_else(|| wire::unknown(UnknownReason::EntryGone, detail))
+}
--- a/crates/pollenshed/src/gossip/message.rs
+++ b/crates/pollenshed/src/gossip/message.rs
@@ -64,9 +64,17 @@
         return;
     };
     let now = shared.clock.now();
-    for change in lock(&shared.membership).merge(&exchange, now) {
+    let changes = lock(&shared.membership).merge(&exchange, now);
+    for change in &changes {
         log::info!("membership: {change:?}");
     }
+    if !changes.is_empty()
+        && let Some(current) = shared.config.get()
+    {
+        // Ownership follows at once, so that a planned stop leaves no gap.
+        super::update(shared, &current, now);
+        shared.owner.probe_now();
+    }
     merge_headroom(shared, message, now);
     for server in &message.leaving_backend_servers {
         if let Ok(name) = server.name.parse() {
--- a/crates/pollenshed/src/gossip/mod.rs
+++ b/crates/pollenshed/src/gossip/mod.rs
@@ -35,6 +35,27 @@
     }
 }
 
+/// Tells all running members at once, as at a planned stop.
+pub async fn tell_all(shared: &Arc<Shared>) {
+    let period = Duration::from_millis(shared.settings.timing.gossip_period_ms);
+    let now = shared.clock.now();
+    let targets: Vec<_> = {
+        let membership = lock(&shared.membership);
+        let running = membership.members(now).filter(|(_, state)| state.is_running());
+        let others = running.filter(|(record, _)| record.instance != shared.settings.instance);
+        others
+            .map(|(r, _)| PeerTarget { instance: r.instance.clone(), address: r.peer_address })
+            .collect()
+    };
+    let calls = targets.into_iter().map(|target| {
+        let shared = shared.clone();
+        tokio::spawn(async move { exchange(&shared, target, period).await })
+    });
+    for call in calls.collect::<Vec<_>>() {
+        let _ = call.await;
+    }
+}
+
 /// Counts one period and returns the peers to contact.
 fn tick(shared: &Shared) -> Vec<PeerTarget> {
     let now = shared.clock.now();
--- a/crates/pollenshed/src/instance/mod.rs
+++ b/crates/pollenshed/src/instance/mod.rs
@@ -2,6 +2,7 @@
 
 mod servers;
 mod shared;
+mod stop;
 
 use std::{net::SocketAddr, sync::Arc};
 
@@ -106,6 +107,16 @@
         })
     }
 
+    /// Stops the instance as planned: nobody is cut off.
+    pub fn stop(self) {
+        let began = self.shared.clock.now();
+        self.control.block_on(stop::leave(&self.shared));
+        self.edge.discourage();
+        self.callers.block_on(self.edge.drain());
+        self.control.block_on(stop::finish(&self.shared, began));
+        self.kill();
+    }
+
     /// Ends the instance at once; requests in flight are cut off.
     pub fn kill(self) {
         self.callers.shutdown_background();
--- a/crates/pollenshed/src/instance/servers.rs
+++ b/crates/pollenshed/src/instance/servers.rs
@@ -125,9 +125,10 @@
 
     async fn hand_over(
         &self,
-        _request: Request<HandOverRequest>,
+        request: Request<HandOverRequest>,
     ) -> Result<Response<HandOverReply>, Status> {
-        Ok(Response::new(HandOverReply { accepted: false }))
+        let accepted = entry::take_over(&self.shared, request.get_ref());
+        Ok(Response::new(HandOverReply { accepted }))
     }
 }
 
--- a/crates/pollenshed/src/instance/shared.rs
+++ b/crates/pollenshed/src/instance/shared.rs
@@ -8,7 +8,7 @@
 };
 
 use pollenshed_coordination::{
-    ledger::{Attempts, Ledger, LedgerLimits},
+    ledger::{Attempts, Inherited, Ledger, LedgerLimits},
     membership::{MemberRecord, Membership, Params},
     ownership::{Fence, OwnershipMap},
 };
@@ -54,6 +54,8 @@
     pub routing: Mutex<Routing>,
     /// Tickets that name this incarnation.
     pub ledger: Mutex<Ledger<AnswerReply>>,
+    /// Outcomes that other entries handed over at their planned stop.
+    pub inherited: Mutex<Inherited<AnswerReply>>,
     /// Wakes copies of a request that wait for its outcome.
     pub waiting: Mutex<HashMap<Ticket, watch::Sender<Option<AnswerReply>>>>,
     /// Attempts of non-idempotent requests that reached this owner.
@@ -110,6 +112,7 @@
             fence: Mutex::new(Fence::new(&timing, now)),
             routing: Mutex::new(Routing::new(&settings, now)),
             ledger: Mutex::new(Ledger::new(settings.instance.clone(), incarnation, limits)),
+            inherited: Mutex::new(Inherited::new(MAX_TICKETS)),
             waiting: Mutex::new(HashMap::new()),
             attempts: Mutex::new(Attempts::new(timing.binding_lifetime_ms, MAX_ATTEMPTS)),
             owner: Owner::default(),
--- /dev/null
+++ b/crates/pollenshed/src/instance/stop.rs
@@ -0,0 +1,44 @@
+//! The planned stop of an instance, which cuts nobody off. See `docs/operators.md`.
+
+use std::{sync::Arc, time::Duration};
+
+use pollenshed_state::time::Instant;
+
+use super::Shared;
+use crate::{entry, gossip, util::lock};
+
+/// Period in which the end of requests in flight is awaited.
+const LOOK_PERIOD: Duration = Duration::from_millis(20);
+
+/// Gives up ownership and serves callers that cached this entry's address for one lookup TTL.
+///
+/// The owner stops before peers hear of it, so that no backend server has two owners.
+pub async fn leave(shared: &Arc<Shared>) {
+    let began = shared.clock.now();
+    log::info!("stop: begins with {} requests at backend servers", shared.owner.running(began));
+    shared.owner.stop(began);
+    shared.set_leaving();
+    gossip::tell_all(shared).await;
+    let ttl = Duration::from_millis(shared.settings.timing.lookup_ttl_ms);
+    tokio::time::sleep(ttl).await;
+}
+
+/// Waits for requests in flight and hands outcomes over. The callers' interface is closed by now.
+pub async fn finish(shared: &Arc<Shared>, began: Instant) {
+    let until = began.plus_ms(shared.settings.timing.stop_timeout_ms);
+    loop {
+        let now = shared.clock.now();
+        let running = shared.owner.running(now);
+        let in_flight = lock(&shared.ledger).has_in_flight();
+        if running == 0 && !in_flight {
+            break;
+        }
+        if now >= until {
+            log::warn!("stop: gives up on {running} requests at backend servers");
+            break;
+        }
+        tokio::time::sleep(LOOK_PERIOD).await;
+    }
+    entry::hand_over(shared).await;
+    log::info!("stop: ends after {} ms", shared.clock.now().since_ms(began));
+}
--- a/crates/pollenshed/src/lookup/mod.rs
+++ b/crates/pollenshed/src/lookup/mod.rs
@@ -5,7 +5,8 @@
 use pollenshed_coordination::routing::rank_entries;
 use pollenshed_protocol::caller::{LookupAnswer, LookupEntry};
 use pollenshed_state::{
-    ids::{Binding, ServiceName},
+    config::Config,
+    ids::{Binding, FailureDomainName, ServiceName},
     time::Instant,
 };
 
@@ -36,12 +37,12 @@
         return Err(NoAnswer::UnknownService);
     }
     let now = shared.clock.now();
-    let home = &shared.settings.failure_domain;
+    let first_domain = first_domain(shared, &current.config, service, now);
     let client_key = client.to_string();
     let ranked = {
         let membership = lock(&shared.membership);
         let key = client_key.as_bytes();
-        rank_entries(&current.config, &membership, service, home, key, MAX_ENTRIES, now)
+        rank_entries(&current.config, &membership, service, &first_domain, key, MAX_ENTRIES, now)
     };
     let first = ranked.first().ok_or(NoAnswer::NoEntry)?;
     let binding = Binding {
@@ -70,3 +71,22 @@
         entries,
     })
 }
+
+/// Returns the failure domain whose entries come first, as the ramp of the service allows.
+///
+/// Callers cache the answer, so it moves traffic and counts against the cap of a shift.
+fn first_domain(
+    shared: &Shared,
+    config: &Config,
+    service: &ServiceName,
+    now: Instant,
+) -> FailureDomainName {
+    let home = shared.settings.failure_domain.clone();
+    let mut routing = lock(&shared.routing);
+    let Some(ramp) = routing.ramps.get_mut(service) else { return home };
+    ramp.lookup_arrived(now);
+    let domains = config.regions.iter().flat_map(|r| &r.failure_domains);
+    let away: Vec<_> = domains.filter(|d| **d != home && ramp.share_ppm(d) > 0).collect();
+    let moved = away.into_iter().find(|domain| ramp.admit_lookup(domain, now).is_ok());
+    moved.cloned().unwrap_or(home)
+}
--- a/crates/pollenshed/src/owner/dispatch.rs
+++ b/crates/pollenshed/src/owner/dispatch.rs
@@ -159,6 +159,9 @@
     let now = shared.clock.now();
     {
         let mut state = lock(&shared.owner.state);
+        if state.is_stopped {
+            return wire::not_run(NotRunReason::Stopping, "the owner is stopping");
+        }
         if let Submitted::Refused(refusal) = state.scheduler.submit(work, now, fastrand::u64(..)) {
             log::info!("dispatch: {id} refused at once ({})", refusal.reason);
             return refused(&refusal);
--- a/crates/pollenshed/src/owner/mod.rs
+++ b/crates/pollenshed/src/owner/mod.rs
@@ -19,7 +19,7 @@
 };
 
 use pollenshed_coordination::{
-    limits::{Assignment, Finished, Refusal, Scheduler, SchedulerPolicy, WorkId},
+    limits::{Assignment, Cancelled, Finished, Refusal, Scheduler, SchedulerPolicy, WorkId},
     routing::Intake,
 };
 use pollenshed_state::{
@@ -49,10 +49,12 @@
 pub struct Owner {
     state: Mutex<State>,
     turn: Notify,
+    probe: Notify,
     next_id: AtomicU64,
 }
 
 struct State {
+    is_stopped: bool,
     scheduler: Scheduler,
     waiting: HashMap<WorkId, oneshot::Sender<Grant>>,
     intakes: HashMap<(ServiceName, FailureDomainName), Intake>,
@@ -64,12 +66,14 @@
     pub fn new() -> Owner {
         Owner {
             state: Mutex::new(State {
+                is_stopped: false,
                 scheduler: Scheduler::new(SchedulerPolicy::default()),
                 waiting: HashMap::new(),
                 intakes: HashMap::new(),
                 advertised: 0,
             }),
             turn: Notify::new(),
+            probe: Notify::new(),
             next_id: AtomicU64::new(1),
         }
     }
@@ -84,6 +88,30 @@
         self.turn.notify_one();
     }
 
+    /// Stops dispatching for good. Requests in the queue are refused as not run, so that their
+    /// entries ask the next owner; dispatched ones go on.
+    pub fn stop(&self, now: Instant) {
+        let mut state = lock(&self.state);
+        state.is_stopped = true;
+        let waiting: Vec<WorkId> = state.waiting.keys().copied().collect();
+        for id in waiting {
+            if state.scheduler.cancel(id, now) == Cancelled::Removed {
+                // Dropping the sender tells the waiting request.
+                state.waiting.remove(&id);
+            }
+        }
+    }
+
+    /// Returns the number of requests at backend servers.
+    pub fn running(&self, now: Instant) -> u64 {
+        self.with_scheduler(|scheduler| scheduler.snapshot(now).iter().map(|s| s.in_use).sum())
+    }
+
+    /// Probes the owned backend servers soon, because a gained server is used only after a report.
+    pub fn probe_now(&self) {
+        self.probe.notify_one();
+    }
+
     fn new_id(&self) -> WorkId {
         WorkId(self.next_id.fetch_add(1, Ordering::Relaxed))
     }
@@ -111,7 +139,10 @@
 fn take_turn(shared: &Shared, now: Instant) {
     let may_dispatch = lock(&shared.fence).may_dispatch(now);
     let mut state = lock(&shared.owner.state);
-    while may_dispatch && let Some(assignment) = state.scheduler.next(now) {
+    while may_dispatch
+        && !state.is_stopped
+        && let Some(assignment) = state.scheduler.next(now)
+    {
         grant(&mut state, assignment, now);
     }
     for (id, refusal) in state.scheduler.expire(now) {
--- a/crates/pollenshed/src/owner/probe.rs
+++ b/crates/pollenshed/src/owner/probe.rs
@@ -18,7 +18,7 @@
     let period = Duration::from_millis(shared.settings.timing.probe_period_ms);
     let failed: Arc<std::sync::Mutex<HashMap<BackendServerName, u32>>> = Arc::default();
     loop {
-        tokio::time::sleep(period).await;
+        let _ = tokio::time::timeout(period, shared.owner.probe.notified()).await;
         let servers = owned_servers(&shared);
         lock(&failed).retain(|name, _| servers.iter().any(|s| s.name == *name));
         let probes = servers.into_iter().map(|server| {
--- a/crates/pollenshed/src/wire.rs
+++ b/crates/pollenshed/src/wire.rs
@@ -6,12 +6,13 @@
 
 use bytes::Bytes;
 use pollenshed_coordination::{
+    ledger::RecordedTicket,
     membership::{Exchange, Heartbeat, MemberRecord},
     routing::Advertisement,
 };
 use pollenshed_protocol::peer::{
     self, AnswerReply, Conflict, ExchangeMessage, HttpAnswer, Member, NotRun, NotRunReason,
-    Unknown, UnknownReason, answer_reply,
+    TicketOutcome, Unknown, UnknownReason, answer_reply,
 };
 use pollenshed_state::ids::{ConfigVersion, Incarnation};
 
@@ -180,3 +181,31 @@
     let bytes: [u8; 32] = bytes.as_ref().try_into().ok()?;
     Some(pollenshed_state::ids::Digest::from_bytes(bytes))
 }
+
+/// Builds a message from a ledger's record.
+pub fn ticket_to_wire(record: &RecordedTicket<AnswerReply>) -> TicketOutcome {
+    TicketOutcome {
+        ticket: record.ticket.to_string(),
+        content_digest: Bytes::copy_from_slice(record.content.as_bytes()),
+        outcome: record.outcome.clone(),
+        ttl_left_ms: record.ttl_left_ms,
+    }
+}
+
+/// Reads a ledger's record; nothing if a field can't be read.
+pub fn ticket_from_wire(outcome: &TicketOutcome) -> Option<RecordedTicket<AnswerReply>> {
+    Some(RecordedTicket {
+        ticket: outcome.ticket.parse().ok()?,
+        content: digest_from_wire(&outcome.content_digest)?,
+        outcome: outcome.outcome.clone(),
+        ttl_left_ms: outcome.ttl_left_ms,
+    })
+}
+
+/// Tells whether a reply says that the entry which a ticket names is gone.
+pub fn is_entry_gone(reply: &AnswerReply) -> bool {
+    match &reply.outcome {
+        Some(answer_reply::Outcome::Unknown(u)) => u.reason() == UnknownReason::EntryGone,
+        _ => false,
+    }
+}
