Let the policy keep slots of a service unlent for more urgent ranks

Cause: in a flood of less urgent work with long requests on the same servers, urgent work waited until a borrower ended. Ruled out: interrupting running work (it may not be idempotent), and keeping a slot always (it costs capacity, so it is a choice of the operators). Change: SchedulerPolicy::unlent_slots, 0 by default; a rank beyond its share leaves that many free slots while a more urgent rank started work in the last 5 s.

--- a/crates/coordination/src/limits/dispatch.rs
+++ b/crates/coordination/src/limits/dispatch.rs
@@ -73,6 +73,15 @@
         free.into_iter().map(|(_, name)| name).collect()
     }
 
+    fn free_slots(&self, service: &ServiceName, now: Instant) -> u64 {
+        let Some(state) = self.services.get(service) else { return 0 };
+        let servers = state.servers.iter().filter_map(|name| self.servers.get(name));
+        servers
+            .filter(|server| server.alone.is_none())
+            .map(|server| server.limit(now, &self.policy).saturating_sub(server.in_use))
+            .sum()
+    }
+
     /// Assigns a parked request if one can run, and keeps a server empty for the first suspect.
     fn try_parked(
         &mut self,
@@ -111,7 +120,11 @@
         now: Instant,
     ) -> Step {
         let Some(state) = self.services.get(service) else { return Step::Nothing };
+        let may_lend = self.free_slots(service, now) > self.policy.unlent_slots;
         for rank in state.shares.order() {
+            if !may_lend && self.services.get(service).is_some_and(|s| s.shares.is_borrower(rank)) {
+                continue;
+            }
             let Some(id) = self.services.get(service).and_then(|s| s.ranks[rank].head()) else {
                 continue;
             };
--- a/crates/coordination/src/limits/shares.rs
+++ b/crates/coordination/src/limits/shares.rs
@@ -6,6 +6,9 @@
 /// placed for long does not take all slots afterwards.
 const MAX_CREDIT_US: f64 = 10_000_000.0;
 
+/// Time after its last start for which a rank counts as active.
+const ACTIVE_MS: u64 = 5_000;
+
 /// Credit of each rank in slot-microseconds of one service.
 ///
 /// A server has 3 or 4 slots, so a share such as 10% cannot hold at each instant. A rank with queued
@@ -20,6 +23,7 @@
     /// Runs up to which a rank counts as inside its share: its whole slots and one more, so that
     /// fractions of a slot can be made up for.
     max_running: [u64; 3],
+    started: [Option<Instant>; 3],
     updated: Instant,
 }
 
@@ -57,6 +61,7 @@
         let charged = self.is_due(rank);
         let running = if charged { &mut self.charged } else { &mut self.lent };
         running[rank] += 1;
+        self.started[rank] = Some(self.updated);
         charged
     }
 
@@ -66,6 +71,14 @@
         running[rank] = running[rank].saturating_sub(1);
     }
 
+    /// Returns whether the rank would start on a lent slot while a more urgent rank is active.
+    pub(super) fn is_borrower(&self, rank: usize) -> bool {
+        let is_active = |started: &Option<Instant>| {
+            started.is_some_and(|at| self.updated.since_ms(at) < ACTIVE_MS)
+        };
+        !self.is_due(rank) && self.started[..rank].iter().any(is_active)
+    }
+
     fn is_due(&self, rank: usize) -> bool {
         let running = self.charged[rank] + self.lent[rank];
         self.credit_us[rank] >= 0.0 && running < self.max_running[rank]
--- a/crates/coordination/tests/limits_shares.rs
+++ b/crates/coordination/tests/limits_shares.rs
@@ -235,3 +235,33 @@
         expect_that!(overload, ge(0.9 * normal), "of {normal} with {deadline_ms} ms");
     }
 }
+
+/// Guards against urgent work that waits for borrowed slots although some are not to be lent.
+#[gtest]
+fn unlent_slot_keeps_urgent_waits_short_in_a_flood() {
+    let p99_wait_ms = |unlent_slots, flood| {
+        let mut simulation = Simulation::new(2, 3, [50, 20, 10], [20, 100, 200]);
+        let shares = [50, 20, 10].map(Percent);
+        let policy = SchedulerPolicy { min_shares: shares, ..SchedulerPolicy::default() };
+        simulation.scheduler.set_policy(SchedulerPolicy { unlent_slots, ..policy });
+        let mut arrivals = fastrand::Rng::with_seed(6);
+        let mut offered = Vec::new();
+        for _ in 0..60_000 / STEP_MS {
+            while simulation.waiting[2] < flood && simulation.offer(2, simulation.next_id % 3) {}
+            if arrivals.u64(0..1_000) < 100 {
+                offered.push((WorkId(simulation.next_id), simulation.now_ms));
+                simulation.offer(0, 7);
+            }
+            simulation.step();
+        }
+        let starts = &simulation.starts;
+        let mut waits: Vec<_> =
+            offered.iter().filter_map(|(id, ms)| Some(starts.get(id)? - ms)).collect();
+        waits.sort();
+        (waits[waits.len() * 99 / 100], simulation.slot_ms.iter().sum::<u64>() * 100 / 360_000)
+    };
+    let (quiet, lent, unlent) = (p99_wait_ms(0, 0), p99_wait_ms(0, 40), p99_wait_ms(1, 40));
+    expect_that!(quiet.0, eq(0));
+    expect_that!(unlent.0, lt(lent.0 / 4), "slots used {}% and {}%", unlent.1, lent.1);
+    expect_that!(unlent.1, ge(83), "more than the one slot of six is idle");
+}
