Spread crash news at once and let instances announce other addresses

Cause: a request that crashed a backend server reached its next server's owner before gossip did; a health probe sent before a crash could bring the server back into use; the failure tests need proxies between instances. Ruled out: a gossip message per request. Change: a repeated dispatch names the servers that crashed, a crash wakes gossip at once (32 peers at most), probes that began before a failure are ignored, settings may announce other peer and relay addresses, and connections to peers come from the instance's own address.

--- a/crates/pollenshed/src/entry/attempts.rs
+++ b/crates/pollenshed/src/entry/attempts.rs
@@ -25,6 +25,8 @@
     pub(super) counted_for: Option<FailureDomainName>,
     /// Whether the request was counted as arrived.
     pub(super) has_arrived: bool,
+    /// Backend servers whose connection broke while they ran the request.
+    pub(super) crashed: Vec<String>,
     may_have_run: bool,
 }
 
@@ -39,6 +41,11 @@
             Some(answer_reply::Outcome::NotRun(not_run)) => after_not_run(not_run.reason()),
             Some(answer_reply::Outcome::Unknown(unknown)) => {
                 self.may_have_run = true;
+                if unknown.reason() == UnknownReason::ConnectionLost
+                    && !reply.backend_server.is_empty()
+                {
+                    self.crashed.push(reply.backend_server.clone());
+                }
                 after_unknown(unknown.reason())
             }
             _ => Next::Stop,
--- a/crates/pollenshed/src/entry/dispatch.rs
+++ b/crates/pollenshed/src/entry/dispatch.rs
@@ -221,6 +221,7 @@
         failure_domain: target.failure_domain.to_string(),
         from_failure_domain: shared.settings.failure_domain.to_string(),
         upload_parts: Vec::new(),
+        crashed_backend_servers: tried.crashed.clone(),
     };
     if target.owner == shared.settings.instance {
         return Attempt::Replied(owner::dispatch(shared, request).await);
--- a/crates/pollenshed/src/gossip/mod.rs
+++ b/crates/pollenshed/src/gossip/mod.rs
@@ -21,13 +21,22 @@
 /// Gossip calls take at most this many periods, so that a silent peer delays nothing.
 const EXCHANGE_TIMEOUT_PERIODS: u32 = 2;
 
+/// Peers that are told of urgent news at once; the others hear of it by gossip.
+pub const MAX_URGENT_PEERS: usize = 32;
+
 /// Runs until the instance ends.
 pub async fn run(shared: Arc<Shared>) {
     let period = Duration::from_millis(shared.settings.timing.gossip_period_ms);
     let mut interval = tokio::time::interval(period);
     interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        interval.tick().await;
+        tokio::select! {
+            _ = interval.tick() => {}
+            () = shared.gossip_now.notified() => {
+                tell(&shared, MAX_URGENT_PEERS).await;
+                continue;
+            }
+        }
         for target in tick(&shared) {
             let shared = shared.clone();
             tokio::spawn(async move { exchange(&shared, target, period).await });
@@ -35,8 +44,8 @@
     }
 }
 
-/// Tells all running members at once, as at a planned stop.
-pub async fn tell_all(shared: &Arc<Shared>) {
+/// Tells up to `count` running members at once, as at a planned stop.
+pub async fn tell(shared: &Arc<Shared>, count: usize) {
     let period = Duration::from_millis(shared.settings.timing.gossip_period_ms);
     let now = shared.clock.now();
     let targets: Vec<_> = {
@@ -44,6 +53,7 @@
         let running = membership.members(now).filter(|(_, state)| state.is_running());
         let others = running.filter(|(record, _)| record.instance != shared.settings.instance);
         others
+            .take(count)
             .map(|(r, _)| PeerTarget { instance: r.instance.clone(), address: r.peer_address })
             .collect()
     };
--- a/crates/pollenshed/src/instance/shared.rs
+++ b/crates/pollenshed/src/instance/shared.rs
@@ -18,7 +18,10 @@
     settings::Settings,
 };
 use pollenshed_transport::{backend::BackendClient, peers::Peers, platform::Platform};
-use tokio::{runtime::Handle, sync::watch};
+use tokio::{
+    runtime::Handle,
+    sync::{Notify, watch},
+};
 
 use crate::{
     config::ConfigSlot, entry::Routing, leaving::LeavingServers, owner::Owner, util::Clock,
@@ -68,6 +71,8 @@
     pub work_peers: Peers,
     /// Backend servers that the platform is about to take away.
     pub leaving_backend_servers: Mutex<LeavingServers>,
+    /// Wakes gossip at once, as when a request has crashed a backend server.
+    pub gossip_now: Notify,
     /// Client of backend servers.
     pub backend: BackendClient,
     /// Client of the platform.
@@ -91,8 +96,8 @@
             generation: 1,
             counter: 0,
             leaving: false,
-            peer_address: settings.peer_address,
-            relay_address: settings.relay_address,
+            peer_address: settings.announced_peer_address.unwrap_or(settings.peer_address),
+            relay_address: settings.announced_relay_address.unwrap_or(settings.relay_address),
             caller_address: settings.caller_address,
             config_version: ConfigVersion(0),
             stamp_ms: now.as_ms(),
@@ -116,9 +121,10 @@
             waiting: Mutex::new(HashMap::new()),
             attempts: Mutex::new(Attempts::new(timing.binding_lifetime_ms, MAX_ATTEMPTS)),
             owner: Owner::default(),
-            control_peers: Peers::default(),
-            work_peers: Peers::default(),
+            control_peers: Peers::open(settings.peer_address.ip()),
+            work_peers: Peers::open(settings.relay_address.ip()),
             leaving_backend_servers: Mutex::default(),
+            gossip_now: Notify::new(),
             backend: BackendClient::open(),
             platform: Platform::open(settings.platform_address, timeout),
             work,
--- a/crates/pollenshed/src/instance/stop.rs
+++ b/crates/pollenshed/src/instance/stop.rs
@@ -18,7 +18,7 @@
     log::info!("stop: begins with {} requests at backend servers", shared.owner.running(began));
     shared.owner.stop(began);
     shared.set_leaving();
-    gossip::tell_all(shared).await;
+    gossip::tell(shared, gossip::MAX_URGENT_PEERS).await;
     let ttl = Duration::from_millis(shared.settings.timing.lookup_ttl_ms);
     tokio::time::sleep(ttl).await;
 }
--- a/crates/pollenshed/src/owner/dispatch.rs
+++ b/crates/pollenshed/src/owner/dispatch.rs
@@ -4,7 +4,9 @@
 
 use pollenshed_coordination::{
     ledger::Begin,
-    limits::{Finished, Refusal, RefusalReason, Submitted, Work, WorkId},
+    limits::{
+        Finished, QuarantineEntry, Refusal, RefusalReason, SchedulerPolicy, Submitted, Work, WorkId,
+    },
 };
 use pollenshed_protocol::peer::{
     AnswerReply, DispatchRequest, HttpRequest, NotRunReason, UnknownReason,
@@ -101,6 +103,7 @@
     let deadline = now.plus_us(request.deadline_left_us);
     let content = wire::digest_from_wire(&request.content_digest)
         .unwrap_or_else(|| wire::content_digest(http));
+    note_crashes(shared, content, &request, now);
     let work = Work {
         id: shared.owner.new_id(),
         service: service.name.clone(),
@@ -142,6 +145,18 @@
     intake.is_some_and(|intake| intake.admit(now))
 }
 
+/// Takes over what the entry knows about the content before gossip brings it.
+fn note_crashes(shared: &Shared, content: Digest, request: &DispatchRequest, now: Instant) {
+    let crashed: Vec<BackendServerName> =
+        request.crashed_backend_servers.iter().filter_map(|name| name.parse().ok()).collect();
+    if crashed.is_empty() {
+        return;
+    }
+    let ttl_left_ms = SchedulerPolicy::default().quarantine_ms;
+    let entry = QuarantineEntry { content, crashed, ttl_left_ms };
+    shared.owner.with_scheduler(|scheduler| scheduler.merge_quarantine(&[entry], now));
+}
+
 fn caller_name(text: &str) -> CallerName {
     text.parse()
         .or_else(|_| ANONYMOUS.parse())
--- a/crates/pollenshed/src/owner/mod.rs
+++ b/crates/pollenshed/src/owner/mod.rs
@@ -59,6 +59,8 @@
     waiting: HashMap<WorkId, oneshot::Sender<Grant>>,
     intakes: HashMap<(ServiceName, FailureDomainName), Intake>,
     advertised: u64,
+    /// When each server last failed. A probe that began earlier says nothing about it.
+    failed_at: HashMap<BackendServerName, Instant>,
 }
 
 impl Owner {
@@ -71,6 +73,7 @@
                 waiting: HashMap::new(),
                 intakes: HashMap::new(),
                 advertised: 0,
+                failed_at: HashMap::new(),
             }),
             turn: Notify::new(),
             probe: Notify::new(),
--- a/crates/pollenshed/src/owner/probe.rs
+++ b/crates/pollenshed/src/owner/probe.rs
@@ -6,7 +6,7 @@
 
 use pollenshed_coordination::limits::LoadReport;
 use pollenshed_protocol::backend::HealthStatus;
-use pollenshed_state::{config::BackendServer, ids::BackendServerName};
+use pollenshed_state::{config::BackendServer, ids::BackendServerName, time::Instant};
 
 use crate::{instance::Shared, util::lock};
 
@@ -24,8 +24,9 @@
         let probes = servers.into_iter().map(|server| {
             let (shared, failed) = (shared.clone(), failed.clone());
             tokio::task::spawn_blocking(move || {
+                let began = shared.clock.now();
                 let is_ok = probe(&shared, &server);
-                note(&shared, &server, is_ok, &mut lock(&failed));
+                note(&shared, &server, is_ok, began, &mut lock(&failed));
             })
         });
         for task in probes.collect::<Vec<_>>() {
@@ -59,6 +60,7 @@
     shared: &Shared,
     server: &BackendServer,
     is_ok: bool,
+    began: Instant,
     failed: &mut HashMap<BackendServerName, u32>,
 ) {
     let count = failed.entry(server.name.clone()).or_default();
@@ -68,7 +70,10 @@
             log::info!("health: {} answers again", server.name);
         }
         *count = 0;
-        shared.owner.with_scheduler(|scheduler| scheduler.set_up(&server.name, now));
+        let mut state = lock(&shared.owner.state);
+        if state.failed_at.get(&server.name).is_none_or(|at| began > *at) {
+            state.scheduler.set_up(&server.name, now);
+        }
         return;
     }
     *count = count.saturating_add(1);
--- a/crates/pollenshed/src/owner/send.rs
+++ b/crates/pollenshed/src/owner/send.rs
@@ -76,21 +76,29 @@
         BackendOutcome::TimedOut => Finished::Abandoned,
     };
     let now = shared.clock.now();
-    shared.owner.with_scheduler(|scheduler| {
-        if !scheduler.finish(id, finished, now) {
-            scheduler.release(id, now);
-        }
+    {
+        let mut state = lock(&shared.owner.state);
+        state.scheduler.finish(id, finished, now);
         match outcome {
-            BackendOutcome::ConnectFailed(_) => scheduler.set_down(&server.name),
+            BackendOutcome::ConnectFailed(_) => {
+                state.scheduler.set_down(&server.name);
+                state.failed_at.insert(server.name.clone(), now);
+            }
+            BackendOutcome::ConnectionLost(_) => {
+                state.failed_at.insert(server.name.clone(), now);
+            }
             BackendOutcome::Answered { draining: true, .. }
             | BackendOutcome::Shed { draining: true } => {
                 let report = LoadReport { in_use: 0, slots: server.slots.0, draining: true };
-                scheduler.report(&server.name, report, now);
+                state.scheduler.report(&server.name, report, now);
             }
             _ => {}
         }
-    });
+    }
     shared.owner.wake();
+    if let BackendOutcome::ConnectionLost(_) = outcome {
+        shared.gossip_now.notify_one();
+    }
     log_end(&attempt.content, attempt, server, outcome, latency_us);
     if let BackendOutcome::TimedOut = outcome {
         cancel(shared, server, &attempt.id);
--- a/crates/state/src/settings/mod.rs
+++ b/crates/state/src/settings/mod.rs
@@ -55,7 +55,14 @@
     relay_address,
     operator_address,
     platform_address,
-} optional { seed_peers, metrics_address, timing, caller_limits });
+} optional {
+    announced_peer_address,
+    announced_relay_address,
+    seed_peers,
+    metrics_address,
+    timing,
+    caller_limits
+});
 read_defaulted_struct!(Timing {
     lookup_ttl_ms,
     binding_lifetime_ms,
@@ -93,6 +100,12 @@
     pub relay_address: SocketAddr,
     /// Where operators connect.
     pub operator_address: SocketAddr,
+    /// Address to tell other instances in place of `peer_address`, as behind address translation.
+    #[serde(default)]
+    pub announced_peer_address: Option<SocketAddr>,
+    /// Address to tell other instances in place of `relay_address`.
+    #[serde(default)]
+    pub announced_relay_address: Option<SocketAddr>,
     /// Address of the platform's table service, object store and instance list.
     pub platform_address: SocketAddr,
     /// Peers to contact while the platform's instance list is not available.
--- a/crates/state/src/settings/rules.rs
+++ b/crates/state/src/settings/rules.rs
@@ -86,8 +86,15 @@
         }
     }
     remote("platform_address", settings.platform_address, problems);
-    if let Some(address) = settings.metrics_address {
-        remote("metrics_address", address, problems);
+    let optional = [
+        ("metrics_address", settings.metrics_address),
+        ("announced_peer_address", settings.announced_peer_address),
+        ("announced_relay_address", settings.announced_relay_address),
+    ];
+    for (field, address) in optional {
+        if let Some(address) = address {
+            remote(field, address, problems);
+        }
     }
 }
 
--- a/crates/transport/src/peers/mod.rs
+++ b/crates/transport/src/peers/mod.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::HashMap,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{Mutex, PoisonError},
     time::Duration,
 };
@@ -23,12 +23,19 @@
 const KEEPALIVE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Connections to peers, made when first used.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Peers {
+    local: Option<IpAddr>,
     channels: Mutex<HashMap<SocketAddr, Channel>>,
 }
 
 impl Peers {
+    /// Prepares connections that come from the address `local`, as long as it is a definite one.
+    pub fn open(local: IpAddr) -> Peers {
+        let local = (!local.is_unspecified()).then_some(local);
+        Peers { local, channels: Mutex::default() }
+    }
+
     /// Returns a client of the service `Work` at `address`. Must be called inside a runtime.
     pub fn work(&self, address: SocketAddr) -> WorkClient<Channel> {
         WorkClient::new(self.channel(address))
@@ -49,7 +56,7 @@
     }
 
     fn channel(&self, address: SocketAddr) -> Channel {
-        self.lock().entry(address).or_insert_with(|| connect_lazy(address)).clone()
+        self.lock().entry(address).or_insert_with(|| connect_lazy(address, self.local)).clone()
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Channel>> {
@@ -57,7 +64,7 @@
     }
 }
 
-fn connect_lazy(address: SocketAddr) -> Channel {
+fn connect_lazy(address: SocketAddr, local: Option<IpAddr>) -> Channel {
     let uri = http::Uri::builder()
         .scheme("http")
         .authority(address.to_string())
@@ -65,6 +72,7 @@
         .build()
         .expect("a socket address is a valid authority");
     Endpoint::from(uri)
+        .local_address(local)
         .connect_timeout(CONNECT_TIMEOUT)
         .http2_keep_alive_interval(KEEPALIVE_PERIOD)
         .keep_alive_timeout(KEEPALIVE_TIMEOUT)
