Drop surplus members of other failure domains in each period

Cause: a member kept while a preferred representative was unconfirmed stayed in the table, was hardly heard of and flickered between dead and alive, so that tables of 170 members with the representatives of 39 other failure domains never settled. Ruled out: larger messages (30,500 B/s was over the budget already). Change: each tick drops what comes after enough running, preferred members; an answer takes the peer's failure domain from the message that it answers.

--- a/crates/coordination/examples/membership_cost.rs
+++ b/crates/coordination/examples/membership_cost.rs
@@ -113,7 +113,7 @@
     let (from_name, to_name) = (all[from].own().instance.clone(), all[to].own().instance.clone());
     let request = all[from].records_for(&to_name, None, now);
     all[to].merge(&request, now);
-    let reply = all[to].records_for(&from_name, Some(&request.buckets), now);
+    let reply = all[to].records_for(&from_name, Some(&request), now);
     all[from].merge(&reply, now);
     size(&request) + size(&reply)
 }
--- a/crates/coordination/src/membership/exchange.rs
+++ b/crates/coordination/src/membership/exchange.rs
@@ -33,21 +33,21 @@
 
     /// Builds the message for `peer`.
     ///
-    /// `heard` are the buckets of the message that is answered; it is `None` for a request. A request
-    /// holds one record in turn, an answer also what may be missing in buckets that differ. If two
+    /// `heard` is the message that is answered; it is `None` for a request. A request holds one record in turn, an answer also what may be missing in buckets that differ. If two
     /// incarnations of `peer` are known, both are included, so that the later one can overtake.
     pub fn records_for(
         &mut self,
         peer: &InstanceName,
-        heard: Option<&[Bucket]>,
+        heard: Option<&Exchange>,
         now: Instant,
     ) -> Exchange {
         self.sends += 1;
-        let domain = self.record_of(peer).unwrap_or(self.own()).failure_domain.clone();
+        let known = || self.record_of(peer).unwrap_or(self.own());
+        let domain = heard.map_or_else(known, |h| &h.sender).failure_domain.clone();
         let buckets = self.roster(&domain, now).buckets();
         let differs = |m: &Member| {
             let hash = |of: &[Bucket]| of.iter().find(|b| b.index == m.bucket).map(|b| b.hash);
-            heard.is_some_and(|theirs| hash(theirs) != hash(&buckets))
+            heard.is_some_and(|heard| hash(&heard.buckets) != hash(&buckets))
         };
         let mut records = self.next_records(peer, 1, now, |_| true);
         records.extend(self.next_records(peer, self.params.max_records, now, differs));
--- a/crates/coordination/src/membership/scope.rs
+++ b/crates/coordination/src/membership/scope.rs
@@ -8,7 +8,7 @@
 use super::{hash::hash_of, record::MemberRecord};
 
 /// Returns the preference for an instance as representative; the highest are selected.
-fn preference(instance: &InstanceName) -> u64 {
+pub(super) fn preference(instance: &InstanceName) -> u64 {
     hash_of(&[b"representative", instance.as_str().as_bytes()])
 }
 
--- a/crates/coordination/src/membership/table.rs
+++ b/crates/coordination/src/membership/table.rs
@@ -12,7 +12,7 @@
     identity::Identity,
     record::{Candidate, Heartbeat, MemberRecord, MemberState, Params},
     roster::bucket_of,
-    scope::is_in_scope,
+    scope::{is_in_scope, preference},
 };
 
 /// What a merge changed, for log lines and for recomputing ownership.
@@ -114,6 +114,7 @@
         self.own.record.counter += 1;
         self.own.record.stamp_ms = now.as_ms();
         self.forget(now);
+        self.drop_surplus(now);
     }
 
     fn forget(&mut self, now: Instant) {
@@ -122,7 +123,7 @@
         self.members.retain(|_, member| {
             let is_kept = now.since_ms(member.heard_at) < after_ms;
             if !is_kept {
-                by_key.remove(&member.record.key());
+                by_key.remove(&member.key);
             }
             is_kept
         });
@@ -162,7 +163,7 @@
                 let is_higher = record.generation > known.record.generation;
                 let is_heard = self.judge(known, now) == MemberState::Alive;
                 if is_higher && !is_heard {
-                    self.by_key.remove(&known.record.key());
+                    self.by_key.remove(&known.key);
                     self.put(record, is_first_hand, now);
                     changes.push(Change::Restarted(record.instance.clone()));
                 } else if let Some(known) = self.members.get_mut(&record.instance) {
@@ -199,28 +200,37 @@
         let count = self.params.representatives_per_domain;
         if is_in_scope(record, own_domain, others, count) {
             self.put(record, is_first_hand, now);
-            self.drop_surplus(record, now);
             changes.push(Change::Joined(record.instance.clone()));
         }
     }
 
-    /// Drops members of another failure domain that a new, preferred one has displaced.
-    fn drop_surplus(&mut self, added: &MemberRecord, now: Instant) {
-        if added.failure_domain == self.own.record.failure_domain {
-            return;
+    /// Drops members of other failure domains that come after enough running, preferred ones.
+    ///
+    /// A member that was kept while a preferred one was not confirmed would otherwise stay, hardly be
+    /// heard of and be taken for dead.
+    fn drop_surplus(&mut self, now: Instant) {
+        let own_domain = &self.own.record.failure_domain;
+        let mut by_domain: BTreeMap<_, Vec<_>> = BTreeMap::new();
+        for member in self.members.values().filter(|m| m.record.failure_domain != *own_domain) {
+            let order = std::cmp::Reverse(preference(&member.record.instance));
+            let is_running = self.judge(member, now).is_running();
+            let domain = by_domain.entry(&member.record.failure_domain).or_default();
+            domain.push((order, &member.record.instance, is_running));
         }
-        let running: Vec<_> = self
-            .members
-            .values()
-            .filter(|m| m.record.failure_domain == added.failure_domain)
-            .filter(|m| self.judge(m, now).is_running())
-            .map(|m| m.record.instance.clone())
-            .collect();
-        let kept =
-            super::scope::representatives(running.iter(), self.params.representatives_per_domain);
-        for instance in running.iter().filter(|i| !kept.contains(i)) {
-            if let Some(member) = self.members.remove(instance) {
-                self.by_key.remove(&member.record.key());
+        let mut surplus = Vec::new();
+        for members in by_domain.values_mut() {
+            members.sort_unstable();
+            let mut running = 0;
+            for (_, instance, is_running) in members {
+                if running >= self.params.representatives_per_domain {
+                    surplus.push((*instance).clone());
+                }
+                running += usize::from(*is_running);
+            }
+        }
+        for instance in surplus {
+            if let Some(member) = self.members.remove(&instance) {
+                self.by_key.remove(&member.key);
             }
         }
     }
--- a/crates/coordination/tests/membership_gossip.rs
+++ b/crates/coordination/tests/membership_gossip.rs
@@ -176,5 +176,6 @@
         let sender = membership(n, "south-a", 0, ms(0)).records_for(&instance(200), None, ms(0));
         member.merge(&sender, ms(0));
     }
+    member.tick(ms(0));
     expect_that!(alive(&member, ms(0)), eq(5));
 }
--- a/crates/coordination/tests/routing_support/mod.rs
+++ b/crates/coordination/tests/routing_support/mod.rs
@@ -64,7 +64,7 @@
     let (to_name, from_name) = (members[to].own().instance.clone(), members[from].own().clone());
     let request = members[from].records_for(&to_name, None, now);
     members[to].merge(&request, now);
-    let reply = members[to].records_for(&from_name.instance, Some(&request.buckets), now);
+    let reply = members[to].records_for(&from_name.instance, Some(&request), now);
     members[from].merge(&reply, now);
 }
 
