Choose the failure domain of a lookup answer under the shift cap

Cause: lookup answers count as moved traffic, but choosing the failure domain to name was left to each caller, and target shares had no tests. A forged rate could overflow a bucket's arithmetic after a long time. Ruled out: a ramp of its own for lookups (the two shares could add up to twice the cap). Change: lookup_domain tries the failure domains in the order of the router; bucket arithmetic saturates; tests for target shares. Conclusion: requests and lookup answers use one ramp.

--- a/crates/coordination/src/routing/bucket.rs
+++ b/crates/coordination/src/routing/bucket.rs
@@ -33,8 +33,9 @@
     }
 
     fn fill(&mut self, now: Instant) {
-        let gained = i128::from(now.since_us(self.filled_at)) * self.units_per_us;
-        self.units = (self.units + gained).min(self.size_units);
+        // A rate comes from a peer, so it can have any value.
+        let gained = i128::from(now.since_us(self.filled_at)).saturating_mul(self.units_per_us);
+        self.units = self.units.saturating_add(gained).min(self.size_units);
         self.filled_at = self.filled_at.max(now);
     }
 
--- a/crates/coordination/src/routing/lookup.rs
+++ b/crates/coordination/src/routing/lookup.rs
@@ -8,7 +8,10 @@
     time::Instant,
 };
 
-use crate::membership::{MemberRecord, MemberState, Membership, hash::hash_of};
+use crate::{
+    membership::{MemberRecord, MemberState, Membership, hash::hash_of},
+    shift::Ramp,
+};
 
 /// An entry named in a lookup answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -70,8 +73,39 @@
     }
 }
 
+/// Counts a lookup and returns the failure domain whose entries its answer names first.
+///
+/// `ramp` is that of the service and the client's home failure domain, and `has_entries` tells
+/// whether a failure domain has live entries. `None` means that the shift cap admits no answer now.
+pub fn lookup_domain(
+    config: &Config,
+    ramp: &mut Ramp,
+    has_entries: impl Fn(&FailureDomainName) -> bool,
+    now: Instant,
+) -> Option<FailureDomainName> {
+    ramp.lookup_arrived(now);
+    let home = ramp.home().clone();
+    let order = domains_to_try(config, &home, ramp);
+    let mut serving = order.into_iter().filter(|d| has_entries(d));
+    serving.find(|d| ramp.admit_lookup(d, now).is_ok()).cloned()
+}
+
+/// Returns the failure domains with a share, the ramp's base last.
+///
+/// The shares of the others are rounded down, and the base takes the rest.
+pub(super) fn domains_to_try<'a>(
+    config: &'a Config,
+    home: &'a FailureDomainName,
+    ramp: &Ramp,
+) -> Vec<&'a FailureDomainName> {
+    let mut order = domains_by_distance(config, home);
+    order.retain(|d| ramp.share_ppm(d) > 0);
+    order.sort_by_key(|d| *d == ramp.base());
+    order
+}
+
 /// Returns all failure domains: `home`, the others of its region, then those of other regions.
-pub(super) fn domains_by_distance<'a>(
+fn domains_by_distance<'a>(
     config: &'a Config,
     home: &'a FailureDomainName,
 ) -> Vec<&'a FailureDomainName> {
--- a/crates/coordination/src/routing/mod.rs
+++ b/crates/coordination/src/routing/mod.rs
@@ -32,5 +32,5 @@
 
 pub use advert::{Advertisement, Advertisements, Ignored, Intake};
 pub use link::LinkBudget;
-pub use lookup::{RankedEntry, rank_entries};
+pub use lookup::{RankedEntry, lookup_domain, rank_entries};
 pub use router::{NoCapacity, RouteReason, RouteRequest, RouteView, Router, Target};
--- a/crates/coordination/src/routing/router.rs
+++ b/crates/coordination/src/routing/router.rs
@@ -9,7 +9,7 @@
     units::ByteSize,
 };
 
-use super::{advert::Advertisements, link::LinkBudget, lookup::domains_by_distance};
+use super::{advert::Advertisements, link::LinkBudget, lookup::domains_to_try};
 use crate::{
     ownership::{Assignment, LiveEntry},
     shift::{Ramp, StayReason},
@@ -111,8 +111,6 @@
 
     /// Chooses a target and counts the request against ramp, headroom and link.
     ///
-    /// Failure domains other than the ramp's base come first, because their shares are rounded down
-    /// and the base takes the rest.
     pub fn choose(
         &mut self,
         request: &RouteRequest<'_>,
@@ -124,9 +122,7 @@
             ramp.arrive(request.rank, now);
         }
         let home = self.home.clone();
-        let mut order = domains_by_distance(view.config, &home);
-        order.retain(|d| ramp.share_ppm(d) > 0);
-        order.sort_by_key(|d| *d == ramp.base());
+        let order = domains_to_try(view.config, &home, ramp);
         let (served, lost): (Vec<_>, Vec<_>) =
             order.into_iter().partition(|d| !self.owners(view, d, request, now).is_empty());
         let lost_ppm = lost.into_iter().map(|d| ramp.share_ppm(d)).sum();
@@ -240,7 +236,8 @@
             let drain = Drain::BackendServer(server.name.clone());
             let owner = view.assignment.owner(&server.name);
             if let Some(owner) = owner.filter(|_| !view.config.drains.contains(&drain)) {
-                *slots.entry(owner).or_default() += server.slots.0;
+                let sum = slots.entry(owner).or_default();
+                *sum = sum.saturating_add(server.slots.0);
             }
         }
         let without_server: Vec<_> = self
--- a/crates/coordination/tests/routing_headroom.rs
+++ b/crates/coordination/tests/routing_headroom.rs
@@ -7,12 +7,13 @@
 use googletest::prelude::*;
 use pollenshed_coordination::{
     membership::Membership,
-    routing::{Advertisement, Advertisements, Ignored, Intake, rank_entries},
+    routing::{Advertisement, Advertisements, Ignored, Intake, lookup_domain, rank_entries},
+    shift::{Ramp, Shares},
 };
 use pollenshed_state::ids::Incarnation;
 use proptest::{collection::vec, prelude::*};
 use routing_support::{
-    DOMAINS, config, domain, exchange, instance, membership, ms, proptest_config,
+    DOMAINS, config, domain, exchange, instance, membership, ms, proptest_config, shift_policy,
 };
 
 fn advert(requests_per_s: u64, entries: u64, sequence: u64) -> Advertisement {
@@ -189,3 +190,28 @@
     let ranked = rank_entries(&config, &members[0], &service, &home, b"", 9, ms(3_000));
     expect_that!(ranked, len(eq(1)));
 }
+
+/// Guards against lookup answers that send more clients away than the position allows.
+#[gtest]
+fn lookup_answers_follow_the_position() {
+    let config = config(1);
+    for (is_home_lost, expected) in [(false, (80, 20)), (true, (0, 20))] {
+        let mut ramp = Ramp::new(domain(DOMAINS[0]), shift_policy(10, 5, 1_000));
+        ramp.adopt(Shares::away([(domain(DOMAINS[2]), 200_000)]), ms(0));
+        let has_entries = |d: &_| !is_home_lost || *d != domain(DOMAINS[0]);
+        let named: Vec<_> = (0..100)
+            .filter_map(|n| lookup_domain(&config, &mut ramp, has_entries, ms(n)))
+            .collect();
+        let count = |name| named.iter().filter(|d| **d == domain(name)).count();
+        expect_that!((count(DOMAINS[0]), count(DOMAINS[2])), eq(expected));
+    }
+}
+
+/// Guards against a forged rate that overflows the arithmetic of a bucket.
+#[gtest]
+fn any_advertised_rate_is_handled() {
+    let mut adverts = Advertisements::new(2_000, ms(0));
+    store(&mut adverts, advert(u64::MAX, 1, 1), 0).unwrap();
+    store(&mut adverts, advert(u64::MAX, u64::MAX, 2), 1 << 50).unwrap();
+    expect_true!(try_spend(&mut adverts, (1 << 50) + 1_000));
+}
