Add the caller library with lookups, failover and tickets

Cause: callers need one safe way to resend: the same ticket until its outcome is known, never a new one after `unknown`. Ruled out: taking every `not-run` for the ticket's outcome. An entry that refuses a copy before it looks at the ticket (too many connections, no buffer, no configuration) knows nothing of an earlier copy that may be running, so the protocol crate lists these reasons and the caller resends the same ticket instead. The edge's refusal for its budget gets a word of its own, `no-buffer`, to be told apart from `overloaded` of the ledger. Also ruled out: pooled connections for submissions. Change: Caller::open, read and submit; outcomes are values. Lookups are cached by their time to live; on failures the next entry, then another seed is used.

--- /dev/null
+++ b/crates/caller/src/exchange.rs
@@ -0,0 +1,158 @@
+//! One HTTP request to one entry and what it tells.
+
+use std::{
+    io::{ErrorKind, Read},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use pollenshed_protocol::caller::{
+    BACKEND_SERVER_HEADER, OUTCOME_HEADER, Outcome as Word, REASON_HEADER, RefusalBody,
+};
+use ureq::{
+    Agent, Body,
+    http::{Request, Response, request::Builder},
+};
+
+use crate::{Answer, Refusal};
+
+/// One request to one entry.
+pub(crate) struct Exchange<'a> {
+    pub method: &'a str,
+    pub entry: SocketAddr,
+    /// Path and query.
+    pub path: &'a str,
+    pub headers: &'a [(&'a str, String)],
+    /// Nothing for a method without a body.
+    pub body: Option<&'a [u8]>,
+    pub timeout: Duration,
+}
+
+/// What one request came to.
+pub(crate) enum Reply {
+    /// The whole answer of a backend server.
+    Done(Answer),
+    /// The entry says that the request did not run.
+    NotRun(Refusal),
+    /// The entry says that the request may have run.
+    Unknown(Refusal),
+    /// No connection was made, so nothing was sent.
+    Unreachable(String),
+    /// The request may have been received, and there is no whole answer.
+    Lost(String),
+}
+
+/// A whole HTTP answer.
+pub(crate) struct Raw {
+    pub status: u16,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+/// Why there is no whole HTTP answer.
+pub(crate) enum NoAnswer {
+    Unreachable(String),
+    Lost(String),
+}
+
+impl Raw {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n == name).map(|(_, value)| value.as_str())
+    }
+
+    /// Reads the refusal in an answer that pollenshed itself gave.
+    pub fn refusal(&self) -> Refusal {
+        let body = serde_json::from_slice::<RefusalBody>(&self.body).ok();
+        let reason = self.header(REASON_HEADER).unwrap_or("invalid").to_owned();
+        let seconds = self.header("retry-after").and_then(|v| v.parse().ok());
+        Refusal {
+            reason,
+            detail: body.map_or_else(|| format!("status {}", self.status), |b| b.detail),
+            status: Some(self.status),
+            retry_after: seconds.map(Duration::from_secs),
+        }
+    }
+}
+
+impl Exchange<'_> {
+    /// Sends the request and reads the outcome.
+    pub fn run(&self, agent: &Agent) -> Reply {
+        match self.send(agent) {
+            Ok(raw) => reply_of(raw),
+            Err(NoAnswer::Unreachable(e)) => Reply::Unreachable(e),
+            Err(NoAnswer::Lost(e)) => Reply::Lost(e),
+        }
+    }
+
+    /// Sends the request and reads the whole answer.
+    pub fn send(&self, agent: &Agent) -> Result<Raw, NoAnswer> {
+        let uri = format!("http://{}{}", self.entry, self.path);
+        let mut builder = Request::builder().method(self.method).uri(uri);
+        for (name, value) in self.headers {
+            builder = builder.header(*name, value);
+        }
+        let mut answer = self.call(agent, builder).map_err(|e| classify(&e))?;
+        read_whole(&mut answer, self.method == "HEAD")
+    }
+
+    fn call(&self, agent: &Agent, builder: Builder) -> Result<Response<Body>, ureq::Error> {
+        let timeout = Some(self.timeout);
+        match self.body {
+            Some(body) => {
+                let request = builder.body(body).map_err(ureq::Error::from)?;
+                agent.run(agent.configure_request(request).timeout_global(timeout).build())
+            }
+            None => {
+                let request = builder.body(()).map_err(ureq::Error::from)?;
+                agent.run(agent.configure_request(request).timeout_global(timeout).build())
+            }
+        }
+    }
+}
+
+fn read_whole(answer: &mut Response<Body>, is_head: bool) -> Result<Raw, NoAnswer> {
+    let status = answer.status().as_u16();
+    let headers = answer
+        .headers()
+        .iter()
+        .filter_map(|(name, value)| Some((name.to_string(), value.to_str().ok()?.to_owned())))
+        .collect();
+    let announced = answer.body().content_length();
+    let mut body = Vec::new();
+    let mut reader = answer.body_mut().with_config().limit(u64::MAX).reader();
+    reader.read_to_end(&mut body).map_err(|e| NoAnswer::Lost(e.to_string()))?;
+    if !is_head && announced.is_some_and(|n| n != body.len() as u64) {
+        return Err(NoAnswer::Lost("the answer is shorter than announced".to_owned()));
+    }
+    Ok(Raw { status, headers, body })
+}
+
+fn reply_of(raw: Raw) -> Reply {
+    match raw.header(OUTCOME_HEADER).map(str::parse::<Word>) {
+        Some(Ok(Word::Done)) => {
+            let backend_server = raw.header(BACKEND_SERVER_HEADER).unwrap_or_default().to_owned();
+            let Raw { status, headers, body } = raw;
+            Reply::Done(Answer { status, headers, body, backend_server })
+        }
+        Some(Ok(Word::NotRun)) => Reply::NotRun(raw.refusal()),
+        Some(Ok(Word::Unknown)) => Reply::Unknown(raw.refusal()),
+        // The HTTP layer of an entry refuses malformed requests without an outcome.
+        _ if (400..500).contains(&raw.status) => Reply::NotRun(raw.refusal()),
+        _ => Reply::Lost(format!("an answer with status {} and no outcome", raw.status)),
+    }
+}
+
+fn classify(error: &ureq::Error) -> NoAnswer {
+    let text = error.to_string();
+    match error {
+        ureq::Error::Timeout(ureq::Timeout::Connect | ureq::Timeout::Resolve)
+        | ureq::Error::ConnectionFailed
+        | ureq::Error::HostNotFound
+        | ureq::Error::BadUri(_)
+        | ureq::Error::Http(_) => NoAnswer::Unreachable(text),
+        ureq::Error::Io(e) if e.kind() == ErrorKind::ConnectionRefused => {
+            NoAnswer::Unreachable(text)
+        }
+        _ => NoAnswer::Lost(text),
+    }
+}
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -1,1 +1,38 @@
-//! Placeholder.
+//! Caller library of pollenshed.
+//!
+//! A [`Caller`] asks the system which entries to use, caches the answer for its time to live, fails
+//! over to other entries, and resends non-idempotent requests so that they run at most once.
+//! `docs/callers.md` describes the HTTP interface below it. All calls block.
+//!
+//! ```no_run
+//! use pollenshed_caller::{Caller, Options, Outcome};
+//!
+//! # fn main() -> eyre::Result<()> {
+//! let seeds = ["10.1.0.10:8080".parse()?, "10.2.0.10:8080".parse()?];
+//! let caller = Caller::open(&seeds, Options::default())?;
+//!
+//! if let Outcome::Done(answer) = caller.read("tavole", "/palermo/2026") {
+//!     println!("{}", String::from_utf8_lossy(&answer.body));
+//! }
+//!
+//! match caller.submit("anagrafe", "/filings", b"feast moved to the 4th") {
+//!     Outcome::Done(answer) => println!("filed, status {}", answer.status),
+//!     Outcome::NotRun(refusal) => println!("not filed and may be sent again: {refusal}"),
+//!     Outcome::Unknown(refusal) => println!("ask the registry before filing again: {refusal}"),
+//! }
+//! # Ok(())
+//! # }
+//! ```
+
+mod client;
+mod exchange;
+mod lookup;
+mod options;
+mod outcome;
+mod read;
+mod submit;
+mod wait;
+
+pub use client::Caller;
+pub use options::Options;
+pub use outcome::{Answer, Outcome, Refusal};
--- /dev/null
+++ b/crates/caller/src/options.rs
@@ -0,0 +1,36 @@
+//! Options of a caller.
+
+use std::time::Duration;
+
+/// How a caller waits and retries.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Options {
+    /// Name for fair queueing; callers without a name share one.
+    pub name: Option<String>,
+    /// Time after which a call gives up.
+    pub deadline: Duration,
+    /// Longest wait for one entry, after which the request is resent to another one.
+    pub attempt_timeout: Duration,
+    /// Longest wait for a connection.
+    pub connect_timeout: Duration,
+    /// How often a request that was not run is sent again as a new request with a new ticket.
+    pub not_run_retries: u32,
+    /// Shortest pause before sending again; it doubles each time.
+    pub min_pause: Duration,
+    /// Longest pause before sending again, unless an entry asked for a longer one.
+    pub max_pause: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Options {
+        Options {
+            name: None,
+            deadline: Duration::from_secs(10),
+            attempt_timeout: Duration::from_secs(3),
+            connect_timeout: Duration::from_secs(1),
+            not_run_retries: 0,
+            min_pause: Duration::from_millis(50),
+            max_pause: Duration::from_secs(2),
+        }
+    }
+}
--- a/crates/protocol/src/caller/mod.rs
+++ b/crates/protocol/src/caller/mod.rs
@@ -1,10 +1,18 @@
 //! Names of the callers' HTTP interface, described in `docs/callers.md`.
 
+mod reason;
+mod uploads;
+
 use std::{fmt, net::SocketAddr, str::FromStr};
 
 use pollenshed_state::ids::{FailureDomainName, InstanceName, ServiceName};
 use serde::{Deserialize, Serialize};
 
+pub use reason::{is_about_copy, may_clear_up};
+pub use uploads::{
+    MAX_PART_BYTES, MAX_PARTS, UploadComplete, UploadOpened, UploadPart, UploadStatus,
+};
+
 /// Request header: ticket of a non-idempotent request.
 pub const TICKET_HEADER: &str = "pollenshed-ticket";
 /// Request header: milliseconds left until the caller gives up.
--- /dev/null
+++ b/crates/protocol/src/caller/reason.rs
@@ -0,0 +1,34 @@
+//! What the reason words of refusals tell a caller.
+
+/// Reasons of a `not-run` that were given before the ticket was looked at.
+const ABOUT_COPY: [&str; 13] = [
+    "invalid",
+    "too-many-connections",
+    "head-timeout",
+    "conflicting-lengths",
+    "body-too-large",
+    "body-timeout",
+    "body-incomplete",
+    "no-buffer",
+    "no-configuration",
+    "no-entry",
+    "digest-mismatch",
+    "part-missing",
+    "store-unavailable",
+];
+
+/// Reasons of an `unknown` that resending the same ticket can still clear up.
+const MAY_CLEAR_UP: [&str; 4] = ["entry-gone", "timeout", "no-outcome", "unspecified"];
+
+/// Tells whether a `not-run` is only about this copy of the request.
+///
+/// Such a refusal was given before the ticket was looked at. If an earlier copy under the same
+/// ticket may have arrived, its outcome is still open.
+pub fn is_about_copy(reason: &str) -> bool {
+    ABOUT_COPY.contains(&reason)
+}
+
+/// Tells whether resending the same ticket after an `unknown` can bring a better outcome.
+pub fn may_clear_up(reason: &str) -> bool {
+    MAY_CLEAR_UP.contains(&reason)
+}
--- a/crates/transport/src/edge/body.rs
+++ b/crates/transport/src/edge/body.rs
@@ -51,7 +51,7 @@
             BodyError::TooLarge { .. } => "body-too-large",
             BodyError::Paused => "body-timeout",
             BodyError::Incomplete => "body-incomplete",
-            BodyError::NoRoom => "overloaded",
+            BodyError::NoRoom => "no-buffer",
         }
     }
 }
--- /dev/null
+++ b/crates/transport/tests/backend.rs
@@ -0,0 +1,84 @@
+//! The client of backend servers against servers that close connections.
+
+use std::{
+    io::{BufRead, BufReader, Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use googletest::prelude::*;
+use pollenshed_protocol::peer::HttpRequest;
+use pollenshed_transport::backend::{BackendClient, BackendOutcome, BackendRequest};
+
+/// A server that answers GET and keeps the connection, and closes the connection when a whole POST
+/// has arrived. Returns its address and the number of POST requests.
+fn closing_server() -> (SocketAddr, Arc<AtomicU64>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let posts = Arc::new(AtomicU64::new(0));
+    let counter = posts.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let counter = counter.clone();
+            thread::spawn(move || serve(BufReader::new(stream), &counter));
+        }
+    });
+    (address, posts)
+}
+
+fn serve(mut reader: BufReader<TcpStream>, posts: &AtomicU64) {
+    loop {
+        let (mut head, mut length) = (String::new(), 0);
+        loop {
+            let start = head.len();
+            if reader.read_line(&mut head).unwrap_or(0) == 0 {
+                return;
+            }
+            let line = head[start..].trim().to_ascii_lowercase();
+            if let Some(value) = line.strip_prefix("content-length: ") {
+                length = value.parse().unwrap();
+            }
+            if line.is_empty() {
+                break;
+            }
+        }
+        reader.read_exact(&mut vec![0; length]).unwrap();
+        if head.starts_with("POST") {
+            posts.fetch_add(1, Ordering::SeqCst);
+            return;
+        }
+        let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+        reader.get_mut().write_all(answer).unwrap();
+    }
+}
+
+/// Guards against an HTTP client that repeats a non-idempotent request by itself on a connection
+/// that the server closes, and against reporting such a request as not run.
+#[gtest]
+fn request_on_a_stale_connection_is_not_repeated() {
+    let (address, posts) = closing_server();
+    let client = BackendClient::open();
+    let send = |method: &str, idempotent| {
+        let request =
+            HttpRequest { method: method.into(), path: "/x".into(), ..HttpRequest::default() };
+        client.send(&BackendRequest {
+            address,
+            request: &request,
+            request_id: "1",
+            timeout: Duration::from_secs(5),
+            idempotent,
+            max_answer_bytes: 1_000,
+        })
+    };
+    for round in 1..=3 {
+        // Leaves an idle connection in the pool.
+        expect_that!(send("GET", true), pat!(BackendOutcome::Answered { .. }));
+        expect_that!(send("POST", false), pat!(BackendOutcome::ConnectionLost(anything())));
+        expect_that!(posts.load(Ordering::SeqCst), eq(round));
+    }
+}
