Upload in parts that any entry takes, completed at most once

Cause: whole evenings of scans were lost with one connection or entry. Ruled out: parts in the entry's memory (they die with it), a body that is collected before it is sent (200 MB per upload), part lists in the table service (writes are few; the final call carries the list instead), and at most once by the ticket alone (two tickets could complete one upload; the object store has no conditional write). Change: parts and a description of each go to the object store under keys of upload id, number and digest. The final call is a ticketed request whose body is the list of parts, so that the ticket's digest covers it; DispatchRequest names the objects and the owner's PartsBody reads them one after another. No byte of a part is sent before its digest is checked and none of the last part before the digest of the whole, while the length is announced at first, so a failed body is always shorter than announced. One claim row per upload names its ticket; another ticket gets the outcome of the first, and takes over only after `not-run`. Conclusion: parts are never deleted, because the platform has no delete call.

--- a/crates/caller/src/client.rs
+++ b/crates/caller/src/client.rs
@@ -1,12 +1,14 @@
 //! The handle that applications use.
 
-use std::net::SocketAddr;
+use std::{io::Read, net::SocketAddr};
 
 use eyre::{Result, bail};
 use pollenshed_protocol::caller::{CALLER_HEADER, DEADLINE_HEADER};
 use ureq::Agent;
 
-use crate::{Options, Outcome, lookup::Directory, read, submit, wait::Patience};
+use crate::{
+    Options, Outcome, Refusal, Upload, lookup::Directory, read, submit, upload, wait::Patience,
+};
 
 /// Idle connections that are kept for each entry, for lookups and reads.
 const MAX_IDLE_CONNECTIONS: usize = 4;
@@ -58,6 +60,40 @@
         submit::run(self, service, path, body)
     }
 
+    /// Uploads `length_bytes` bytes of `reader` to `path` of a service in parts, and hands the whole
+    /// to a backend server at most once. Each step has the deadline of the options.
+    ///
+    /// To go on after a failure, use [`Caller::open_upload`] and [`Caller::send_upload`].
+    pub fn upload(
+        &self,
+        service: &str,
+        path: &str,
+        mut reader: impl Read,
+        length_bytes: u64,
+    ) -> Outcome {
+        match upload::open(self, service, path) {
+            Ok(upload) => upload::send(self, &upload, &mut reader, length_bytes),
+            Err(refusal) => Outcome::NotRun(refusal),
+        }
+    }
+
+    /// Opens an upload, whose parts any entry then takes.
+    pub fn open_upload(&self, service: &str, path: &str) -> Result<Upload, Refusal> {
+        upload::open(self, service, path)
+    }
+
+    /// Sends the parts of an upload that are not stored yet and completes it. `reader` starts at the
+    /// beginning of the upload. Calling this again with the same bytes goes on after a failure; an
+    /// upload that was completed before is not run again.
+    pub fn send_upload(
+        &self,
+        upload: &Upload,
+        mut reader: impl Read,
+        length_bytes: u64,
+    ) -> Outcome {
+        upload::send(self, upload, &mut reader, length_bytes)
+    }
+
     /// Returns the headers that each request carries.
     pub(crate) fn headers(&self, patience: &Patience<'_>) -> Vec<(&'static str, String)> {
         let left_ms = patience.left().unwrap_or_default().as_millis();
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -31,8 +31,10 @@
 mod outcome;
 mod read;
 mod submit;
+mod upload;
 mod wait;
 
 pub use client::Caller;
 pub use options::Options;
 pub use outcome::{Answer, Outcome, Refusal};
+pub use upload::Upload;
--- a/crates/caller/src/submit.rs
+++ b/crates/caller/src/submit.rs
@@ -13,11 +13,15 @@
 
 /// Submits a request; a refused one again under a new ticket if the options allow it.
 pub(crate) fn run(caller: &Caller, service: &str, path: &str, body: &[u8]) -> Outcome {
+    run_post(caller, &Post { service, path: &run_path(service, path), body })
+}
+
+/// Posts something non-idempotent; a refused request again under a new ticket if the options allow.
+pub(crate) fn run_post(caller: &Caller, post: &Post<'_>) -> Outcome {
     let mut patience = Patience::new(&caller.options);
-    let post = Post { service, path: &run_path(service, path), body };
     let mut retries = caller.options.not_run_retries;
     loop {
-        let outcome = run_under_new_ticket(caller, &post, &mut patience);
+        let outcome = run_under_new_ticket(caller, post, &mut patience);
         let refusal = match &outcome {
             Outcome::NotRun(refusal) if retries > 0 && may_pass(refusal) => refusal,
             _ => return outcome,
@@ -43,20 +47,34 @@
 }
 
 /// Creates a ticket and sends the request under it.
-pub(crate) fn run_under_new_ticket(
-    caller: &Caller,
-    post: &Post<'_>,
-    patience: &mut Patience<'_>,
-) -> Outcome {
-    match find(caller, post.service, patience) {
-        Ok(answer) => {
-            let ticket = new_ticket(&answer);
-            run_under_ticket(caller, post, &ticket, &answer, patience)
+fn run_under_new_ticket(caller: &Caller, post: &Post<'_>, patience: &mut Patience<'_>) -> Outcome {
+    loop {
+        let answer = match find(caller, post.service, patience) {
+            Ok(answer) => answer,
+            Err(refusal) => return Outcome::NotRun(refusal),
+        };
+        let ticket = new_ticket(&answer);
+        match run_under_ticket(caller, post, &ticket, &answer, patience) {
+            Ended::Outcome(outcome) => return outcome,
+            Ended::NothingSent(refusal) => {
+                caller.directory.expire(post.service);
+                if !patience.pause(None) {
+                    return Outcome::NotRun(refusal);
+                }
+            }
         }
-        Err(refusal) => Outcome::NotRun(refusal),
     }
 }
 
+/// How far a ticket came.
+enum Ended {
+    /// This is the outcome of the request.
+    Outcome(Outcome),
+    /// The entry that the ticket names was not reached and nothing was sent, so another ticket may
+    /// be used.
+    NothingSent(Refusal),
+}
+
 /// Looks up the entries of a service; asks again until the deadline if nobody can be reached.
 pub(crate) fn find(
     caller: &Caller,
@@ -86,18 +104,20 @@
 
 /// Sends a request under one ticket to one entry after the other until its outcome is known or the
 /// deadline passes.
-pub(crate) fn run_under_ticket(
+fn run_under_ticket(
     caller: &Caller,
     post: &Post<'_>,
     ticket: &str,
     answer: &LookupAnswer,
     patience: &mut Patience<'_>,
-) -> Outcome {
+) -> Ended {
     let mut sent = Sent::default();
     let mut entries: Vec<SocketAddr> = answer.entries.iter().map(|e| e.address).collect();
     let mut next = 0;
     loop {
-        let Some(timeout) = patience.attempt() else { return sent.outcome() };
+        let Some(timeout) = patience.attempt() else {
+            return Ended::Outcome(sent.outcome());
+        };
         let mut headers = caller.headers(patience);
         headers.push((TICKET_HEADER, ticket.to_owned()));
         let exchange = Exchange {
@@ -110,22 +130,27 @@
         };
         let mut retry_after = None;
         match exchange.run(&caller.fresh) {
-            Reply::Done(answer) => return Outcome::Done(answer),
+            Reply::Done(answer) => return Ended::Outcome(Outcome::Done(answer)),
             Reply::NotRun(refusal) if !is_about_copy(&refusal.reason) => {
-                return Outcome::NotRun(refusal);
+                return Ended::Outcome(Outcome::NotRun(refusal));
             }
             Reply::NotRun(refusal) if !may_pass(&refusal) => {
                 sent.refused(refusal);
-                return sent.outcome();
+                return Ended::Outcome(sent.outcome());
             }
             Reply::NotRun(refusal) => {
                 retry_after = refusal.retry_after;
                 sent.refused(refusal);
             }
             Reply::Unknown(refusal) if !may_clear_up(&refusal.reason) => {
-                return Outcome::Unknown(refusal);
+                return Ended::Outcome(Outcome::Unknown(refusal));
             }
             Reply::Unknown(refusal) => sent.lost(refusal),
+            // Most likely the named entry is gone and lookups will soon name another. Later, other
+            // entries get the request, because the named one may be cut off from this caller only.
+            Reply::Unreachable(e) if next == 0 && patience.is_first_half() => {
+                return Ended::NothingSent(Refusal::local("unreachable", e));
+            }
             Reply::Unreachable(e) => sent.refused(Refusal::local("unreachable", e)),
             Reply::Lost(e) => sent.lost(Refusal::local("connection-lost", e)),
         }
@@ -134,7 +159,7 @@
             entries = more_entries(caller, post.service, patience, entries);
         }
         if !patience.pause(retry_after) {
-            return sent.outcome();
+            return Ended::Outcome(sent.outcome());
         }
     }
 }
--- /dev/null
+++ b/crates/caller/src/upload.rs
@@ -0,0 +1,169 @@
+//! Uploads in parts.
+
+use std::io::{self, Read};
+
+use pollenshed_protocol::caller::{
+    DIGEST_HEADER, MAX_PART_BYTES, TICKET_HEADER, UploadComplete, UploadOpened, UploadPart,
+    UploadStatus,
+};
+use pollenshed_state::ids::Digest;
+use serde::de::DeserializeOwned;
+use sha2::{Digest as _, Sha256};
+
+use crate::{
+    Caller, Outcome, Refusal,
+    exchange::{Exchange, NoAnswer, Raw},
+    submit::{self, Post},
+    wait::Patience,
+};
+
+/// An open upload. It stays valid when the entry that opened it is gone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Upload {
+    /// Id of the upload.
+    pub id: String,
+    /// Service that gets it.
+    pub service: String,
+}
+
+/// A call about an upload that any entry can take and that may be repeated.
+struct Call<'a> {
+    method: &'a str,
+    path: &'a str,
+    headers: Vec<(&'a str, String)>,
+    body: Option<&'a [u8]>,
+}
+
+/// Opens an upload to `path` of a service.
+pub(crate) fn open(caller: &Caller, service: &str, path: &str) -> Result<Upload, Refusal> {
+    let mut patience = Patience::new(&caller.options);
+    let answer = submit::find(caller, service, &mut patience)?;
+    let ticket = submit::new_ticket(&answer);
+    let path = format!("/v1/uploads/{service}/{}", path.trim_start_matches('/'));
+    let headers = vec![(TICKET_HEADER, ticket)];
+    let call = Call { method: "POST", path: &path, headers, body: Some(b"") };
+    let opened: UploadOpened = repeat(caller, service, &call, &mut patience)?;
+    Ok(Upload { id: opened.upload, service: service.to_owned() })
+}
+
+/// Sends the parts that are not stored yet and completes the upload.
+pub(crate) fn send(
+    caller: &Caller,
+    upload: &Upload,
+    reader: &mut dyn Read,
+    length_bytes: u64,
+) -> Outcome {
+    let complete = match send_parts(caller, upload, reader, length_bytes) {
+        Ok(complete) => complete,
+        // Nothing was handed to a backend server yet.
+        Err(refusal) => return Outcome::NotRun(refusal),
+    };
+    match serde_json::to_vec(&complete) {
+        Ok(body) => {
+            let path = format!("/v1/uploads/{}/complete", upload.id);
+            submit::run_post(caller, &Post { service: &upload.service, path: &path, body: &body })
+        }
+        Err(e) => Outcome::NotRun(Refusal::local("invalid", e.to_string())),
+    }
+}
+
+fn send_parts(
+    caller: &Caller,
+    upload: &Upload,
+    reader: &mut dyn Read,
+    length_bytes: u64,
+) -> Result<UploadComplete, Refusal> {
+    let stored = stored_parts(caller, upload)?;
+    let mut whole = Sha256::new();
+    let mut parts = Vec::new();
+    let mut left = length_bytes;
+    let mut number = 1;
+    while left > 0 {
+        let bytes = read_part(reader, left.min(MAX_PART_BYTES))
+            .map_err(|e| Refusal::local("read-failed", e.to_string()))?;
+        whole.update(&bytes);
+        let length_bytes = bytes.len() as u64;
+        let part = UploadPart { number, length_bytes, digest: Digest::of(&bytes) };
+        if !stored.contains(&part) {
+            put_part(caller, upload, &part, &bytes)?;
+        }
+        left -= length_bytes;
+        number += 1;
+        parts.push(part);
+    }
+    let digest = Digest::from_bytes(whole.finalize().into());
+    Ok(UploadComplete { digest, length_bytes, parts })
+}
+
+fn stored_parts(caller: &Caller, upload: &Upload) -> Result<Vec<UploadPart>, Refusal> {
+    let path = format!("/v1/uploads/{}", upload.id);
+    let call = Call { method: "GET", path: &path, headers: Vec::new(), body: None };
+    let mut patience = Patience::new(&caller.options);
+    let status: UploadStatus = repeat(caller, &upload.service, &call, &mut patience)?;
+    Ok(status.parts)
+}
+
+fn put_part(
+    caller: &Caller,
+    upload: &Upload,
+    part: &UploadPart,
+    bytes: &[u8],
+) -> Result<(), Refusal> {
+    let path = format!("/v1/uploads/{}/parts/{}", upload.id, part.number);
+    let headers = vec![(DIGEST_HEADER, part.digest.to_string())];
+    let call = Call { method: "PUT", path: &path, headers, body: Some(bytes) };
+    let mut patience = Patience::new(&caller.options);
+    repeat::<UploadPart>(caller, &upload.service, &call, &mut patience).map(drop)
+}
+
+/// Reads exactly `length` bytes.
+fn read_part(reader: &mut dyn Read, length: u64) -> io::Result<Vec<u8>> {
+    let mut bytes = vec![0; usize::try_from(length).map_err(io::Error::other)?];
+    reader.read_exact(&mut bytes)?;
+    Ok(bytes)
+}
+
+/// Makes a call at one entry after the other until one takes it or the deadline passes.
+fn repeat<T: DeserializeOwned>(
+    caller: &Caller,
+    service: &str,
+    call: &Call<'_>,
+    patience: &mut Patience<'_>,
+) -> Result<T, Refusal> {
+    let mut last = Refusal::local("unreachable", "no entry was reached");
+    loop {
+        let answer = submit::find(caller, service, patience)?;
+        let mut retry_after = None;
+        for entry in &answer.entries {
+            let Some(timeout) = patience.attempt() else { return Err(last) };
+            let mut headers = caller.headers(patience);
+            headers.extend(call.headers.iter().cloned());
+            let exchange = Exchange {
+                method: call.method,
+                entry: entry.address,
+                path: call.path,
+                headers: &headers,
+                body: call.body,
+                timeout,
+            };
+            match exchange.send(&caller.pooled) {
+                Ok(raw) if (200..300).contains(&raw.status) => return read(&raw),
+                Ok(raw) if raw.status == 503 || raw.status == 408 => last = raw.refusal(),
+                Ok(raw) => return Err(raw.refusal()),
+                Err(NoAnswer::Unreachable(e) | NoAnswer::Lost(e)) => {
+                    last = Refusal::local("unreachable", e);
+                }
+            }
+            retry_after = last.retry_after;
+        }
+        caller.directory.expire(service);
+        if !patience.pause(retry_after) {
+            return Err(last);
+        }
+    }
+}
+
+fn read<T: DeserializeOwned>(raw: &Raw) -> Result<T, Refusal> {
+    serde_json::from_slice(&raw.body)
+        .map_err(|e| Refusal::local("invalid", format!("an answer that can't be read: {e}")))
+}
--- a/crates/caller/src/wait.rs
+++ b/crates/caller/src/wait.rs
@@ -25,6 +25,11 @@
         (!left.is_zero()).then_some(left)
     }
 
+    /// Tells whether less than half of the time has passed.
+    pub fn is_first_half(&self) -> bool {
+        self.left().is_some_and(|left| left > self.options.deadline / 2)
+    }
+
     /// Returns the timeout of the next attempt; nothing when the deadline has passed.
     pub fn attempt(&self) -> Option<Duration> {
         self.left().map(|left| left.min(self.options.attempt_timeout))
--- a/crates/caller/tests/caller.rs
+++ b/crates/caller/tests/caller.rs
@@ -56,11 +56,29 @@
     let entries = [closed_address(), entry.address];
     let seed = Entry::start(move |_| lookup_answer(&entries, 60_000));
     let seeds = [closed_address(), seed.address, closed_address()];
-    let caller = Caller::open(&seeds, options()).unwrap();
+    let short = Options { deadline: Duration::from_secs(1), ..options() };
+    let caller = Caller::open(&seeds, short).unwrap();
     expect_that!(body(&caller.read("s", "/x")), eq("hello"));
     expect_that!(body(&caller.submit("s", "/x", b"filing")), eq("hello"));
 }
 
+/// Guards against a ticket that is bound to an entry which can't be reached although another entry
+/// is named by then.
+#[gtest]
+fn unreachable_entry_costs_no_outcome() {
+    let entry = Entry::start(|_| done("hello"));
+    let (gone, there) = (closed_address(), entry.address);
+    let lookups = AtomicU64::new(0);
+    let seed = Entry::start(move |_| match lookups.fetch_add(1, Ordering::SeqCst) {
+        0 | 1 => lookup_answer(&[gone, there], 60_000),
+        _ => lookup_answer(&[there], 60_000),
+    });
+    let caller = Caller::open(&[seed.address], options()).unwrap();
+    expect_that!(body(&caller.submit("s", "/x", b"filing")), eq("hello"));
+    expect_that!(seed.received("GET").len(), eq(3));
+    expect_that!(entry.received("POST").len(), eq(1));
+}
+
 /// Guards against a resend under another ticket, which would run the work twice.
 #[gtest]
 fn lost_answer_is_asked_for_under_the_same_ticket() {
--- a/crates/pollenshed/src/entry/dispatch.rs
+++ b/crates/pollenshed/src/entry/dispatch.rs
@@ -17,7 +17,7 @@
     units::ByteSize,
 };
 
-use super::http::Classified;
+use super::{http::Classified, uploads};
 use crate::{instance::Shared, owner, util::lock, wire};
 
 /// Owners that are tried for one request, so that a request can't circle among refusing owners.
@@ -191,7 +191,7 @@
         excluded_backend_servers: Vec::new(),
         content_digest: Bytes::copy_from_slice(wire::content_digest(&work.request).as_bytes()),
         failure_domain: target.failure_domain.to_string(),
-        upload_parts: Vec::new(),
+        upload_parts: uploads::parts_of(&work.request),
     };
     if target.owner == shared.settings.instance {
         return Attempt::Replied(owner::dispatch(shared, request).await);
--- a/crates/pollenshed/src/entry/http.rs
+++ b/crates/pollenshed/src/entry/http.rs
@@ -16,7 +16,7 @@
 
 use super::{
     answer::{from_reply, json, refusal},
-    dispatch, ticketed,
+    dispatch, ticketed, uploads,
 };
 use crate::{
     config::InForce,
@@ -27,7 +27,7 @@
 const RUN_PREFIX: &str = "/v1/run/";
 
 /// An answer that ends a request before it is relayed.
-type Refused = Box<Response<AnswerBody>>;
+pub(super) type Refused = Box<Response<AnswerBody>>;
 
 /// Answers one request of a caller.
 pub async fn handle(
@@ -45,6 +45,9 @@
             Err(refused) => *refused,
         };
     }
+    if path.starts_with(uploads::PREFIX) {
+        return uploads::handle(shared, request).await;
+    }
     invalid(StatusCode::NOT_FOUND, "no such path; see docs/callers.md")
 }
 
@@ -141,7 +144,7 @@
     Ok(from_reply(reply))
 }
 
-fn read_deadline(
+pub(super) fn read_deadline(
     shared: &Shared,
     request: &Request<RequestBody>,
     current: &InForce,
@@ -158,7 +161,7 @@
     Ok(shared.clock.now().plus_ms(wanted_ms.min(longest_ms)))
 }
 
-fn read_ticket(request: &Request<RequestBody>) -> Result<Option<Ticket>, Refused> {
+pub(super) fn read_ticket(request: &Request<RequestBody>) -> Result<Option<Ticket>, Refused> {
     match header(request, TICKET_HEADER).map(str::parse::<Ticket>) {
         None => Ok(None),
         Some(Ok(ticket)) => Ok(Some(ticket)),
@@ -166,11 +169,11 @@
     }
 }
 
-fn header<'a>(request: &'a Request<RequestBody>, name: &str) -> Option<&'a str> {
+pub(super) fn header<'a>(request: &'a Request<RequestBody>, name: &str) -> Option<&'a str> {
     request.headers().get(name)?.to_str().ok()
 }
 
-fn passed_headers(request: &Request<RequestBody>) -> Vec<Header> {
+pub(super) fn passed_headers(request: &Request<RequestBody>) -> Vec<Header> {
     request
         .headers()
         .iter()
@@ -183,12 +186,12 @@
 }
 
 /// Builds the answer for a body that could not be read; the request did not run.
-fn body_error(error: &BodyError) -> Refused {
+pub(super) fn body_error(error: &BodyError) -> Refused {
     let (status, reason) = (error.status(), error.reason());
     Box::new(refusal(status, Outcome::NotRun, reason, &error.to_string()))
 }
 
-fn refuse(status: StatusCode, detail: &str) -> Refused {
+pub(super) fn refuse(status: StatusCode, detail: &str) -> Refused {
     Box::new(invalid(status, detail))
 }
 
--- a/crates/pollenshed/src/entry/mod.rs
+++ b/crates/pollenshed/src/entry/mod.rs
@@ -5,6 +5,7 @@
 mod http;
 mod routing;
 mod ticketed;
+mod uploads;
 
 use std::{io, sync::Arc};
 
@@ -15,6 +16,7 @@
 
 pub use routing::Routing;
 use ticketed::run_named;
+pub use uploads::whole_digest;
 
 use crate::{instance::Shared, wire};
 
--- a/crates/pollenshed/src/owner/mod.rs
+++ b/crates/pollenshed/src/owner/mod.rs
@@ -1,5 +1,7 @@
 //! Owner: dispatches to the backend servers that this instance owns.
 
+mod uploads;
+
 use std::{
     collections::HashMap,
     sync::{Arc, Mutex},
@@ -156,17 +158,19 @@
     let idempotent = request.idempotent;
     let sender = shared.clone();
     let name = server.name.clone();
+    let parts = request.upload_parts.clone();
     let task = shared.work.spawn_blocking(move || {
         let now = sender.clock.now();
         log::info!("dispatch: {} {} to {}", http.service, id, server.name);
-        let outcome = sender.backend.send(&BackendRequest {
+        let send = BackendRequest {
             address: server.address,
             request: &http,
             request_id: &id,
             timeout: Duration::from_micros(deadline.since_us(now)),
             idempotent,
             max_answer_bytes: u64::from(u32::MAX),
-        });
+        };
+        let outcome = uploads::send(&sender, &send, &parts, deadline);
         *lock(&sender.owner.in_use).entry(server.name.clone()).or_insert(1) -= 1;
         sender.owner.wake();
         outcome
@@ -184,6 +188,7 @@
         BackendOutcome::ConnectFailed(e) => wire::not_run(NotRunReason::ConnectFailed, e),
         BackendOutcome::ConnectionLost(e) => wire::unknown(UnknownReason::ConnectionLost, e),
         BackendOutcome::TimedOut => wire::unknown(UnknownReason::Timeout, "the server is late"),
+        BackendOutcome::BodyUnavailable(e) => wire::not_run(NotRunReason::StoreUnavailable, e),
         BackendOutcome::AnswerTooLarge => {
             wire::unknown(UnknownReason::AnswerTooLarge, "the answer is too large")
         }
--- a/crates/pollenshed/tests/support/mod.rs
+++ b/crates/pollenshed/tests/support/mod.rs
@@ -95,6 +95,13 @@
         ureq::get(url).call().ok()?.body_mut().read_json().ok()
     }
 
+    /// Returns the most memory that the process has held so far, in bytes.
+    pub fn peak_memory_bytes(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).unwrap();
+        line.trim().trim_end_matches(" kB").parse::<u64>().unwrap() * 1024
+    }
+
     /// Ends the process at once.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
--- /dev/null
+++ b/crates/pollenshed/tests/uploads.rs
@@ -0,0 +1,236 @@
+//! Uploads in parts through separate processes.
+
+mod support;
+
+use std::{
+    io::{self, Read},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use googletest::prelude::*;
+use pollenshed_caller::{Caller, Options, Outcome};
+use pollenshed_protocol::caller::{
+    DIGEST_HEADER, LookupAnswer, MAX_PART_BYTES, TICKET_HEADER, UploadComplete, UploadOpened,
+    UploadPart,
+};
+use pollenshed_standins::backend::{Behaviour, Run};
+use pollenshed_state::ids::Digest;
+use serde_json::json;
+use support::Fleet;
+
+const MIB: u64 = 1024 * 1024;
+
+fn fleet() -> Fleet {
+    let behaviour =
+        Behaviour { name: String::new(), slots: 3, service_time: Duration::from_millis(5) };
+    let mut fleet = Fleet::start(&["north-a", "north-b"], &behaviour);
+    // Uploads of the tests' size take longer than the deadline of other tests on a busy machine.
+    let mut config = fleet.config.clone();
+    config["ranks"][1]["deadline_ms"] = json!(60_000);
+    fleet.submit(&config);
+    fleet.wait_until_in_force(2);
+    fleet
+}
+
+fn caller(seeds: &[SocketAddr]) -> Caller {
+    let options = Options {
+        deadline: Duration::from_secs(60),
+        attempt_timeout: Duration::from_secs(60),
+        ..Options::default()
+    };
+    Caller::open(seeds, options).unwrap()
+}
+
+fn lookup(fleet: &Fleet, at: usize) -> LookupAnswer {
+    let url = format!("http://{}/v1/lookup?service=ledger", fleet.daemons[at].callers);
+    ureq::get(url).call().unwrap().body_mut().read_json().unwrap()
+}
+
+fn posts(fleet: &Fleet) -> Vec<Run> {
+    fleet.backends.iter().flat_map(|(_, b)| b.runs()).filter(|r| r.method == "POST").collect()
+}
+
+fn incomplete(fleet: &Fleet) -> u64 {
+    fleet.backends.iter().map(|(_, b)| b.counts().incomplete).sum()
+}
+
+/// Bytes that depend on their position, without holding them.
+struct Pattern<F: FnMut(u64)> {
+    at: u64,
+    on_read: F,
+}
+
+impl<F: FnMut(u64)> Read for Pattern<F> {
+    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        (self.on_read)(self.at);
+        for word in buffer.chunks_mut(8) {
+            let value = self.at.wrapping_mul(0x9e37_79b9_7f4a_7c15).to_le_bytes();
+            word.copy_from_slice(&value[..word.len()]);
+            self.at += word.len() as u64;
+        }
+        Ok(buffer.len())
+    }
+}
+
+fn pattern_digest(length: u64) -> Digest {
+    let mut bytes = vec![0; length as usize];
+    Pattern { at: 0, on_read: |_| {} }.read_exact(&mut bytes).unwrap();
+    Digest::of(&bytes)
+}
+
+/// Guards against uploads that are lost with the entry that took them, run more than once, arrive
+/// damaged, or are held in memory as a whole.
+#[gtest]
+fn large_upload_goes_on_after_its_entry_is_killed() {
+    const LENGTH: u64 = 200 * MIB;
+    let mut fleet = fleet();
+    let seeds: Vec<_> = fleet.daemons.iter().map(|d| d.callers).collect();
+    let first = lookup(&fleet, 0).entries[0].address;
+    let at = seeds.iter().position(|seed| *seed == first).unwrap();
+    let idle_bytes = fleet.daemons[at].peak_memory_bytes();
+    let mut peak_bytes = 0;
+    let daemon = &mut fleet.daemons[at];
+    let reader = Pattern {
+        at: 0,
+        on_read: |read| {
+            if read >= LENGTH / 2 && peak_bytes == 0 {
+                peak_bytes = daemon.peak_memory_bytes();
+                daemon.kill();
+            }
+        },
+    };
+    // The seed is the instance that was asked above, so that the caller uses the entry that is killed.
+    let outcome = caller(&seeds[..1]).upload("ledger", "/scans/1", reader, LENGTH);
+    assert!(matches!(&outcome, Outcome::Done(answer) if answer.status == 200), "{outcome:?}");
+    let runs = posts(&fleet);
+    expect_that!(runs.len(), eq(1));
+    expect_that!(runs[0].path, eq("/scans/1"));
+    expect_that!(runs[0].body_bytes, eq(LENGTH));
+    expect_that!(runs[0].body_digest, eq(pattern_digest(LENGTH)));
+    let survivor_bytes = fleet.daemons[1 - at].peak_memory_bytes();
+    println!("peak memory: idle {idle_bytes}, killed {peak_bytes}, survivor {survivor_bytes}");
+    expect_that!(
+        peak_bytes,
+        gt(idle_bytes + MAX_PART_BYTES),
+        "parts went through the killed entry"
+    );
+    expect_that!(peak_bytes, lt(100 * MIB));
+    expect_that!(survivor_bytes, lt(100 * MIB));
+}
+
+/// An upload of three parts that was opened and sent over plain HTTP.
+struct Sent {
+    id: String,
+    complete: UploadComplete,
+}
+
+fn send_three_parts(fleet: &Fleet) -> Sent {
+    let ticket = format!("{}/scan", lookup(fleet, 0).binding);
+    let url = format!("http://{}/v1/uploads/ledger/scans/2", fleet.daemons[0].callers);
+    let request = ureq::post(url).header(TICKET_HEADER, &ticket);
+    let opened: UploadOpened = request.send_empty().unwrap().body_mut().read_json().unwrap();
+    let (mut parts, mut whole) = (Vec::new(), Vec::new());
+    for number in 1..=3 {
+        let bytes = vec![number as u8; 1_000];
+        let digest = Digest::of(&bytes);
+        // Any entry takes any part.
+        let entry = fleet.daemons[number as usize % 2].callers;
+        let url = format!("http://{entry}/v1/uploads/{}/parts/{number}", opened.upload);
+        let request = ureq::put(url).header(DIGEST_HEADER, digest.to_string());
+        request.send(&bytes).unwrap();
+        parts.push(UploadPart { number, length_bytes: 1_000, digest });
+        whole.extend_from_slice(&bytes);
+    }
+    let complete = UploadComplete { digest: Digest::of(&whole), length_bytes: 3_000, parts };
+    Sent { id: opened.upload, complete }
+}
+
+/// Completes an upload and returns status, outcome and reason.
+fn complete(fleet: &Fleet, at: usize, sent: &Sent, ticket: &str) -> String {
+    let url = format!("http://{}/v1/uploads/{}/complete", fleet.daemons[at].callers, sent.id);
+    let request = ureq::post(url).config().http_status_as_error(false).build();
+    let request = request.header(TICKET_HEADER, ticket);
+    let answer = request.send_json(&sent.complete).unwrap();
+    let header = |name: &str| answer.headers().get(name).map_or("", |v| v.to_str().unwrap());
+    let words = [header("pollenshed-outcome"), header("pollenshed-reason")];
+    format!("{} {}", answer.status().as_u16(), words.join(" ")).trim().to_owned()
+}
+
+/// Guards against a second run when an upload is completed again, under its ticket or another one,
+/// at its entry or another one.
+#[gtest]
+fn upload_is_completed_once_under_any_ticket() {
+    let fleet = fleet();
+    let sent = send_three_parts(&fleet);
+    let binding = lookup(&fleet, 0).binding;
+    let (one, two) = (format!("{binding}/one"), format!("{binding}/two"));
+    expect_that!(complete(&fleet, 0, &sent, &one), eq("200 done"));
+    expect_that!(complete(&fleet, 1, &sent, &one), eq("200 done"));
+    expect_that!(complete(&fleet, 1, &sent, &two), eq("200 done"));
+    let runs = posts(&fleet);
+    expect_that!(runs.len(), eq(1));
+    expect_that!(runs[0].body_digest, eq(sent.complete.digest));
+}
+
+/// Guards against a damaged or missing part that reaches a backend server inside a body that looks
+/// whole.
+#[gtest]
+fn damaged_upload_never_looks_whole() {
+    let fleet = fleet();
+    let mut sent = send_three_parts(&fleet);
+    let binding = lookup(&fleet, 0).binding;
+    let ticket = |id: &str| format!("{binding}/{id}");
+    sent.complete.parts[0].digest = Digest::of(b"other");
+    expect_that!(complete(&fleet, 0, &sent, &ticket("a")), eq("409 not-run part-missing"));
+    sent.complete.parts[0].digest = Digest::of(&[1; 1_000]);
+    sent.complete.digest = Digest::of(b"other whole");
+    expect_that!(complete(&fleet, 0, &sent, &ticket("b")), eq("504 unknown connection-lost"));
+    support::wait_for("the broken body", || (incomplete(&fleet) == 1).then_some(()));
+
+    let other = send_other_upload(&fleet);
+    let client =
+        pollenshed_transport::platform::Platform::open(fleet.platform.address(), support::PATIENCE);
+    let digits = other.id.trim_start_matches("u.");
+    let key = format!("upload-{digits}-1-{}", other.complete.parts[0].digest.hex());
+    client.put_object(&key, b"damaged").unwrap();
+    expect_that!(complete(&fleet, 0, &other, &ticket("c")), eq("503 not-run store-unavailable"));
+    expect_that!(posts(&fleet).len(), eq(0));
+}
+
+fn send_other_upload(fleet: &Fleet) -> Sent {
+    let ticket = format!("{}/other", lookup(fleet, 0).binding);
+    let url = format!("http://{}/v1/uploads/ledger/scans/3", fleet.daemons[0].callers);
+    let request = ureq::post(url).header(TICKET_HEADER, &ticket);
+    let opened: UploadOpened = request.send_empty().unwrap().body_mut().read_json().unwrap();
+    let digest = Digest::of(b"whole");
+    let url = format!("http://{}/v1/uploads/{}/parts/1", fleet.daemons[0].callers, opened.upload);
+    ureq::put(url).header(DIGEST_HEADER, digest.to_string()).send(b"whole").unwrap();
+    let parts = vec![UploadPart { number: 1, length_bytes: 5, digest }];
+    Sent { id: opened.upload, complete: UploadComplete { digest, length_bytes: 5, parts } }
+}
+
+/// Guards against an upload that starts again from nothing after the caller's connection or file
+/// failed.
+#[gtest]
+fn interrupted_upload_is_resumed_at_another_entry() {
+    let fleet = fleet();
+    let length = 3 * MAX_PART_BYTES;
+    let first = caller(&[fleet.daemons[0].callers]);
+    let upload = first.open_upload("ledger", "/scans/4").unwrap();
+    let short = Pattern { at: 0, on_read: |_| {} }.take(2 * MAX_PART_BYTES + 5);
+    let outcome = first.send_upload(&upload, short, length);
+    assert!(
+        matches!(&outcome, Outcome::NotRun(refusal) if refusal.reason == "read-failed"),
+        "{outcome:?}"
+    );
+    let url = format!("http://{}/v1/uploads/{}", fleet.daemons[1].callers, upload.id);
+    let text = ureq::get(url).call().unwrap().body_mut().read_to_string().unwrap();
+    expect_that!(text.matches("\"number\"").count(), eq(2));
+    let second = caller(&[fleet.daemons[1].callers]);
+    let outcome = second.send_upload(&upload, Pattern { at: 0, on_read: |_| {} }, length);
+    assert!(matches!(outcome, Outcome::Done(_)), "{outcome:?}");
+    let runs = posts(&fleet);
+    expect_that!(runs.len(), eq(1));
+    expect_that!(runs[0].body_digest, eq(pattern_digest(length)));
+}
--- a/crates/transport/src/backend/mod.rs
+++ b/crates/transport/src/backend/mod.rs
@@ -1,5 +1,7 @@
 //! Client of backend servers. The wire form is described in `pollenshed_protocol::backend`.
 
+mod parts;
+
 use std::{
     io::{ErrorKind, Read},
     net::SocketAddr,
@@ -14,10 +16,12 @@
     peer::{Header, HttpAnswer, HttpRequest},
 };
 use ureq::{
-    Agent,
-    http::{HeaderName, HeaderValue, Request, Response},
+    Agent, AsSendBody, SendBody,
+    http::{HeaderName, HeaderValue, Request, Response, request::Builder},
 };
 
+pub use parts::{BodyPart, PartError, PartsBody};
+
 /// Timeout of health, load and cancel calls.
 const CONTROL_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -62,6 +66,8 @@
     TimedOut,
     /// The answer is larger than allowed.
     AnswerTooLarge,
+    /// The body could not be read before anything was sent, so the request did not run.
+    BodyUnavailable(String),
 }
 
 /// A client of backend servers. Calls block; clones share connections.
@@ -104,18 +110,26 @@
     /// just closed, the client could not tell whether the request ran.
     pub fn send(&self, send: &BackendRequest<'_>) -> BackendOutcome {
         let agent = if send.idempotent { &self.pooled } else { &self.fresh };
-        let request = match build_request(send) {
-            Ok(request) => request,
-            Err(e) => return BackendOutcome::ConnectFailed(e),
-        };
-        let request = agent
-            .configure_request(request)
-            .timeout_global(Some(send.timeout))
-            .allow_non_standard_methods(true)
-            .build();
-        match agent.run(request) {
-            Ok(mut answer) => read_answer(&mut answer, send),
-            Err(e) => outcome_of_error(&e),
+        let body = send.request.body.to_vec();
+        match request_head(send).and_then(|head| head.body(body).map_err(|e| e.to_string())) {
+            Ok(request) => run(agent, request, send),
+            Err(e) => BackendOutcome::ConnectFailed(e),
+        }
+    }
+
+    /// Sends one request whose body is read in parts, on a connection of its own.
+    ///
+    /// The whole length is announced first. When a part is missing or wrong, the connection is broken
+    /// before that length is reached.
+    pub fn send_parts(&self, send: &BackendRequest<'_>, mut body: PartsBody<'_>) -> BackendOutcome {
+        let length_bytes = body.length_bytes();
+        let head = request_head(send).map(|head| head.header("content-length", length_bytes));
+        let request = head.and_then(|head| {
+            head.body(SendBody::from_reader(&mut body)).map_err(|e| e.to_string())
+        });
+        match request {
+            Ok(request) => run(&self.fresh, request, send),
+            Err(e) => BackendOutcome::ConnectFailed(e),
         }
     }
 
@@ -153,7 +167,23 @@
         .into()
 }
 
-fn build_request(send: &BackendRequest<'_>) -> Result<Request<Vec<u8>>, String> {
+fn run(
+    agent: &Agent,
+    request: Request<impl AsSendBody>,
+    send: &BackendRequest<'_>,
+) -> BackendOutcome {
+    let request = agent
+        .configure_request(request)
+        .timeout_global(Some(send.timeout))
+        .allow_non_standard_methods(true)
+        .build();
+    match agent.run(request) {
+        Ok(mut answer) => read_answer(&mut answer, send),
+        Err(e) => outcome_of_error(&e),
+    }
+}
+
+fn request_head(send: &BackendRequest<'_>) -> Result<Builder, String> {
     let deadline_ms = send.timeout.as_millis().to_string();
     let mut builder = Request::builder()
         .method(send.request.method.as_str())
@@ -163,11 +193,7 @@
         let value = HeaderValue::try_from(header.value.as_str()).map_err(|e| e.to_string())?;
         builder = builder.header(name, value);
     }
-    builder
-        .header(DEADLINE_HEADER, deadline_ms)
-        .header(REQUEST_ID_HEADER, send.request_id)
-        .body(send.request.body.to_vec())
-        .map_err(|e| e.to_string())
+    Ok(builder.header(DEADLINE_HEADER, deadline_ms).header(REQUEST_ID_HEADER, send.request_id))
 }
 
 /// Tells whether a header belongs to the request and not to one connection.
--- a/crates/transport/src/edge/body.rs
+++ b/crates/transport/src/edge/body.rs
@@ -103,7 +103,10 @@
             return Err(BodyError::TooLarge { limit });
         }
         let mut hold = self.budget.hold();
-        let mut bytes = Vec::new();
+        // The announced length is allocated at once, since growing would copy and hold twice as much.
+        // Memory is used only as bytes arrive.
+        let announced = usize::try_from(self.announced_bytes().unwrap_or(0)).unwrap_or(0);
+        let mut bytes = Vec::with_capacity(announced);
         while let Some(piece) = self.next_piece().await? {
             // Only bytes that have arrived are counted, so that an announced length alone can't
             // use up the budget.
