--- a/crates/coordination/examples/membership_cost.rs
+++ b/crates/coordination/examples/membership_cost.rs
@@ -46,6 +46,7 @@
         counter: 0,
         leaving: false,
         peer_address: ([10, 0, 0, 1], 7_000).into(),
+        relay_address: ([127, 0, 0, 1], 2).into(),
         caller_address: ([10, 0, 0, 1], 8_000).into(),
         config_version: ConfigVersion(1),
         stamp_ms: 0,
--- a/crates/pollenshed/src/entry/dispatch.rs
+++ b/crates/pollenshed/src/entry/dispatch.rs
@@ -16,6 +16,7 @@
     attempts::{Next, Tried},
     http::Classified,
     settle::{SETTLE_GRACE_MS, settle},
+    uploads,
 };
 use crate::{instance::Shared, owner, util::lock, wire};
 
@@ -220,7 +221,7 @@
         content_digest: Bytes::copy_from_slice(wire::content_digest(&work.request).as_bytes()),
         failure_domain: target.failure_domain.to_string(),
         from_failure_domain: shared.settings.failure_domain.to_string(),
-        upload_parts: Vec::new(),
+        upload_parts: uploads::parts_of(&work.request),
         crashed_backend_servers: tried.crashed.clone(),
     };
     if target.owner == shared.settings.instance {
--- a/crates/pollenshed/src/gossip/message.rs
+++ b/crates/pollenshed/src/gossip/message.rs
@@ -1,6 +1,8 @@
 //! Builds and takes in gossip messages.
 
-use pollenshed_coordination::{limits::QuarantineEntry, ownership::live_entries, shift::Shares};
+use pollenshed_coordination::{
+    limits::QuarantineEntry, membership::Exchange, ownership::live_entries, shift::Shares,
+};
 use pollenshed_protocol::peer::{ExchangeMessage, LeavingBackendServer, Quarantine, RampPosition};
 use pollenshed_state::{
     ids::{BackendServerName, FailureDomainName, InstanceName, ServiceName},
@@ -9,14 +11,14 @@
 
 use crate::{instance::Shared, util::lock, wire};
 
-/// Builds the message for a peer, whose last digest is given if it is known.
+/// Builds the message for a peer; `heard` is the one that it answers.
 pub fn to(
     shared: &Shared,
     peer: &InstanceName,
-    peer_digest: Option<u64>,
+    heard: Option<&Exchange>,
     now: Instant,
 ) -> ExchangeMessage {
-    let exchange = lock(&shared.membership).records_for(peer, peer_digest, now);
+    let exchange = lock(&shared.membership).records_for(peer, heard, now);
     let mut message = wire::exchange_to_wire(&exchange);
     {
         let routing = lock(&shared.routing);
@@ -51,8 +53,8 @@
 /// Builds the answer to a peer's message.
 pub fn answer(shared: &Shared, message: &ExchangeMessage) -> ExchangeMessage {
     let now = shared.clock.now();
-    match message.sender.as_ref().and_then(wire::member_from_wire) {
-        Some(sender) => to(shared, &sender.instance, Some(message.members_digest), now),
+    match wire::exchange_from_wire(message) {
+        Some(heard) => to(shared, &heard.sender.instance, Some(&heard), now),
         None => to(shared, &shared.settings.instance, None, now),
     }
 }
--- a/crates/pollenshed/src/lookup/mod.rs
+++ b/crates/pollenshed/src/lookup/mod.rs
@@ -1,8 +1,11 @@
 //! Lookup: tells a caller which entries to use.
 
-use std::net::IpAddr;
+use std::{collections::BTreeSet, net::IpAddr};
 
-use pollenshed_coordination::routing::rank_entries;
+use pollenshed_coordination::{
+    ownership::live_entries,
+    routing::{lookup_domain, rank_entries},
+};
 use pollenshed_protocol::caller::{LookupAnswer, LookupEntry};
 use pollenshed_state::{
     config::Config,
@@ -74,7 +77,8 @@
 
 /// Returns the failure domain whose entries come first, as the ramp of the service allows.
 ///
-/// Callers cache the answer, so it moves traffic and counts against the cap of a shift.
+/// Callers cache the answer, so it moves traffic and counts against the cap of a shift. If no share
+/// is left, the entry's own failure domain comes first; that refuses nobody a lookup.
 fn first_domain(
     shared: &Shared,
     config: &Config,
@@ -82,11 +86,11 @@
     now: Instant,
 ) -> FailureDomainName {
     let home = shared.settings.failure_domain.clone();
+    let with_entries: BTreeSet<_> = {
+        let membership = lock(&shared.membership);
+        live_entries(&membership, now).into_iter().map(|e| e.failure_domain).collect()
+    };
     let mut routing = lock(&shared.routing);
     let Some(ramp) = routing.ramps.get_mut(service) else { return home };
-    ramp.lookup_arrived(now);
-    let domains = config.regions.iter().flat_map(|r| &r.failure_domains);
-    let away: Vec<_> = domains.filter(|d| **d != home && ramp.share_ppm(d) > 0).collect();
-    let moved = away.into_iter().find(|domain| ramp.admit_lookup(domain, now).is_ok());
-    moved.cloned().unwrap_or(home)
+    lookup_domain(config, ramp, |d| with_entries.contains(d), now).unwrap_or(home)
 }
--- a/crates/pollenshed/src/owner/send.rs
+++ b/crates/pollenshed/src/owner/send.rs
@@ -10,7 +10,7 @@
 };
 use pollenshed_transport::backend::{BackendOutcome, BackendRequest};
 
-use super::dispatch::Attempt;
+use super::{dispatch::Attempt, uploads};
 use crate::{instance::Shared, util::lock, wire};
 
 /// Sends the attempt, whose slot is taken, and waits for its outcome.
@@ -45,14 +45,15 @@
         return BackendOutcome::ConnectFailed("the dispatch carries no request".to_owned());
     };
     log::info!("dispatch: {} {} ({id}) to {}", request.service, attempt.id, server.name);
-    let outcome = shared.backend.send(&BackendRequest {
+    let send = BackendRequest {
         address: server.address,
         request,
         request_id: &attempt.id,
         timeout: Duration::from_micros(attempt.deadline.since_us(began)),
         idempotent: attempt.idempotent,
         max_answer_bytes: attempt.max_answer_bytes,
-    });
+    };
+    let outcome = uploads::send(shared, &send, &attempt.request.upload_parts, attempt.deadline);
     let latency_us = shared.clock.now().since_us(began);
     report(shared, attempt, id, server, &outcome, latency_us);
     outcome
@@ -71,7 +72,7 @@
             Finished::Answered { latency_us }
         }
         BackendOutcome::Shed { .. } => Finished::Shed,
-        BackendOutcome::ConnectFailed(_) => Finished::Failed,
+        BackendOutcome::ConnectFailed(_) | BackendOutcome::BodyUnavailable(_) => Finished::Failed,
         BackendOutcome::ConnectionLost(_) => Finished::Crashed,
         BackendOutcome::TimedOut => Finished::Abandoned,
     };
@@ -160,6 +161,7 @@
             wire::not_run_retry(NotRunReason::Shed, SHED_RETRY_AFTER_MS, "the server shed it")
         }
         BackendOutcome::ConnectFailed(e) => wire::not_run(NotRunReason::ConnectFailed, e),
+        BackendOutcome::BodyUnavailable(e) => wire::not_run(NotRunReason::StoreUnavailable, e),
         BackendOutcome::ConnectionLost(e) => wire::unknown(UnknownReason::ConnectionLost, e),
         BackendOutcome::TimedOut => {
             wire::unknown(UnknownReason::Timeout, "the deadline passed at the backend server")
