Tighten the tests of ramps and restarts by mutation trials

Cause: three of seven faults put into the code on trial were not caught: a step without spacing, a step that ignores earlier steps, and a record of an equal or lower generation that replaces a silent member. Ruled out: dropping the spacing as redundant; it keeps the cap of an interval from being used in one go after a pause. Change: the cap property checks the cap in force at each step, a pause test checks single steps, and the restart property includes silence and checks that a generation never goes down.

--- a/crates/coordination/tests/membership_restart.rs
+++ b/crates/coordination/tests/membership_restart.rs
@@ -11,6 +11,8 @@
 #[derive(Debug, Clone)]
 enum Event {
     Restart,
+    /// Nobody is heard until all are suspect.
+    Silence,
     Exchange(usize, usize),
     Replay(usize, usize),
 }
@@ -18,6 +20,7 @@
 fn events() -> impl Strategy<Value = Vec<Event>> {
     let event = prop_oneof![
         1 => Just(Event::Restart),
+        1 => Just(Event::Silence),
         8 => (0usize..4, 0usize..4).prop_map(|(a, b)| Event::Exchange(a, b)),
         4 => (any::<usize>(), 1usize..4).prop_map(|(a, b)| Event::Replay(a, b)),
     ];
@@ -30,6 +33,10 @@
     Some((observer.record_of(&instance(0))?.incarnation.0, state))
 }
 
+fn generation(observer: &Membership) -> Option<u64> {
+    observer.record_of(&instance(0)).map(|record| record.generation)
+}
+
 /// Every message that can be replayed later, as a network with old copies would.
 fn record_messages(members: &mut [Membership], now_ms: u64, sent: &mut Vec<Exchange>) {
     for member in members {
@@ -47,15 +54,18 @@
         let new = |n, incarnation, now| membership(n, "north-a", incarnation, ms(now));
         let mut members: Vec<_> = (0..4).map(|n| new(n, 1, 0)).collect();
         let mut sent = Vec::new();
-        for (step, event) in events.into_iter().enumerate() {
-            let now_ms = step as u64 * 10;
+        let mut now_ms = 0;
+        for event in events {
+            now_ms += 10;
             members.iter_mut().for_each(|m| m.tick(ms(now_ms)));
             let before: Vec<_> = members[1..].iter().map(|m| seen(m, now_ms)).collect();
+            let generations: Vec<_> = members[1..].iter().map(generation).collect();
             match event {
                 Event::Restart => {
                     let incarnation = members[0].own().incarnation.0 + 1;
                     members[0] = new(0, incarnation, now_ms);
                 }
+                Event::Silence => now_ms += 1_600,
                 Event::Exchange(a, b) if a != b => exchange(&mut members, a, b, ms(now_ms)),
                 Event::Exchange(..) => {}
                 Event::Replay(message, to) if !sent.is_empty() => {
@@ -68,6 +78,9 @@
                 Event::Replay(..) => {}
             }
             record_messages(&mut members, now_ms, &mut sent);
+            for (member, before) in members[1..].iter().zip(generations) {
+                prop_assert!(generation(member) >= before, "an older generation came back");
+            }
             for (member, before) in members[1..].iter().zip(before) {
                 let Some((incarnation, MemberState::Alive)) = before else { continue };
                 let after = seen(member, now_ms).map_or(0, |(incarnation, _)| incarnation);
--- a/crates/coordination/tests/shift_cap.rs
+++ b/crates/coordination/tests/shift_cap.rs
@@ -67,11 +67,13 @@
         let mut clock_ms = 0i64;
         let mut latest_ms = 0i64;
         let mut moves: Vec<(i64, u32)> = Vec::new();
+        let mut cap_percent = 10;
         for (gap, event) in events {
             clock_ms = (clock_ms + gap).max(0);
             latest_ms = latest_ms.max(clock_ms);
             let now = ms(clock_ms as u64);
             let before = ramp.position().clone();
+            let mut cap = None;
             match event {
                 Event::Target(parts) => ramp.set_target(shares(parts)),
                 Event::Step { cold } => {
@@ -79,11 +81,17 @@
                     let distance = before.distance_ppm(ramp.position());
                     prop_assert_eq!(step.moved_ppm, distance, "the position moved by another amount");
                     moves.push((clock_ms, distance));
+                    let in_force = if cold { cap_percent.min(4) } else { cap_percent };
+                    cap = (distance > 0).then_some(in_force as u32 * 10_000);
+                }
+                Event::Cap(percent) => {
+                    cap_percent = percent;
+                    ramp.set_policy(shift_policy(percent, 4, INTERVAL_MS), now);
                 }
-                Event::Cap(percent) => ramp.set_policy(shift_policy(percent, 4, INTERVAL_MS), now),
                 Event::Restart => {
                     let target = ramp.target().clone();
-                    ramp = new_ramp();
+                    let policy = shift_policy(cap_percent, 4, INTERVAL_MS);
+                    ramp = Ramp::new(domain(DOMAINS[0]), policy);
                     prop_assert!(ramp.adopt(before.clone(), now), "a fresh ramp refused a position");
                     ramp.set_target(target);
                 }
@@ -91,7 +99,8 @@
             }
             let in_window = |(at, _): &&(i64, u32)| (clock_ms - at).abs() <= INTERVAL_MS as i64;
             let moved: u32 = moves.iter().filter(in_window).map(|(_, moved)| moved).sum();
-            prop_assert!(moved <= 100_000, "{moved} ppm moved up to {clock_ms} ms");
+            let allowed = cap.unwrap_or(100_000);
+            prop_assert!(moved <= allowed, "{moved} ppm moved up to {clock_ms} ms");
         }
     }
 
@@ -239,6 +248,17 @@
     }
 }
 
+/// Guards against a position that makes up for a pause in one go.
+#[gtest]
+fn pause_is_followed_by_single_steps() {
+    let mut ramp = new_ramp();
+    ramp.set_target(shares([0, 1_000_000, 0]));
+    let moved: Vec<_> = [600_000, 600_000, 600_050, 600_100]
+        .map(|now_ms| ramp.step(false, ms(now_ms)).moved_ppm)
+        .to_vec();
+    expect_that!(moved, eq(&vec![5_000, 0, 0, 5_000]));
+}
+
 /// Guards against a position that a late message from a peer replaces.
 #[gtest]
 fn only_a_fresh_ramp_adopts_a_position() {
