--- a/crates/pollenshed/src/reader/mod.rs
+++ b/crates/pollenshed/src/reader/mod.rs
@@ -90,9 +90,9 @@
         return Err(PlatformError::Malformed(format!("object {digest} is missing")));
     };
     match shared.config.offer(version, digest, Bytes::from(document)) {
-        Ok(_) => {
+        Ok(current) => {
             log::info!("config: version {version} in force, from the store");
-            gossip::update_ownership(shared);
+            gossip::update(shared, &current, shared.clock.now());
         }
         Err(rejected) => log_rejected(version, &rejected),
     }
