Add the client-block map and its replication by change number

Ruled out: disjoint ranges (7 bytes more per nested block and they lose the blocks, which a change needs), a trie (pointers cost more than 14 bytes per block), a lock that lookups share with a change. Conclusion: a delta is smaller as long as fewer blocks changed than there are; the whole map is sent only to a replica out of the log or of another run.

--- a/crates/coordination/src/replication/mod.rs
+++ b/crates/coordination/src/replication/mod.rs
@@ -3,13 +3,17 @@
 //! The platform's table service decides the order of configurations; nothing here is a log of its
 //! own. [`Submission`] moves the head row by one conditional write, [`Replica`] decides what an
 //! instance does with an offered version, and [`poll_plan`] decides who reads the store.
+//! [`ReplicatedMap`] sends changes of the client-block map as deltas; the `block_delta` example has
+//! the figures.
 
 mod head;
+mod log;
 mod readers;
 mod replica;
 mod submission;
 
 pub use head::{HeadState, MAX_PAST_SUBMISSIONS, PastSubmission, StoredHead, SubmissionId};
+pub use log::{Point, ReplicatedMap, Update, WrongPoint};
 pub use readers::{PollPlan, READERS_PER_DOMAIN, poll_gap_ms, poll_plan};
 pub use replica::{Offer, Replica, Report, Source};
 pub use submission::{Outcome, Plan, Reply, Step, Submission};
--- /dev/null
+++ b/crates/state/src/blocks/address.rs
@@ -0,0 +1,49 @@
+//! Addresses of both families as integers.
+
+use std::net::{Ipv4Addr, Ipv6Addr};
+
+/// An address as an integer whose order is the order of addresses.
+pub(super) trait Address: Copy + Ord + Default {
+    /// Length of the address.
+    const BITS: u8;
+
+    /// Returns the address with all bits after the first `len` cleared.
+    fn truncated(self, len: u8) -> Self;
+
+    /// Returns the first 16 bits.
+    fn head(self) -> u16;
+}
+
+impl Address for u32 {
+    const BITS: u8 = 32;
+
+    fn truncated(self, len: u8) -> u32 {
+        let cleared = u32::from(32 - len.min(32));
+        u32::MAX.checked_shl(cleared).unwrap_or(0) & self
+    }
+
+    fn head(self) -> u16 {
+        (self >> 16) as u16
+    }
+}
+
+impl Address for u128 {
+    const BITS: u8 = 128;
+
+    fn truncated(self, len: u8) -> u128 {
+        let cleared = u32::from(128 - len.min(128));
+        u128::MAX.checked_shl(cleared).unwrap_or(0) & self
+    }
+
+    fn head(self) -> u16 {
+        (self >> 112) as u16
+    }
+}
+
+pub(super) fn v4(address: Ipv4Addr) -> u32 {
+    u32::from(address)
+}
+
+pub(super) fn v6(address: Ipv6Addr) -> u128 {
+    u128::from(address)
+}
--- /dev/null
+++ b/crates/state/src/blocks/table.rs
@@ -0,0 +1,167 @@
+//! A sorted table of prefixes of one address family.
+
+use super::{SiteNumber, address::Address};
+
+/// Stands for "no enclosing prefix".
+const NO_PARENT: u32 = u32::MAX;
+
+/// Entries in the index of first entries, one for each value of the first 16 bits and an end.
+const INDEX_LEN: usize = (1 << 16) + 1;
+
+/// A prefix whose bits after its length are zero.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Prefix<A> {
+    pub(super) start: A,
+    pub(super) len: u8,
+}
+
+/// Prefixes with their sites, sorted by start and length.
+///
+/// Prefixes either enclose each other or are disjoint, and a prefix sorts directly before what it
+/// encloses. The longest match of an address is therefore the last prefix that starts at or before
+/// it, or one that encloses this prefix; `parents` leads from each prefix to the next one around it.
+/// The fields are separate vectors, so that no entry has padding and a search reads starts only.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Table<A> {
+    starts: Vec<A>,
+    lens: Vec<u8>,
+    sites: Vec<SiteNumber>,
+    parents: Vec<u32>,
+    /// Position of the first entry for each value of the first 16 bits.
+    index: Vec<u32>,
+}
+
+impl<A: Address> Default for Table<A> {
+    fn default() -> Table<A> {
+        Table::with_capacity(0).finish()
+    }
+}
+
+impl<A: Address> Table<A> {
+    fn with_capacity(len: usize) -> Table<A> {
+        Table {
+            starts: Vec::with_capacity(len),
+            lens: Vec::with_capacity(len),
+            sites: Vec::with_capacity(len),
+            parents: Vec::new(),
+            index: Vec::new(),
+        }
+    }
+
+    /// Builds a table; the last of several entries with the same prefix counts.
+    pub(super) fn build(mut entries: Vec<(Prefix<A>, Option<SiteNumber>)>) -> Table<A> {
+        sort_and_dedup(&mut entries);
+        Table::default().merged(&entries)
+    }
+
+    /// Returns a table with changes applied; an entry without a site removes the prefix.
+    pub(super) fn changed(&self, mut changes: Vec<(Prefix<A>, Option<SiteNumber>)>) -> Table<A> {
+        sort_and_dedup(&mut changes);
+        self.merged(&changes)
+    }
+
+    fn merged(&self, changes: &[(Prefix<A>, Option<SiteNumber>)]) -> Table<A> {
+        let mut next = Table::with_capacity(self.len() + changes.len());
+        let mut copied = 0;
+        for (prefix, site) in changes {
+            let (position, is_present) = self.position(copied, *prefix);
+            next.copy(self, copied, position);
+            copied = position + usize::from(is_present);
+            if let Some(site) = site {
+                next.starts.push(prefix.start);
+                next.lens.push(prefix.len);
+                next.sites.push(*site);
+            }
+        }
+        next.copy(self, copied, self.len());
+        next.finish()
+    }
+
+    /// Returns where `prefix` is or belongs, at or after `from`, and whether it is there.
+    fn position(&self, from: usize, prefix: Prefix<A>) -> (usize, bool) {
+        let mut at = from + self.starts[from..].partition_point(|s| *s < prefix.start);
+        while at < self.len() && self.starts[at] == prefix.start && self.lens[at] < prefix.len {
+            at += 1;
+        }
+        let is_present =
+            at < self.len() && self.starts[at] == prefix.start && self.lens[at] == prefix.len;
+        (at, is_present)
+    }
+
+    fn copy(&mut self, from: &Table<A>, begin: usize, end: usize) {
+        self.starts.extend_from_slice(&from.starts[begin..end]);
+        self.lens.extend_from_slice(&from.lens[begin..end]);
+        self.sites.extend_from_slice(&from.sites[begin..end]);
+    }
+
+    fn finish(mut self) -> Table<A> {
+        self.starts.shrink_to_fit();
+        self.lens.shrink_to_fit();
+        self.sites.shrink_to_fit();
+        self.parents = Vec::with_capacity(self.len());
+        let mut enclosing: Vec<u32> = Vec::new();
+        for (at, start) in self.starts.iter().enumerate() {
+            while enclosing.last().is_some_and(|e| !self.contains(*e as usize, *start)) {
+                enclosing.pop();
+            }
+            self.parents.push(enclosing.last().copied().unwrap_or(NO_PARENT));
+            enclosing.push(at as u32);
+        }
+        self.index = Vec::with_capacity(INDEX_LEN);
+        for (at, start) in self.starts.iter().enumerate() {
+            self.index.resize(self.index.len().max(usize::from(start.head()) + 1), at as u32);
+        }
+        self.index.resize(INDEX_LEN, self.len() as u32);
+        self
+    }
+
+    fn contains(&self, at: usize, address: A) -> bool {
+        address.truncated(self.lens[at]) == self.starts[at]
+    }
+
+    /// Returns the number of prefixes.
+    pub(super) fn len(&self) -> usize {
+        self.starts.len()
+    }
+
+    /// Returns the position of the longest prefix that contains `address`.
+    pub(super) fn find(&self, address: A) -> Option<usize> {
+        let head = usize::from(address.head());
+        let (begin, end) = (self.index[head] as usize, self.index[head + 1] as usize);
+        let after = begin + self.starts[begin..end].partition_point(|s| *s <= address);
+        let mut at = after.checked_sub(1)?;
+        while !self.contains(at, address) {
+            match self.parents[at] {
+                NO_PARENT => return None,
+                parent => at = parent as usize,
+            }
+        }
+        Some(at)
+    }
+
+    /// Returns the prefix and the site at a position that [`Table::find`] returned.
+    pub(super) fn entry(&self, at: usize) -> (Prefix<A>, SiteNumber) {
+        (Prefix { start: self.starts[at], len: self.lens[at] }, self.sites[at])
+    }
+
+    /// Returns the bytes that the table holds.
+    pub(super) fn heap_bytes(&self) -> usize {
+        self.starts.capacity() * size_of::<A>()
+            + self.lens.capacity()
+            + self.sites.capacity() * size_of::<SiteNumber>()
+            + (self.parents.capacity() + self.index.capacity()) * size_of::<u32>()
+    }
+}
+
+/// Sorts by prefix and keeps the last entry of each.
+fn sort_and_dedup<A: Address>(entries: &mut Vec<(Prefix<A>, Option<SiteNumber>)>) {
+    // The sort is stable, so after it the last of equal prefixes is still the last one given.
+    entries.sort_by_key(|(prefix, _)| *prefix);
+    entries.dedup_by(|later, kept| {
+        let is_same = later.0 == kept.0;
+        if is_same {
+            kept.1 = later.1;
+        }
+        is_same
+    });
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -3,6 +3,7 @@
 //! This crate is the lowest layer (see `docs/design.md`, "Crates and layers"). It opens no
 //! socket and reads no clock, so that any program can embed it.
 
+pub mod blocks;
 pub mod config;
 pub mod ids;
 pub mod settings;
