--- a/crates/pollenshed/src/gossip/message.rs
+++ b/crates/pollenshed/src/gossip/message.rs
@@ -1,7 +1,7 @@
 //! Builds and takes in gossip messages.
 
 use pollenshed_coordination::{limits::QuarantineEntry, ownership::live_entries, shift::Shares};
-use pollenshed_protocol::peer::{ExchangeMessage, Quarantine, RampPosition};
+use pollenshed_protocol::peer::{ExchangeMessage, LeavingBackendServer, Quarantine, RampPosition};
 use pollenshed_state::{
     ids::{BackendServerName, FailureDomainName, InstanceName, ServiceName},
     time::Instant,
@@ -35,6 +35,10 @@
             })
             .collect();
     }
+    message.leaving_backend_servers = lock(&shared.leaving_backend_servers)
+        .iter(now)
+        .map(|(name, ttl_left_ms)| LeavingBackendServer { name: name.to_string(), ttl_left_ms })
+        .collect();
     message.quarantine = shared
         .owner
         .with_scheduler(|scheduler| scheduler.quarantine().export(now))
@@ -64,6 +68,11 @@
         log::info!("membership: {change:?}");
     }
     merge_headroom(shared, message, now);
+    for server in &message.leaving_backend_servers {
+        if let Ok(name) = server.name.parse() {
+            lock(&shared.leaving_backend_servers).told(name, server.ttl_left_ms, now);
+        }
+    }
     let entries: Vec<_> = message.quarantine.iter().filter_map(quarantine_from_wire).collect();
     if !entries.is_empty() {
         shared.owner.with_scheduler(|scheduler| scheduler.merge_quarantine(&entries, now));
--- a/crates/pollenshed/src/instance/shared.rs
+++ b/crates/pollenshed/src/instance/shared.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::HashMap,
     sync::{
         Mutex,
         atomic::{AtomicBool, Ordering},
@@ -14,13 +14,15 @@
 };
 use pollenshed_protocol::peer::AnswerReply;
 use pollenshed_state::{
-    ids::{BackendServerName, ConfigVersion, Incarnation, Ticket},
+    ids::{ConfigVersion, Incarnation, Ticket},
     settings::Settings,
 };
 use pollenshed_transport::{backend::BackendClient, peers::Peers, platform::Platform};
 use tokio::{runtime::Handle, sync::watch};
 
-use crate::{config::ConfigSlot, entry::Routing, owner::Owner, util::Clock};
+use crate::{
+    config::ConfigSlot, entry::Routing, leaving::LeavingServers, owner::Owner, util::Clock,
+};
 
 /// Tickets that one incarnation keeps at most.
 const MAX_TICKETS: usize = 200_000;
@@ -62,8 +64,8 @@
     pub control_peers: Peers,
     /// Connections for work.
     pub work_peers: Peers,
-    /// Backend servers that the platform is about to take away, as its list last said.
-    pub leaving_backend_servers: Mutex<BTreeSet<BackendServerName>>,
+    /// Backend servers that the platform is about to take away.
+    pub leaving_backend_servers: Mutex<LeavingServers>,
     /// Client of backend servers.
     pub backend: BackendClient,
     /// Client of the platform.
--- a/crates/pollenshed/src/reader/candidates.rs
+++ b/crates/pollenshed/src/reader/candidates.rs
@@ -24,8 +24,8 @@
     let list = shared.platform.instances()?;
     let gap_ms = list.instances.len() as u64 * LISTED_INSTANCE_BYTES * 1000 / LIST_BYTES_PER_S;
     lock(&shared.membership).set_candidates(choose(shared, &list));
-    *lock(&shared.leaving_backend_servers) =
-        list.leaving_backend_servers.iter().filter_map(|name| name.parse().ok()).collect();
+    let leaving = list.leaving_backend_servers.iter().filter_map(|name| name.parse().ok());
+    lock(&shared.leaving_backend_servers).listed(leaving, shared.clock.now());
     Ok(gap_ms)
 }
 
--- a/crates/pollenshedctl/src/cmd/submit.rs
+++ b/crates/pollenshedctl/src/cmd/submit.rs
@@ -1,13 +1,25 @@
-use std::{fs, net::SocketAddr, process::ExitCode, time::Duration};
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
 use clap::{Arg, ArgMatches, Command, value_parser};
-use eyre::{Result, WrapErr, eyre};
+use eyre::eyre;
 use pollenshed_protocol::platform::{CONFIG_TABLE, HEAD_KEY, Head};
-use pollenshed_state::{config::Config, ids::Digest};
 use pollenshed_transport::platform::{Platform, Put};
+use serde_json::json;
+
+use crate::{
+    options::Options,
+    util::{self, Exit},
+};
 
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(5);
 
+const EXAMPLE: &str = "\
+Example:
+    pollenshedctl submit --platform 127.0.0.1:7100 cali.json
+
+With --json the output is one object:
+    {\"version\"}";
+
 /// Describes `pollenshedctl submit`.
 pub fn command() -> Command {
     Command::new("submit")
@@ -19,33 +31,23 @@
                 .value_parser(value_parser!(SocketAddr))
                 .help("Address of the platform"),
         )
-        .arg(Arg::new("file").required(true).value_name("FILE"))
-        .after_help("Example: pollenshedctl submit --platform 127.0.0.1:7100 cali.json")
+        .arg(Arg::new("FILE").required(true).value_parser(value_parser!(PathBuf)))
+        .after_help(format!("{EXAMPLE}\n\n{}", util::EXIT_CODES))
 }
 
-/// Runs `pollenshedctl submit`.
-pub fn run(args: &ArgMatches) -> ExitCode {
-    match submit(args) {
-        Ok(version) => {
-            println!("submitted version {version}");
-            ExitCode::SUCCESS
-        }
-        Err(e) => {
-            eprintln!("pollenshedctl: {e:#}");
-            ExitCode::FAILURE
-        }
-    }
+pub fn run(args: &ArgMatches, options: &Options) -> eyre::Result<Exit> {
+    let version = submit(args, options)?;
+    options.print(vec![format!("submitted version {version}")], |_| json!({"version": version}))?;
+    Ok(Exit::Success)
 }
 
-fn submit(args: &ArgMatches) -> Result<u64> {
-    let file = args.get_one::<String>("file").map_or("", String::as_str);
+fn submit(args: &ArgMatches, options: &Options) -> eyre::Result<u64> {
     let address = *args.get_one::<SocketAddr>("platform").ok_or_else(|| eyre!("no platform"))?;
-    let text = fs::read_to_string(file).wrap_err_with(|| format!("cannot read {file}"))?;
-    let config: Config = serde_json::from_str(&text).wrap_err_with(|| file.to_owned())?;
-    let document = serde_json::to_vec_pretty(&config)?;
-    let digest = Digest::of(&document);
+    let config = options.read_config(util::path(args, "FILE")?)?;
+    let document = config.canonical_json();
+    let digest = config.digest();
     let platform = Platform::open(address, PLATFORM_TIMEOUT);
-    platform.put_object(&digest.hex(), &document)?;
+    platform.put_object(&digest.hex(), document.as_bytes())?;
     let present = platform.get_row(CONFIG_TABLE, HEAD_KEY)?;
     let revision = present.as_ref().map_or(0, |row| row.revision);
     let version = match present {
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -4,8 +4,11 @@
 //! socket and reads no clock, so that any program can embed it.
 
 pub mod blocks;
+pub mod check;
 pub mod config;
+pub mod findings;
 pub mod ids;
+mod reader;
 pub mod settings;
 pub mod time;
 pub mod units;
