pollenshedctl: submit, status, drain and explain

Cause: submit wrote the head row once, named no winner and could not tell the outcome of a lost reply; the other subcommands did not exist. Ruled out: a version counted by the store alone, because a restored store would give a number that instances obey with another document; asking every instance of a large fleet, because one instance per failure domain names the versions of all its members. Conclusion: an operator always learns who won and who is missing.

--- /dev/null
+++ b/crates/pollenshedctl/src/cmd/drain.rs
@@ -0,0 +1,126 @@
+use clap::{Arg, ArgAction, ArgGroup, ArgMatches, Command, value_parser};
+use eyre::{bail, eyre};
+use pollenshed_state::{
+    config::{Config, Drain},
+    ids::{BackendServerName, FailureDomainName, RegionName},
+};
+use serde_json::json;
+
+use crate::{
+    instances,
+    options::Options,
+    submission::{self, Report, Target},
+    util::{self, Exit},
+};
+
+/// Attempts against other operators before the race counts as lost.
+const MAX_ATTEMPTS: u32 = 10;
+
+const USAGE: &str = "\
+Begins or ends a planned drain.
+
+With a backend server, a failure domain or a region, the drain is added to the
+configuration in force, or taken out of it with --remove, and submitted. A
+submission of others in between is kept: the change is made again on top of it.
+With --instance alone, that instance begins its planned stop.";
+
+const EXAMPLE: &str = "\
+Examples:
+    pollenshedctl drain --platform 127.0.0.1:7100 --failure-domain palermo-a
+    pollenshedctl drain --platform 127.0.0.1:7100 --failure-domain palermo-a --remove
+    pollenshedctl drain --instance 127.0.0.1:8002";
+
+pub fn command() -> Command {
+    let target = |name, help| Arg::new(name).long(name).value_name("NAME").help(help);
+    let command = Command::new("drain")
+        .about("Begins or ends a planned drain")
+        .long_about(USAGE)
+        .after_help(format!("{EXAMPLE}\n\n{}\n\n{}", submission::JSON_HELP, util::EXIT_CODES))
+        .arg(
+            target("backend-server", "Drains one backend server")
+                .value_parser(value_parser!(BackendServerName)),
+        )
+        .arg(
+            target("failure-domain", "Drains the backend servers of a failure domain")
+                .value_parser(value_parser!(FailureDomainName)),
+        )
+        .arg(
+            target("region", "Drains the backend servers of a region")
+                .value_parser(value_parser!(RegionName)),
+        )
+        .group(ArgGroup::new("target").args(["backend-server", "failure-domain", "region"]))
+        .group(
+            ArgGroup::new("any")
+                .args(["backend-server", "failure-domain", "region", "instance"])
+                .required(true)
+                .multiple(true),
+        )
+        .arg(
+            Arg::new("remove")
+                .long("remove")
+                .action(ArgAction::SetTrue)
+                .requires("target")
+                .help("Ends the drain"),
+        )
+        .arg(instances::argument("Operators' address of an instance; may be repeated"));
+    submission::declare(command).mut_arg("platform", |arg| arg.requires("target"))
+}
+
+pub fn run(args: &ArgMatches, options: &Options) -> eyre::Result<Exit> {
+    match target(args) {
+        Some(drain) => change(args, &drain)?.print(options),
+        None => stop_instances(args, options),
+    }
+}
+
+fn target(args: &ArgMatches) -> Option<Drain> {
+    let server = args.get_one("backend-server").cloned().map(Drain::BackendServer);
+    let domain = || args.get_one("failure-domain").cloned().map(Drain::FailureDomain);
+    let region = || args.get_one("region").cloned().map(Drain::Region);
+    server.or_else(domain).or_else(region)
+}
+
+fn change(args: &ArgMatches, drain: &Drain) -> eyre::Result<Report> {
+    let target = Target::new(args)?;
+    let remove = args.get_flag("remove");
+    for _ in 1..MAX_ATTEMPTS {
+        let report = attempt(&target, drain, remove)?;
+        if report.exit() != Exit::LostRace {
+            return Ok(report);
+        }
+    }
+    attempt(&target, drain, remove)
+}
+
+fn attempt(target: &Target, drain: &Drain, remove: bool) -> eyre::Result<Report> {
+    let (version, mut config) = target.read()?.ok_or_else(|| eyre!("nothing is submitted yet"))?;
+    if !apply(&mut config, drain, remove) {
+        return Ok(Report::new("unchanged", version.0));
+    }
+    submission::ensure_accepted(&config)?;
+    target.submit(&config, Some(version))
+}
+
+/// Returns whether the configuration changed.
+fn apply(config: &mut Config, drain: &Drain, remove: bool) -> bool {
+    let before = config.drains.len();
+    if remove {
+        config.drains.retain(|d| d != drain);
+    } else if !config.drains.contains(drain) {
+        config.drains.push(drain.clone());
+    }
+    config.drains.len() != before
+}
+
+fn stop_instances(args: &ArgMatches, options: &Options) -> eyre::Result<Exit> {
+    let addresses = instances::addresses(args);
+    if args.get_flag("wait") {
+        bail!("--wait needs a backend server, a failure domain or a region");
+    }
+    for address in &addresses {
+        instances::drain(*address)?;
+    }
+    let lines = addresses.iter().map(|a| format!("{a} stops as planned")).collect();
+    options.print(lines, |_| json!({"outcome": "draining", "instances": addresses}))?;
+    Ok(Exit::Success)
+}
--- a/crates/pollenshedctl/src/cmd/mod.rs
+++ b/crates/pollenshedctl/src/cmd/mod.rs
@@ -2,6 +2,9 @@
 
 mod check;
 mod diff;
+mod drain;
+mod explain;
+mod status;
 mod submit;
 
 use clap::{ArgMatches, Command};
@@ -23,4 +26,7 @@
     Subcommand { name: "check", command: check::command, run: check::run },
     Subcommand { name: "diff", command: diff::command, run: diff::run },
     Subcommand { name: "submit", command: submit::command, run: submit::run },
+    Subcommand { name: "status", command: status::command, run: status::run },
+    Subcommand { name: "drain", command: drain::command, run: drain::run },
+    Subcommand { name: "explain", command: explain::command, run: explain::run },
 ];
--- a/crates/pollenshedctl/src/cmd/submit.rs
+++ b/crates/pollenshedctl/src/cmd/submit.rs
@@ -1,63 +1,46 @@
-use std::{net::SocketAddr, path::PathBuf, time::Duration};
+use std::path::PathBuf;
 
 use clap::{Arg, ArgMatches, Command, value_parser};
-use eyre::eyre;
-use pollenshed_protocol::platform::{CONFIG_TABLE, HEAD_KEY, Head};
-use pollenshed_transport::platform::{Platform, Put};
-use serde_json::json;
+use pollenshed_state::ids::ConfigVersion;
 
 use crate::{
+    instances,
     options::Options,
+    submission::{self, Target},
     util::{self, Exit},
 };
 
-const PLATFORM_TIMEOUT: Duration = Duration::from_secs(5);
+const USAGE: &str = "\
+Checks a configuration and submits it as the next version.
+
+The document is stored under its digest, and then one conditional write names it
+as the version in force. If another submission comes first, this one has no
+effect: the winning version and what differs are printed. Name instances, so
+that the new version is above every version in force.";
 
 const EXAMPLE: &str = "\
 Example:
-    pollenshedctl submit --platform 127.0.0.1:7100 cali.json
-
-With --json the output is one object:
-    {\"version\"}";
+    pollenshedctl submit --platform 127.0.0.1:7100 --instance 127.0.0.1:8002 --wait cali.json
+    submitted version 7";
 
-/// Describes `pollenshedctl submit`.
 pub fn command() -> Command {
-    Command::new("submit")
-        .about("Submits a configuration.")
+    let file = Arg::new("FILE").required(true).value_parser(value_parser!(PathBuf));
+    let base = Arg::new("base").long("base").value_name("VERSION");
+    let command = Command::new("submit")
+        .about("Submits a configuration")
+        .long_about(USAGE)
+        .after_help(format!("{EXAMPLE}\n\n{}\n\n{}", submission::JSON_HELP, util::EXIT_CODES))
+        .arg(file.help("Configuration; - reads standard input"))
         .arg(
-            Arg::new("platform")
-                .long("platform")
-                .required(true)
-                .value_parser(value_parser!(SocketAddr))
-                .help("Address of the platform"),
+            base.value_parser(value_parser!(u64))
+                .help("Version that the file was made from; another one in force wins the race"),
         )
-        .arg(Arg::new("FILE").required(true).value_parser(value_parser!(PathBuf)))
-        .after_help(format!("{EXAMPLE}\n\n{}", util::EXIT_CODES))
+        .arg(instances::argument("Operators' address of an instance; may be repeated"));
+    submission::declare(command).mut_arg("platform", |arg| arg.required(true))
 }
 
 pub fn run(args: &ArgMatches, options: &Options) -> eyre::Result<Exit> {
-    let version = submit(args, options)?;
-    options.print(vec![format!("submitted version {version}")], |_| json!({"version": version}))?;
-    Ok(Exit::Success)
-}
-
-fn submit(args: &ArgMatches, options: &Options) -> eyre::Result<u64> {
-    let address = *args.get_one::<SocketAddr>("platform").ok_or_else(|| eyre!("no platform"))?;
     let config = options.read_config(util::path(args, "FILE")?)?;
-    let document = config.canonical_json();
-    let digest = config.digest();
-    let platform = Platform::open(address, PLATFORM_TIMEOUT);
-    platform.put_object(&digest.hex(), document.as_bytes())?;
-    let present = platform.get_row(CONFIG_TABLE, HEAD_KEY)?;
-    let revision = present.as_ref().map_or(0, |row| row.revision);
-    let version = match present {
-        Some(row) => serde_json::from_value::<Head>(row.value)?.version + 1,
-        None => 1,
-    };
-    let submission_id = format!("{:016x}", fastrand::u64(..));
-    let head = Head { version, digest: digest.to_string(), submission_id, past: Vec::new() };
-    match platform.put_row(CONFIG_TABLE, HEAD_KEY, revision, serde_json::to_value(head)?)? {
-        Put::Written(_) => Ok(version),
-        Put::Refused(_) => Err(eyre!("another operator submitted at the same time")),
-    }
+    let expected = args.get_one::<u64>("base").map(|version| ConfigVersion(*version));
+    Target::new(args)?.submit(&config, expected)?.print(options)
 }
--- a/crates/pollenshedctl/src/main.rs
+++ b/crates/pollenshedctl/src/main.rs
@@ -1,7 +1,9 @@
 //! The operators' command of pollenshed. `docs/configuration.md` describes what it checks.
 
 mod cmd;
+mod instances;
 mod options;
+mod submission;
 mod util;
 
 use std::process::ExitCode;
--- a/crates/pollenshedctl/src/util.rs
+++ b/crates/pollenshedctl/src/util.rs
@@ -13,7 +13,9 @@
     1  findings, or differences
     2  wrong usage
     3  trouble: a file cannot be read or compared, or an instance or the platform
-       does not answer";
+       does not answer
+    4  lost race: another submission came first and this one has no effect
+    5  not in force: accepted, and not in force everywhere within the time";
 
 /// How a run ended, as documented in [`EXIT_CODES`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -26,6 +28,10 @@
     Usage,
     /// There is no answer.
     Trouble,
+    /// Another submission came first.
+    LostRace,
+    /// The submission was accepted and is not in force everywhere in time.
+    NotInForce,
 }
 
 impl From<Exit> for ExitCode {
@@ -35,6 +41,8 @@
             Exit::Negative => 1,
             Exit::Usage => 2,
             Exit::Trouble => 3,
+            Exit::LostRace => 4,
+            Exit::NotInForce => 5,
         })
     }
 }
--- a/crates/protocol/src/operator/mod.rs
+++ b/crates/protocol/src/operator/mod.rs
@@ -1,10 +1,14 @@
 //! JSON bodies of the operators' HTTP interface, described in `docs/operators.md`.
 
+mod explain;
+
 use std::net::SocketAddr;
 
 use pollenshed_state::ids::{FailureDomainName, InstanceName};
 use serde::{Deserialize, Serialize};
 
+pub use explain::{ExplainBody, ExplainedBackendServer, ExplainedEntry, ExplainedFailureDomain};
+
 /// Answer of `GET /v1/status`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StatusBody {
