--- a/crates/pollenshed/src/owner/dispatch.rs
+++ b/crates/pollenshed/src/owner/dispatch.rs
@@ -4,7 +4,9 @@
 
 use pollenshed_coordination::{
     ledger::Begin,
-    limits::{Finished, Refusal, RefusalReason, Submitted, Work, WorkId},
+    limits::{
+        Finished, QuarantineEntry, Refusal, RefusalReason, SchedulerPolicy, Submitted, Work, WorkId,
+    },
 };
 use pollenshed_protocol::peer::{
     AnswerReply, DispatchRequest, HttpRequest, NotRunReason, UnknownReason,
@@ -52,7 +54,7 @@
     let task = shared.work.spawn(async move {
         let id = attempt.id.clone();
         let reply = run(&runner, attempt, work).await;
-        lock(&runner.attempts).end(&id, reply.clone());
+        lock(&runner.attempts).end(&id, reply.clone(), runner.clock.now());
         reply
     });
     task.await.unwrap_or_else(|e| wire::unknown(UnknownReason::ConnectionLost, e.to_string()))
@@ -101,6 +103,7 @@
     let deadline = now.plus_us(request.deadline_left_us);
     let content = wire::digest_from_wire(&request.content_digest)
         .unwrap_or_else(|| wire::content_digest(http));
+    note_crashes(shared, content, &request, now);
     let work = Work {
         id: shared.owner.new_id(),
         service: service.name.clone(),
@@ -142,6 +145,18 @@
     intake.is_some_and(|intake| intake.admit(now))
 }
 
+/// Takes over what the entry knows about the content before gossip brings it.
+fn note_crashes(shared: &Shared, content: Digest, request: &DispatchRequest, now: Instant) {
+    let crashed: Vec<BackendServerName> =
+        request.crashed_backend_servers.iter().filter_map(|name| name.parse().ok()).collect();
+    if crashed.is_empty() {
+        return;
+    }
+    let ttl_left_ms = SchedulerPolicy::default().quarantine_ms;
+    let entry = QuarantineEntry { content, crashed, ttl_left_ms };
+    shared.owner.with_scheduler(|scheduler| scheduler.merge_quarantine(&[entry], now));
+}
+
 fn caller_name(text: &str) -> CallerName {
     text.parse()
         .or_else(|_| ANONYMOUS.parse())
@@ -159,6 +174,9 @@
     let now = shared.clock.now();
     {
         let mut state = lock(&shared.owner.state);
+        if state.is_stopped {
+            return wire::not_run(NotRunReason::Stopping, "the owner is stopping");
+        }
         if let Submitted::Refused(refusal) = state.scheduler.submit(work, now, fastrand::u64(..)) {
             log::info!("dispatch: {id} refused at once ({})", refusal.reason);
             return refused(&refusal);
