Add the log writer and the metrics sender

Cause: env_logger writes to standard error in the logging thread, so a reader that stalls stops serving; metrics had no sender. Ruled out: a logger of its own (env_logger formats, filters by RUST_LOG and renders key-value fields; only its target changes), an unbounded queue, tags in metric names (plain StatsD receivers do not know them). Change: logs::init puts a queue of 4,096 lines of at most 4 KiB and a thread between env_logger and standard error; lines that find it full are dropped, counted and reported when writing goes on. metrics::open sends counters, timings and gauges by cadence's queued UDP sink; its module documents all names. Conclusion: the daemon still calls env_logger::init; logs::init replaces it.

--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -3,5 +3,7 @@
 
 pub mod backend;
 pub mod edge;
+pub mod logs;
+pub mod metrics;
 pub mod peers;
 pub mod platform;
