--- a/crates/pollenshed/src/entry/http.rs
+++ b/crates/pollenshed/src/entry/http.rs
@@ -2,7 +2,10 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use hyper::{Request, Response, StatusCode};
+use hyper::{
+    Request, Response, StatusCode,
+    header::{HeaderValue, RETRY_AFTER},
+};
 use pollenshed_protocol::{
     caller::{CALLER_HEADER, DEADLINE_HEADER, Outcome, TICKET_HEADER},
     peer::{Header, HttpRequest},
@@ -188,7 +191,11 @@
 /// Builds the answer for a body that could not be read; the request did not run.
 pub(super) fn body_error(error: &BodyError) -> Refused {
     let (status, reason) = (error.status(), error.reason());
-    Box::new(refusal(status, Outcome::NotRun, reason, &error.to_string()))
+    let mut answer = refusal(status, Outcome::NotRun, reason, &error.to_string());
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("1"));
+    }
+    Box::new(answer)
 }
 
 pub(super) fn refuse(status: StatusCode, detail: &str) -> Refused {
--- a/crates/pollenshed/src/entry/uploads/mod.rs
+++ b/crates/pollenshed/src/entry/uploads/mod.rs
@@ -14,7 +14,10 @@
 
 use std::sync::Arc;
 
-use hyper::{Request, Response, StatusCode};
+use hyper::{
+    Request, Response, StatusCode,
+    header::{HeaderValue, RETRY_AFTER},
+};
 use pollenshed_protocol::caller::Outcome;
 use pollenshed_transport::edge::{AnswerBody, RequestBody};
 
@@ -57,7 +60,10 @@
     }
 }
 
-/// Builds the answer while the object store does not answer.
+/// Builds the answer while the platform's store does not answer.
 fn store_unavailable(detail: &str) -> Refused {
-    Box::new(refusal(StatusCode::SERVICE_UNAVAILABLE, Outcome::NotRun, "store-unavailable", detail))
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    let mut answer = refusal(status, Outcome::NotRun, "store-unavailable", detail);
+    answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("1"));
+    Box::new(answer)
 }
