Add dev, check, explain, admission by rank, key claims and metrics

Cause: a newcomer could not try the system, operators could not ask an instance, and an entry held requests without limits by rank. Ruled out: recording a refusal of a full ledger per ticket (the ledger is full); instead all unknown tickets with an older stamp are refused, so a late copy finds the same refusal. Change: `pollenshed dev` and `check`; operators' /v1/config, /v1/explain and POST /v1/drain; EntryAdmission before a body is read; idempotency keys bound to tickets by one conditional row; logs and metrics wired; an instance whose name a later process has stops; uploads count by their parts on links.

--- a/crates/coordination/src/ledger/tickets.rs
+++ b/crates/coordination/src/ledger/tickets.rs
@@ -37,7 +37,7 @@
     Expired,
     /// The binding names another instance or incarnation.
     NotNamed,
-    /// The ledger is full; the request was not run and its ticket was not recorded.
+    /// The ledger is or was full; the request did not run, and its ticket never will.
     Full,
 }
 
@@ -79,6 +79,8 @@
     by_age: BTreeMap<u64, Ticket>,
     outcome_bytes: usize,
     next_sequence: u64,
+    /// Unknown tickets with a stamp up to this time were or could have been refused as not run.
+    refused_until: Option<Instant>,
 }
 
 impl<O: Clone> Ledger<O> {
@@ -97,6 +99,7 @@
             by_age: BTreeMap::new(),
             outcome_bytes: 0,
             next_sequence: 0,
+            refused_until: None,
         }
     }
 
@@ -115,6 +118,11 @@
         }
         self.expire(now);
         if self.records.len() >= self.limits.max_tickets {
+            self.refused_until = Some(now);
+        }
+        // A refused ticket is not recorded, so a late copy must find the same refusal. Its caller
+        // gets a later stamp with its next lookup.
+        if self.refused_until.is_some_and(|until| binding.stamp <= until) {
             return Admission::Full;
         }
         self.insert(ticket.clone(), content, expiry);
--- a/crates/pollenshed/src/cmd/serve.rs
+++ b/crates/pollenshed/src/cmd/serve.rs
@@ -1,12 +1,17 @@
-use std::{fs, process::ExitCode};
+use std::{fs, process::ExitCode, time::Duration};
 
 use clap::{Arg, ArgMatches, Command};
 use eyre::{Result, WrapErr, eyre};
 use pollenshed::instance::Instance;
 use pollenshed_state::settings::{self, Settings};
 
+use pollenshed_transport::logs;
+
 use super::{EXIT_FAILED, EXIT_REFUSED, fail};
 
+/// Time for the last log lines at the end of the process.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Describes `pollenshed serve`.
 pub fn command() -> Command {
     Command::new("serve")
@@ -36,12 +41,14 @@
 }
 
 fn serve(settings: Settings) -> Result<()> {
-    env_logger::init();
+    logs::init().wrap_err("cannot start the log writer")?;
     let instance = Instance::spawn(settings)?;
     println!("ready: callers http://{}", instance.caller_address());
     println!("ready: operators http://{}", instance.operator_address());
     println!("ready: peers http://{}", instance.shared().settings.peer_address);
+    println!("ready: relay http://{}", instance.shared().settings.relay_address);
     instance.wait_for_signal()?;
     instance.stop();
+    logs::flush(FLUSH_TIMEOUT);
     Ok(())
 }
--- a/crates/pollenshed/src/entry/dispatch.rs
+++ b/crates/pollenshed/src/entry/dispatch.rs
@@ -11,6 +11,7 @@
     AnswerReply, DispatchRequest, NotRunReason, UnknownReason, answer_reply,
 };
 use pollenshed_state::{ids::InstanceName, time::Instant, units::ByteSize};
+use pollenshed_transport::metrics::Counter;
 
 use super::{
     attempts::{Next, Tried},
@@ -91,7 +92,9 @@
         Next::AskAnother => true,
         Next::Retry => work.service().is_some_and(|service| {
             let is_idempotent = work.operation.idempotent;
-            lock(&shared.routing).retry_budget(service).try_retry(is_idempotent, now)
+            let may = lock(&shared.routing).retry_budget(service).try_retry(is_idempotent, now);
+            shared.metrics.count(Counter::Retries, u64::from(may));
+            may
         }),
     }
 }
@@ -136,7 +139,7 @@
     let assignment = lock(&shared.ownership).assignment().clone();
     let request = RouteRequest {
         rank: work.operation.rank,
-        request_bytes: ByteSize(work.request.body.len() as u64),
+        request_bytes: ByteSize(body_bytes(work)),
         answer_bytes: ByteSize(service.max_answer_bytes.0.min(EXPECTED_ANSWER_BYTES)),
         excluded: &tried.owners,
         counted_for: tried.counted_for.as_ref(),
@@ -152,6 +155,12 @@
     lock(&shared.routing).choose(&request, view, now).map_err(Some)
 }
 
+/// Returns the size of a request on a link. The body of an upload is fetched by the owner.
+fn body_bytes(work: &Classified) -> u64 {
+    let parts: u64 = uploads::parts_of(&work.request).iter().map(|p| p.length_bytes).sum();
+    parts.max(work.request.body.len() as u64)
+}
+
 fn log_target(work: &Classified, target: &Target) {
     log::info!(
         "route: {} {} {} to {} of {} ({:?})",
--- a/crates/pollenshed/src/entry/http.rs
+++ b/crates/pollenshed/src/entry/http.rs
@@ -1,30 +1,33 @@
 //! Reads callers' requests.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use hyper::{
     Request, Response, StatusCode,
-    header::{HeaderValue, RETRY_AFTER},
+    header::{CONTENT_LENGTH, HeaderValue, RETRY_AFTER},
 };
 use pollenshed_protocol::{
-    caller::{CALLER_HEADER, DEADLINE_HEADER, Outcome, TICKET_HEADER},
+    caller::{CALLER_HEADER, DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, Outcome, TICKET_HEADER},
     peer::{Header, HttpRequest},
 };
 use pollenshed_state::{
     config::{Operation, Service},
     ids::{ServiceName, Ticket},
     time::Instant,
+    units::ByteSize,
 };
 use pollenshed_transport::edge::{AnswerBody, BodyError, RequestBody};
 
 use super::{
+    admission::Admitted,
     answer::{from_reply, json, refusal},
-    dispatch, ticketed, uploads,
+    claims, dispatch, ticketed, uploads,
 };
 use crate::{
     config::InForce,
     instance::Shared,
     lookup::{self, NoAnswer},
+    wire,
 };
 
 const RUN_PREFIX: &str = "/v1/run/";
@@ -83,6 +86,7 @@
 }
 
 /// A request that was read and classified.
+#[derive(Debug, Clone)]
 pub struct Classified {
     /// The request to relay.
     pub request: HttpRequest,
@@ -127,23 +131,31 @@
     })?;
     let deadline = read_deadline(&shared, &request, &current, &operation)?;
     let ticket = read_ticket(&request)?;
+    let key = header(&request, IDEMPOTENCY_KEY_HEADER).map(str::to_owned);
     let caller = header(&request, CALLER_HEADER).unwrap_or("anonymous").to_owned();
     let headers = passed_headers(&request);
     let limit = service.max_request_bytes.0;
+    let announced = header(&request, CONTENT_LENGTH.as_str()).and_then(|v| v.parse().ok());
+    let held = ByteSize(announced.unwrap_or(limit).min(limit));
+    let _admitted = Admitted::admit(&shared, operation.rank, held)?;
     let service_name = service.name.to_string();
     let body = request.into_body().read_whole(limit).await.map_err(|e| body_error(&e))?;
     let request = HttpRequest { service: service_name, method, path, headers, body, caller };
     let work = Classified { request, operation, deadline, current };
-    let reply = match (work.operation.idempotent, ticket) {
-        (true, _) => dispatch::run(&shared, &work, &new_request_id()).await,
-        (false, Some(ticket)) => ticketed::run(&shared, ticket, work).await,
-        (false, None) => {
+    let (rank, began) = (work.operation.rank, shared.clock.now());
+    let reply = match (work.operation.idempotent, ticket, key) {
+        (true, _, _) => dispatch::run(&shared, &work, &new_request_id()).await,
+        (false, Some(ticket), _) => ticketed::run(&shared, ticket, work).await,
+        (false, None, Some(key)) => claims::run(&shared, &key, work).await,
+        (false, None, None) => {
             return Err(refuse(
                 StatusCode::PRECONDITION_REQUIRED,
                 "the operation is not idempotent, so the request needs a ticket; see docs/callers.md",
             ));
         }
     };
+    let took = Duration::from_micros(shared.clock.now().since_us(began));
+    shared.metrics.request(rank, wire::outcome_of(&reply), took);
     Ok(from_reply(reply))
 }
 
--- a/crates/pollenshed/src/entry/mod.rs
+++ b/crates/pollenshed/src/entry/mod.rs
@@ -1,7 +1,9 @@
 //! Entry: takes callers' requests, routes them to owners and answers.
 
+mod admission;
 mod answer;
 mod attempts;
+mod claims;
 mod dispatch;
 mod heirs;
 mod http;
@@ -17,6 +19,7 @@
 use pollenshed_transport::edge::Edge;
 use tokio::net::TcpListener;
 
+pub use claims::ClaimBudget;
 pub use heirs::{hand_over, take_over};
 pub use routing::Routing;
 use ticketed::run_named;
--- a/crates/pollenshed/src/entry/routing.rs
+++ b/crates/pollenshed/src/entry/routing.rs
@@ -45,8 +45,8 @@
     /// Starts at home for every service, without any right to use other failure domains.
     pub fn new(settings: &Settings, now: Instant) -> Routing {
         let ttl_ms = settings.timing.headroom_ttl_ms;
-        // Headroom that a former incarnation could still be using must expire first.
-        let adverts = Advertisements::new(ttl_ms, now.plus_ms(ttl_ms));
+        // Owners count this entry only after gossip has told them of it.
+        let adverts = Advertisements::new(ttl_ms, now.plus_ms(settings.timing.dead_after_ms));
         let none = Network {
             between_failure_domains_us: 0,
             between_regions_us: 0,
--- a/crates/pollenshed/src/gossip/mod.rs
+++ b/crates/pollenshed/src/gossip/mod.rs
@@ -76,6 +76,10 @@
         membership.pick_peers(now, fastrand::u64(..))
     };
     lock(&shared.fence).ran(now);
+    if lock(&shared.membership).is_superseded() && !shared.is_leaving() {
+        log::error!("membership: a later process has the name of this instance; it stops");
+        shared.stop_requested.notify_one();
+    }
     if let Some(current) = shared.config.get() {
         update(shared, &current, now);
     }
@@ -91,6 +95,7 @@
     let in_region = entries_in_region(&current.config, &entries, &shared.settings.failure_domain);
     let mut routing = lock(&shared.routing);
     routing.apply(&current.config, in_region, now);
+    lock(&shared.admission).set_ranks(&current.config.ranks);
     for advert in adverts {
         let _ = routing.router.advertisements.store(
             advert,
--- a/crates/pollenshed/src/instance/mod.rs
+++ b/crates/pollenshed/src/instance/mod.rs
@@ -1,10 +1,12 @@
 //! One running instance: its state, its ports and its planned stop.
 
+mod explain;
+mod operators;
 mod servers;
 mod shared;
 mod stop;
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use eyre::{Result, WrapErr};
 use pollenshed_state::settings::Settings;
@@ -65,7 +67,7 @@
         control.spawn(reader::run(shared.clone()));
         work.spawn(owner::run(shared.clone()));
         let edge = callers.block_on(entry::bind(shared.clone(), edge_listener))?;
-        let operator_address = servers::serve_operators(shared.clone())?;
+        let operator_address = operators::serve(shared.clone())?;
         log::info!(
             "instance: {} of {} runs as {}, callers {}, peers {}, relay {}, operators {}",
             shared.settings.instance,
@@ -102,6 +104,7 @@
             tokio::select! {
                 _ = terminate.recv() => {}
                 _ = interrupt.recv() => {}
+                () = self.shared.stop_requested.notified() => {}
             }
             Ok(())
         })
@@ -110,9 +113,14 @@
     /// Stops the instance as planned: nobody is cut off.
     pub fn stop(self) {
         let began = self.shared.clock.now();
-        self.control.block_on(stop::leave(&self.shared));
         self.edge.discourage();
-        self.callers.block_on(self.edge.drain());
+        self.control.block_on(stop::leave(&self.shared));
+        let timeout = Duration::from_millis(self.shared.settings.timing.stop_timeout_ms);
+        let drained =
+            self.callers.block_on(async { tokio::time::timeout(timeout, self.edge.drain()).await });
+        if drained.is_err() {
+            log::warn!("stop: gives up on {} connections", self.edge.open_connections());
+        }
         self.control.block_on(stop::finish(&self.shared, began));
         self.kill();
     }
--- a/crates/pollenshed/src/instance/servers.rs
+++ b/crates/pollenshed/src/instance/servers.rs
@@ -3,16 +3,13 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use eyre::{Result, eyre};
-use pollenshed_coordination::{ledger::Settlement, membership::MemberState};
-use pollenshed_protocol::{
-    operator::{MemberStatus, OwnedBackendServer, StatusBody},
-    peer::{
-        AnswerReply, DispatchRequest, ExchangeMessage, FetchConfigReply, FetchConfigRequest,
-        HandOverReply, HandOverRequest, RelayRequest, SettleReply, SettleRequest,
-        control_server::{Control, ControlServer},
-        settle_reply,
-        work_server::{Work, WorkServer},
-    },
+use pollenshed_coordination::ledger::Settlement;
+use pollenshed_protocol::peer::{
+    AnswerReply, DispatchRequest, ExchangeMessage, FetchConfigReply, FetchConfigRequest,
+    HandOverReply, HandOverRequest, RelayRequest, SettleReply, SettleRequest,
+    control_server::{Control, ControlServer},
+    settle_reply,
+    work_server::{Work, WorkServer},
 };
 use pollenshed_transport::peers::MAX_MESSAGE_BYTES;
 use tokio::net::TcpListener;
@@ -22,9 +19,6 @@
 use super::Shared;
 use crate::{entry, gossip, owner, util::lock};
 
-/// Threads that answer operators.
-const OPERATOR_THREADS: usize = 2;
-
 /// Opens a port.
 pub async fn listen(address: SocketAddr) -> Result<TcpListener> {
     TcpListener::bind(address).await.map_err(|e| eyre!("cannot listen on {address}: {e}"))
@@ -131,66 +125,3 @@
         Ok(Response::new(HandOverReply { accepted }))
     }
 }
-
-/// Serves operators over HTTP on threads of its own and returns the address.
-pub fn serve_operators(shared: Arc<Shared>) -> Result<SocketAddr> {
-    let address = shared.settings.operator_address;
-    let server = rouille::Server::new(address, move |request| {
-        match (request.method(), request.url().as_str()) {
-            ("GET", "/v1/status") => rouille::Response::json(&status(&shared)),
-            _ => rouille::Response::empty_404(),
-        }
-    })
-    .map_err(|e| eyre!("operator_address: cannot listen on {address}: {e}"))?
-    .pool_size(OPERATOR_THREADS);
-    let address = server.server_addr();
-    std::thread::Builder::new().name("operators".to_owned()).spawn(move || server.run())?;
-    Ok(address)
-}
-
-fn status(shared: &Shared) -> StatusBody {
-    let now = shared.clock.now();
-    let current = shared.config.get();
-    let members = lock(&shared.membership)
-        .members(now)
-        .map(|(record, state)| MemberStatus {
-            instance: record.instance.clone(),
-            failure_domain: record.failure_domain.clone(),
-            state: state_word(state).to_owned(),
-            config_version: record.config_version.0,
-            peer_address: record.peer_address,
-        })
-        .collect();
-    let owned_backend_servers = shared
-        .owner
-        .with_scheduler(|scheduler| scheduler.snapshot(now))
-        .into_iter()
-        .map(|server| OwnedBackendServer {
-            name: server.name.to_string(),
-            in_use: server.in_use,
-            limit: server.limit,
-            state: server.state.to_string(),
-        })
-        .collect();
-    StatusBody {
-        instance: shared.settings.instance.clone(),
-        failure_domain: shared.settings.failure_domain.clone(),
-        incarnation: shared.incarnation.to_string(),
-        leaving: shared.is_leaving(),
-        config_version: shared.config.version().0,
-        config_digest: current.map_or_else(String::new, |c| c.digest.to_string()),
-        members,
-        owned_backend_servers,
-        dropped_log_lines: 0,
-    }
-}
-
-fn state_word(state: MemberState) -> &'static str {
-    match state {
-        MemberState::Alive => "alive",
-        MemberState::Suspect => "suspect",
-        MemberState::Leaving => "leaving",
-        MemberState::Unconfirmed => "unconfirmed",
-        MemberState::Dead => "dead",
-    }
-}
--- a/crates/pollenshed/src/instance/shared.rs
+++ b/crates/pollenshed/src/instance/shared.rs
@@ -9,6 +9,7 @@
 
 use pollenshed_coordination::{
     ledger::{Attempts, Inherited, Ledger, LedgerLimits},
+    limits::EntryAdmission,
     membership::{MemberRecord, Membership, Params},
     ownership::{Fence, OwnershipMap},
 };
@@ -17,14 +18,23 @@
     ids::{ConfigVersion, Incarnation, Ticket},
     settings::Settings,
 };
-use pollenshed_transport::{backend::BackendClient, peers::Peers, platform::Platform};
+use pollenshed_transport::{
+    backend::BackendClient,
+    metrics::{self, Metrics},
+    peers::Peers,
+    platform::Platform,
+};
 use tokio::{
     runtime::Handle,
     sync::{Notify, watch},
 };
 
 use crate::{
-    config::ConfigSlot, entry::Routing, leaving::LeavingServers, owner::Owner, util::Clock,
+    config::ConfigSlot,
+    entry::{ClaimBudget, Routing},
+    leaving::LeavingServers,
+    owner::Owner,
+    util::Clock,
 };
 
 /// Tickets that one incarnation keeps at most.
@@ -63,6 +73,12 @@
     pub waiting: Mutex<HashMap<Ticket, watch::Sender<Option<AnswerReply>>>>,
     /// Attempts of non-idempotent requests that reached this owner.
     pub attempts: Mutex<Attempts<AnswerReply>>,
+    /// Limits on requests and bytes of the entry, by rank.
+    pub admission: Mutex<EntryAdmission>,
+    /// Limits on claims of idempotency keys.
+    pub claims: Mutex<ClaimBudget>,
+    /// Metrics of all roles.
+    pub metrics: Metrics,
     /// Slots and queues of the owned backend servers.
     pub owner: Owner,
     /// Connections for control messages.
@@ -71,6 +87,8 @@
     pub work_peers: Peers,
     /// Backend servers that the platform is about to take away.
     pub leaving_backend_servers: Mutex<LeavingServers>,
+    /// Begins a planned stop.
+    pub stop_requested: Notify,
     /// Wakes gossip at once, as when a request has crashed a backend server.
     pub gossip_now: Notify,
     /// Client of backend servers.
@@ -124,7 +142,18 @@
             control_peers: Peers::open(settings.peer_address.ip()),
             work_peers: Peers::open(settings.relay_address.ip()),
             leaving_backend_servers: Mutex::default(),
+            stop_requested: Notify::new(),
             gossip_now: Notify::new(),
+            metrics: metrics::open(settings.metrics_address).unwrap_or_else(|e| {
+                log::warn!("instance: metrics are not sent: {e}");
+                Metrics::default()
+            }),
+            admission: Mutex::new(EntryAdmission::new(
+                settings.caller_limits.max_connections,
+                settings.caller_limits.max_buffered_bytes,
+                &[],
+            )),
+            claims: Mutex::new(ClaimBudget::default()),
             backend: BackendClient::open(),
             platform: Platform::open(settings.platform_address, timeout),
             work,
--- a/crates/pollenshed/src/lookup/mod.rs
+++ b/crates/pollenshed/src/lookup/mod.rs
@@ -12,6 +12,7 @@
     ids::{Binding, FailureDomainName, ServiceName},
     time::Instant,
 };
+use pollenshed_transport::metrics::Counter;
 
 use crate::{instance::Shared, util::lock};
 
@@ -53,6 +54,7 @@
         incarnation: first.incarnation,
         stamp: Instant::from_ms(first.stamp_ms),
     };
+    shared.metrics.count(Counter::Lookups, 1);
     log::info!(
         "lookup: {service} for {client}: {} of {}, first of {}",
         first.instance,
--- a/crates/pollenshed/src/owner/dispatch.rs
+++ b/crates/pollenshed/src/owner/dispatch.rs
@@ -1,6 +1,6 @@
 //! One attempt, from its arrival to its outcome.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use pollenshed_coordination::{
     ledger::Begin,
@@ -12,11 +12,12 @@
     AnswerReply, DispatchRequest, HttpRequest, NotRunReason, UnknownReason,
 };
 use pollenshed_state::{
-    config::{BackendServer, Operation, Service},
+    config::{BackendServer, Operation, Rank, Service},
     ids::{BackendServerName, CallerName, Digest},
     time::Instant,
     units::ByteSize,
 };
+use pollenshed_transport::metrics::{Counter, Timing};
 use tokio::sync::oneshot;
 
 use super::{Grant, send, take_turn};
@@ -32,6 +33,7 @@
     pub(super) deadline: Instant,
     pub(super) max_answer_bytes: u64,
     pub(super) content: Digest,
+    pub(super) rank: Rank,
     pub(super) request: DispatchRequest,
 }
 
@@ -121,6 +123,7 @@
         deadline,
         max_answer_bytes: service.max_answer_bytes.0,
         content,
+        rank: operation.rank,
         request,
     };
     Ok((attempt, work))
@@ -179,6 +182,9 @@
         }
         if let Submitted::Refused(refusal) = state.scheduler.submit(work, now, fastrand::u64(..)) {
             log::info!("dispatch: {id} refused at once ({})", refusal.reason);
+            if refusal.reason == RefusalReason::Quarantined {
+                shared.metrics.count(Counter::Quarantined, 1);
+            }
             return refused(&refusal);
         }
         state.waiting.insert(id, sender);
@@ -190,7 +196,11 @@
             log::info!("dispatch: {id} refused in the queue ({})", refusal.reason);
             refused(&refusal)
         }
-        Some(Grant::Server(server)) => start(shared, attempt, id, server).await,
+        Some(Grant::Server(server)) => {
+            let waited = Duration::from_micros(shared.clock.now().since_us(now));
+            shared.metrics.time(Timing::Queue, attempt.rank, waited);
+            start(shared, attempt, id, server).await
+        }
         None => wire::not_run(NotRunReason::Stopping, "the owner is stopping"),
     }
 }
--- a/crates/pollenshed/src/owner/send.rs
+++ b/crates/pollenshed/src/owner/send.rs
@@ -8,7 +8,10 @@
     config::BackendServer,
     ids::{BackendServerName, Digest},
 };
-use pollenshed_transport::backend::{BackendOutcome, BackendRequest};
+use pollenshed_transport::{
+    backend::{BackendOutcome, BackendRequest},
+    metrics::{Counter, Timing},
+};
 
 use super::{dispatch::Attempt, uploads};
 use crate::{instance::Shared, util::lock, wire};
@@ -77,6 +80,13 @@
         BackendOutcome::TimedOut => Finished::Abandoned,
     };
     let now = shared.clock.now();
+    match outcome {
+        BackendOutcome::Answered { .. } => {
+            shared.metrics.time(Timing::Backend, attempt.rank, Duration::from_micros(latency_us));
+        }
+        BackendOutcome::Shed { .. } => shared.metrics.count(Counter::Shed, 1),
+        _ => {}
+    }
     {
         let mut state = lock(&shared.owner.state);
         state.scheduler.finish(id, finished, now);
--- a/crates/pollenshed/src/wire.rs
+++ b/crates/pollenshed/src/wire.rs
@@ -10,9 +10,12 @@
     membership::{Bucket, Exchange, Heartbeat, MemberRecord},
     routing::Advertisement,
 };
-use pollenshed_protocol::peer::{
-    self, AnswerReply, Conflict, ExchangeMessage, HttpAnswer, Member, MemberBucket, NotRun,
-    NotRunReason, TicketOutcome, Unknown, UnknownReason, answer_reply,
+use pollenshed_protocol::{
+    caller::Outcome,
+    peer::{
+        self, AnswerReply, Conflict, ExchangeMessage, HttpAnswer, Member, MemberBucket, NotRun,
+        NotRunReason, TicketOutcome, Unknown, UnknownReason, answer_reply,
+    },
 };
 use pollenshed_state::ids::{ConfigVersion, Incarnation};
 
@@ -218,3 +221,14 @@
         _ => false,
     }
 }
+
+/// Returns what a reply says became of the request.
+pub fn outcome_of(reply: &AnswerReply) -> Outcome {
+    match &reply.outcome {
+        Some(answer_reply::Outcome::Done(_)) => Outcome::Done,
+        Some(answer_reply::Outcome::NotRun(_) | answer_reply::Outcome::Conflict(_)) => {
+            Outcome::NotRun
+        }
+        Some(answer_reply::Outcome::Unknown(_)) | None => Outcome::Unknown,
+    }
+}
--- a/crates/protocol/src/caller/reason.rs
+++ b/crates/protocol/src/caller/reason.rs
@@ -1,7 +1,7 @@
 //! What the reason words of refusals tell a caller.
 
 /// Reasons of a `not-run` that were given before the ticket was looked at.
-const ABOUT_COPY: [&str; 13] = [
+const ABOUT_COPY: [&str; 14] = [
     "invalid",
     "too-many-connections",
     "head-timeout",
@@ -12,6 +12,7 @@
     "no-buffer",
     "no-configuration",
     "no-entry",
+    "entry-full",
     "digest-mismatch",
     "part-missing",
     "store-unavailable",
