Keep room for small bodies beside large uploads

Cause: sixteen parts of uploads that arrive slowly filled the whole budget for bodies, and urgent requests with small bodies were refused. Ruled out: a budget per rank (the rank of an upload's part is not known before its record is read from the store). Change: bodies beyond 64 KiB together get three quarters of the budget. A test also covers the start of twelve backend server stand-ins at once. Conclusion: small requests are refused only when small bodies fill the rest.

--- a/crates/standins/tests/backend.rs
+++ b/crates/standins/tests/backend.rs
@@ -81,6 +81,17 @@
     expect_that!(load(), starts_with("HTTP/1.1 500"));
 }
 
+/// Guards against a fleet of stand-ins that share a port, a name or their records.
+#[gtest]
+fn many_are_started_at_once() {
+    let behaviour = Behaviour { name: "tavole".to_owned(), slots: 3, service_time: Duration::ZERO };
+    let servers = Backend::bind_many(12, &behaviour).unwrap();
+    let answer = call(servers[11].address(), "GET /x", "", "").unwrap();
+    expect_that!(answer, contains_substring("tavole-12 ran GET /x"));
+    let runs: Vec<_> = servers.iter().map(|s| s.runs().len()).collect();
+    expect_that!(runs.iter().sum::<usize>(), eq(1));
+}
+
 /// Guards against a cut answer that looks whole, and a drain that is not visible to callers.
 #[gtest]
 fn cut_answer_is_shorter_than_announced() {
--- a/crates/transport/src/edge/limits.rs
+++ b/crates/transport/src/edge/limits.rs
@@ -16,6 +16,13 @@
 /// Time after which a connection without a request is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Largest body that may use the whole budget for bodies.
+const SMALL_BODY_BYTES: u64 = 64 * 1024;
+
+/// Share of the budget that larger bodies may use together. Without it, a few uploads that arrive
+/// slowly would keep out all small requests, however urgent.
+const LARGE_BODIES_PERCENT: u64 = 75;
+
 /// Limits of one interface.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
@@ -30,7 +37,8 @@
     pub body_pause_timeout: Duration,
     /// Time after which a connection without a request is closed.
     pub idle_timeout: Duration,
-    /// Bodies held in memory at the same time, summed over all requests.
+    /// Bodies held in memory at the same time, summed over all requests. Bodies larger than 64 KiB
+    /// together get three quarters of it.
     pub max_buffered_bytes: u64,
 }
 
@@ -86,7 +94,10 @@
 impl Hold {
     /// Takes more bytes; false if the limit does not allow it.
     pub fn grow(&mut self, bytes: u64) -> bool {
-        let limit = self.budget.limit;
+        let limit = match self.bytes + bytes <= SMALL_BODY_BYTES {
+            true => self.budget.limit,
+            false => self.budget.limit / 100 * LARGE_BODIES_PERCENT,
+        };
         let grown = self.budget.held.fetch_update(Ordering::AcqRel, Ordering::Acquire, |held| {
             held.checked_add(bytes).filter(|sum| *sum <= limit)
         });
--- a/crates/transport/tests/edge.rs
+++ b/crates/transport/tests/edge.rs
@@ -86,7 +86,8 @@
     expect_that!(served.exchange(&input), starts_with("HTTP/1.1 413"));
 }
 
-/// Guards against memory that grows with the number of bodies, and a budget that is not given back.
+/// Guards against memory that grows with the number of bodies, large bodies that keep small ones
+/// out, and a budget that is not given back.
 #[gtest]
 fn buffered_bodies_are_bounded() {
     let served = serve(limits());
@@ -95,6 +96,10 @@
     let mut first = served.send(&input);
     wait_for("the first body", || served.waiting.load(Ordering::SeqCst) == 1);
     expect_that!(served.exchange(&input), starts_with("HTTP/1.1 503"));
+    let mut small = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 40000\r\n\r\n".to_vec();
+    small.extend_from_slice(&[b'x'; 40_000]);
+    let mut served_small = served.send(&small);
+    expect_that!(read_until(&mut served_small, "bytes"), ends_with("got 40000 bytes"));
     served.gate.add_permits(2);
     expect_that!(read_until(&mut first, "bytes"), ends_with("got 100000 bytes"));
     let mut third = served.send(&input);
