--- a/crates/coordination/src/routing/router.rs
+++ b/crates/coordination/src/routing/router.rs
@@ -9,7 +9,7 @@
     units::ByteSize,
 };
 
-use super::{advert::Advertisements, link::LinkBudget, lookup::domains_by_distance};
+use super::{advert::Advertisements, link::LinkBudget, lookup::domains_to_try};
 use crate::{
     ownership::{Assignment, LiveEntry},
     shift::{Ramp, StayReason},
@@ -28,6 +28,8 @@
     pub excluded: &'a [InstanceName],
     /// For a further attempt, the failure domain that the request was counted for.
     pub counted_for: Option<&'a FailureDomainName>,
+    /// Whether an earlier call counted the arrival of this request.
+    pub has_arrived: bool,
     /// Spreads requests over the owners of a failure domain.
     pub random: u64,
 }
@@ -111,8 +113,6 @@
 
     /// Chooses a target and counts the request against ramp, headroom and link.
     ///
-    /// Failure domains other than the ramp's base come first, because their shares are rounded down
-    /// and the base takes the rest.
     pub fn choose(
         &mut self,
         request: &RouteRequest<'_>,
@@ -120,13 +120,11 @@
         ramp: &mut Ramp,
         now: Instant,
     ) -> Result<Target, NoCapacity> {
-        if request.counted_for.is_none() {
+        if !request.has_arrived {
             ramp.arrive(request.rank, now);
         }
         let home = self.home.clone();
-        let mut order = domains_by_distance(view.config, &home);
-        order.retain(|d| ramp.share_ppm(d) > 0);
-        order.sort_by_key(|d| *d == ramp.base());
+        let order = domains_to_try(view.config, &home, ramp);
         let (served, lost): (Vec<_>, Vec<_>) =
             order.into_iter().partition(|d| !self.owners(view, d, request, now).is_empty());
         let lost_ppm = lost.into_iter().map(|d| ramp.share_ppm(d)).sum();
@@ -150,7 +148,7 @@
         now: Instant,
     ) -> Result<Choice, NoCapacity> {
         if request.counted_for != Some(domain) {
-            ramp.check(domain, request.rank, lost_ppm, now).map_err(NoCapacity::from)?;
+            ramp.check_request(domain, request.rank, lost_ppm, now).map_err(NoCapacity::from)?;
         }
         let (reason, link) = self.distance(view.config, domain);
         if let Some(region) = &link {
@@ -208,6 +206,9 @@
     }
 
     /// Returns the live owners that can serve the service in `domain`, with weights.
+    ///
+    /// A drained failure domain serves the share that the ramp has not moved yet, so that a planned
+    /// drain refuses nobody. Its share ends at nothing.
     fn owners<'a>(
         &self,
         view: RouteView<'a>,
@@ -215,9 +216,6 @@
         request: &RouteRequest<'_>,
         now: Instant,
     ) -> Vec<(&'a LiveEntry, u64)> {
-        if is_drained(view.config, domain) {
-            return Vec::new();
-        }
         let mut owners = if *domain == self.home {
             self.home_owners(view, domain, now)
         } else {
@@ -240,7 +238,8 @@
             let drain = Drain::BackendServer(server.name.clone());
             let owner = view.assignment.owner(&server.name);
             if let Some(owner) = owner.filter(|_| !view.config.drains.contains(&drain)) {
-                *slots.entry(owner).or_default() += server.slots.0;
+                let sum = slots.entry(owner).or_default();
+                *sum = sum.saturating_add(server.slots.0);
             }
         }
         let without_server: Vec<_> = self
@@ -280,18 +279,6 @@
     }
 }
 
-/// Returns whether the failure domain or its region is drained.
-fn is_drained(config: &Config, domain: &FailureDomainName) -> bool {
-    config.drains.iter().any(|drain| match drain {
-        Drain::BackendServer(_) => false,
-        Drain::FailureDomain(name) => name == domain,
-        Drain::Region(name) => {
-            let region = config.regions.iter().find(|r| r.name == *name);
-            region.is_some_and(|r| r.failure_domains.contains(domain))
-        }
-    })
-}
-
 /// Picks an owner with a probability in proportion to its weight.
 fn pick<'a>(owners: &[(&'a LiveEntry, u64)], random: u64) -> Option<&'a LiveEntry> {
     let total: u64 = owners.iter().fold(0, |sum, (_, weight)| sum.saturating_add(*weight));
--- a/crates/pollenshed/src/lookup/mod.rs
+++ b/crates/pollenshed/src/lookup/mod.rs
@@ -1,11 +1,15 @@
 //! Lookup: tells a caller which entries to use.
 
-use std::net::IpAddr;
+use std::{collections::BTreeSet, net::IpAddr};
 
-use pollenshed_coordination::routing::rank_entries;
+use pollenshed_coordination::{
+    ownership::live_entries,
+    routing::{lookup_domain, rank_entries},
+};
 use pollenshed_protocol::caller::{LookupAnswer, LookupEntry};
 use pollenshed_state::{
-    ids::{Binding, ServiceName},
+    config::Config,
+    ids::{Binding, FailureDomainName, ServiceName},
     time::Instant,
 };
 
@@ -36,12 +40,12 @@
         return Err(NoAnswer::UnknownService);
     }
     let now = shared.clock.now();
-    let home = &shared.settings.failure_domain;
+    let first_domain = first_domain(shared, &current.config, service, now);
     let client_key = client.to_string();
     let ranked = {
         let membership = lock(&shared.membership);
         let key = client_key.as_bytes();
-        rank_entries(&current.config, &membership, service, home, key, MAX_ENTRIES, now)
+        rank_entries(&current.config, &membership, service, &first_domain, key, MAX_ENTRIES, now)
     };
     let first = ranked.first().ok_or(NoAnswer::NoEntry)?;
     let binding = Binding {
@@ -70,3 +74,23 @@
         entries,
     })
 }
+
+/// Returns the failure domain whose entries come first, as the ramp of the service allows.
+///
+/// Callers cache the answer, so it moves traffic and counts against the cap of a shift. If no share
+/// is left, the entry's own failure domain comes first; that refuses nobody a lookup.
+fn first_domain(
+    shared: &Shared,
+    config: &Config,
+    service: &ServiceName,
+    now: Instant,
+) -> FailureDomainName {
+    let home = shared.settings.failure_domain.clone();
+    let with_entries: BTreeSet<_> = {
+        let membership = lock(&shared.membership);
+        live_entries(&membership, now).into_iter().map(|e| e.failure_domain).collect()
+    };
+    let mut routing = lock(&shared.routing);
+    let Some(ramp) = routing.ramps.get_mut(service) else { return home };
+    lookup_domain(config, ramp, |d| with_entries.contains(d), now).unwrap_or(home)
+}
--- a/crates/pollenshed/src/wire.rs
+++ b/crates/pollenshed/src/wire.rs
@@ -6,12 +6,13 @@
 
 use bytes::Bytes;
 use pollenshed_coordination::{
-    membership::{Exchange, Heartbeat, MemberRecord},
+    ledger::RecordedTicket,
+    membership::{Bucket, Exchange, Heartbeat, MemberRecord},
     routing::Advertisement,
 };
 use pollenshed_protocol::peer::{
-    self, AnswerReply, Conflict, ExchangeMessage, HttpAnswer, Member, NotRun, NotRunReason,
-    Unknown, UnknownReason, answer_reply,
+    self, AnswerReply, Conflict, ExchangeMessage, HttpAnswer, Member, MemberBucket, NotRun,
+    NotRunReason, TicketOutcome, Unknown, UnknownReason, answer_reply,
 };
 use pollenshed_state::ids::{ConfigVersion, Incarnation};
 
@@ -53,12 +54,21 @@
     text.parse().ok()
 }
 
+fn bucket_to_wire(bucket: &Bucket) -> MemberBucket {
+    let counters = Bytes::copy_from_slice(&bucket.counters);
+    MemberBucket { index: bucket.index, hash: bucket.hash, counters }
+}
+
+fn bucket_from_wire(bucket: &MemberBucket) -> Bucket {
+    Bucket { index: bucket.index, hash: bucket.hash, counters: bucket.counters.to_vec() }
+}
+
 /// Builds the membership part of a gossip message.
 pub fn exchange_to_wire(exchange: &Exchange) -> ExchangeMessage {
     ExchangeMessage {
         sender: Some(member_to_wire(&exchange.sender)),
         members: exchange.records.iter().map(member_to_wire).collect(),
-        members_digest: exchange.digest,
+        buckets: exchange.buckets.iter().map(bucket_to_wire).collect(),
         heartbeats: exchange
             .heartbeats
             .iter()
@@ -76,7 +86,7 @@
         sender: member_from_wire(message.sender.as_ref()?)?,
         records: message.members.iter().filter_map(member_from_wire).collect(),
         heartbeats: message.heartbeats.iter().map(heartbeat).collect(),
-        digest: message.members_digest,
+        buckets: message.buckets.iter().map(bucket_from_wire).collect(),
     })
 }
 
@@ -180,3 +190,31 @@
     let bytes: [u8; 32] = bytes.as_ref().try_into().ok()?;
     Some(pollenshed_state::ids::Digest::from_bytes(bytes))
 }
+
+/// Builds a message from a ledger's record.
+pub fn ticket_to_wire(record: &RecordedTicket<AnswerReply>) -> TicketOutcome {
+    TicketOutcome {
+        ticket: record.ticket.to_string(),
+        content_digest: Bytes::copy_from_slice(record.content.as_bytes()),
+        outcome: record.outcome.clone(),
+        ttl_left_ms: record.ttl_left_ms,
+    }
+}
+
+/// Reads a ledger's record; nothing if a field can't be read.
+pub fn ticket_from_wire(outcome: &TicketOutcome) -> Option<RecordedTicket<AnswerReply>> {
+    Some(RecordedTicket {
+        ticket: outcome.ticket.parse().ok()?,
+        content: digest_from_wire(&outcome.content_digest)?,
+        outcome: outcome.outcome.clone(),
+        ttl_left_ms: outcome.ttl_left_ms,
+    })
+}
+
+/// Tells whether a reply says that the entry which a ticket names is gone.
+pub fn is_entry_gone(reply: &AnswerReply) -> bool {
+    match &reply.outcome {
+        Some(answer_reply::Outcome::Unknown(u)) => u.reason() == UnknownReason::EntryGone,
+        _ => false,
+    }
+}
