Test with real processes that a filing runs at most once

Only an undisturbed resend was tested with real processes.

Ruled out: proxies only in front of backend servers, because the loss of Dispatch and Settle between instances is the harder part; a bound on the share of unknown outcomes taken from measured runs.

Change: tests/support/faults.rs starts a fleet with a proxy in front of each relay, control, backend server and platform port; tests/support/callers.rs notes all replies of a filing and compares them with the runs. tests/at_most_once.rs sends each filing to its entry and to a second one while an entry or owner is killed or frozen, connections are cut, cut one way, cut after N bytes or reset, answers are late, or the store fails; 40 fixed seeds choose moment, fault and entry. An unknown outcome is allowed only for filings whose named entry or owner the fault hit. pollenshed serve also prints its relay address.

--- a/crates/pollenshed/src/cmd/serve.rs
+++ b/crates/pollenshed/src/cmd/serve.rs
@@ -41,6 +41,7 @@
     println!("ready: callers http://{}", instance.caller_address());
     println!("ready: operators http://{}", instance.operator_address());
     println!("ready: peers http://{}", instance.shared().settings.peer_address);
+    println!("ready: relay http://{}", instance.shared().settings.relay_address);
     instance.wait_for_signal()?;
     instance.stop();
     Ok(())
--- /dev/null
+++ b/crates/pollenshed/tests/at_most_once.rs
@@ -0,0 +1,299 @@
+//! A non-idempotent request runs at most once, and every `not-run` is true, whatever fails.
+
+mod support;
+
+use std::{sync::atomic::AtomicU32, thread, time::Duration};
+
+use fastrand::Rng;
+use googletest::prelude::*;
+use pollenshed_standins::{platform::Faults, proxy::Direction};
+use support::{
+    callers::{Filing, Reply},
+    faults::{ProxiedFleet, THREE_ENTRIES, hold, signal},
+    wait_for,
+};
+
+/// Time that one filing takes at a backend server.
+const SERVICE_TIME: Duration = Duration::from_millis(150);
+
+/// Time that callers give a filing.
+const DEADLINE_MS: u64 = 1_200;
+
+/// Filings of one round.
+const FILINGS: u32 = 6;
+
+/// Longest time from the first sending to the fault, so that faults hit filings before they are
+/// accepted, in the queue, at the backend server and after the answer.
+const MAX_MOMENT_MS: u64 = 300;
+
+static NEXT_BODY: AtomicU32 = AtomicU32::new(0);
+
+/// Filings of one round, first sent to the named entry and then again to any entry.
+struct Round {
+    filings: Vec<Filing>,
+}
+
+impl Round {
+    fn prepare(fleet: &ProxiedFleet, seed: u64, rng: &mut Rng) -> Round {
+        let daemons = &fleet.fleet.daemons;
+        let filings = (0..FILINGS).map(|_| {
+            let number = NEXT_BODY.fetch_add(1, std::sync::atomic::Ordering::SeqCst);
+            let entry = daemons[rng.usize(..daemons.len())].callers;
+            Filing::prepare(entry, rng.u8(1..), format!("filing {number} seed {seed}"))
+        });
+        Round { filings: filings.collect() }
+    }
+
+    /// Sends all filings twice and causes a fault meanwhile. Returns when all replies are there.
+    fn run(&self, fleet: &mut ProxiedFleet, rng: &mut Rng, fault: impl FnOnce(&mut ProxiedFleet)) {
+        let entries: Vec<_> = fleet.fleet.daemons.iter().map(|d| d.callers).collect();
+        let moment = Duration::from_millis(rng.u64(..MAX_MOMENT_MS));
+        thread::scope(|scope| {
+            for filing in &self.filings {
+                let again = entries[rng.usize(..entries.len())];
+                let first = Duration::from_millis(rng.u64(..MAX_MOMENT_MS / 2));
+                let pause = Duration::from_millis(rng.u64(..MAX_MOMENT_MS));
+                scope.spawn(move || {
+                    hold(first);
+                    filing.send(filing.address, DEADLINE_MS)
+                });
+                scope.spawn(move || {
+                    hold(first + pause);
+                    filing.send(again, DEADLINE_MS)
+                });
+            }
+            hold(moment);
+            fault(fleet);
+        });
+    }
+
+    /// Sends all filings once more after the fault and checks every reply so far. `may_be_unknown`
+    /// tells whether the failure allows that nobody knows what became of a filing.
+    ///
+    /// The fleet serves new requests at every entry before, so late copies had their chance to run.
+    fn check(&self, fleet: &ProxiedFleet, seed: u64, may_be_unknown: impl Fn(&Filing) -> bool) {
+        fleet.wait_until_ready();
+        for filing in &self.filings {
+            for daemon in &fleet.fleet.daemons {
+                filing.send(daemon.callers, DEADLINE_MS);
+            }
+        }
+        fleet.fleet.wait_until_served();
+        let faults: Vec<_> =
+            self.filings.iter().filter_map(|f| f.find_fault(&fleet.fleet)).collect();
+        assert!(faults.is_empty(), "seed {seed}: {faults:#?}");
+        let unknown: Vec<_> = self.filings.iter().filter(|f| f.is_unknown()).collect();
+        let allowed = self.filings.iter().filter(|f| may_be_unknown(f)).count();
+        let refused = self.filings.iter().filter(|f| f.was_refused()).count();
+        println!(
+            "seed {seed}: {} of {FILINGS} unknown, {allowed} may be, {refused} refused",
+            unknown.len()
+        );
+        for filing in unknown {
+            let replies = filing.replies();
+            assert!(may_be_unknown(filing), "seed {seed}: {} unknown: {replies:?}", filing.ticket);
+        }
+    }
+}
+
+/// What depended on the instance that a fault hits, as it was before the fault.
+struct Victim {
+    name: &'static str,
+    backend_servers: Vec<String>,
+}
+
+impl Victim {
+    fn note(fleet: &ProxiedFleet, at: usize) -> Victim {
+        Victim { name: fleet.places[at].0, backend_servers: fleet.owned_by(at) }
+    }
+
+    fn is_named_by(&self, filing: &Filing) -> bool {
+        filing.named == self.name
+    }
+
+    /// Tells whether the victim was the filing's owner. A filing that did not run may have been on
+    /// its way to any owner.
+    fn may_own(&self, filing: &Filing, fleet: &ProxiedFleet) -> bool {
+        match fleet.fleet.backend_that_ran(filing.body.as_bytes()) {
+            Some(name) => self.backend_servers.contains(&name),
+            None => true,
+        }
+    }
+}
+
+fn rounds(
+    seeds: impl IntoIterator<Item = u64>,
+    mut one: impl FnMut(&mut ProxiedFleet, u64, &mut Rng),
+) {
+    let mut fleet = ProxiedFleet::start(&THREE_ENTRIES, SERVICE_TIME);
+    for seed in seeds {
+        one(&mut fleet, seed, &mut Rng::with_seed(seed));
+    }
+}
+
+/// Guards against a second run when a filing is sent again and nothing fails.
+#[gtest]
+fn filing_sent_to_all_entries_at_once_runs_once() {
+    rounds(1..=3, |fleet, seed, rng| {
+        let round = Round::prepare(fleet, seed, rng);
+        round.run(fleet, rng, |_| {});
+        // Nothing fails, so every filing is answered.
+        round.check(fleet, seed, |_| false);
+        for filing in &round.filings {
+            let all_done = filing.replies().iter().all(|r| matches!(r, Reply::Done(_)));
+            expect_that!(all_done, eq(true), "seed {seed}: {:?}", filing.replies());
+        }
+    });
+}
+
+/// Guards against a second run or a false refusal after the named entry was killed.
+#[gtest]
+fn entry_killed_at_any_moment() {
+    rounds(11..=15, |fleet, seed, rng| {
+        let round = Round::prepare(fleet, seed, rng);
+        let victim = fleet.places.iter().position(|p| p.0 == round.filings[0].named).unwrap();
+        let lost = Victim::note(fleet, victim);
+        round.run(fleet, rng, |fleet| fleet.fleet.daemons[victim].kill());
+        fleet.restart(victim);
+        // The ledger of the victim is gone, and what became of its attempts as an owner.
+        round.check(fleet, seed, |f| lost.is_named_by(f) || lost.may_own(f, fleet));
+    });
+}
+
+/// Guards against a second run or a false refusal after an owner was killed.
+#[gtest]
+fn owner_killed_at_any_moment() {
+    rounds(21..=24, |fleet, seed, rng| {
+        let round = Round::prepare(fleet, seed, rng);
+        let victim = fleet.any_owner();
+        let lost = Victim::note(fleet, victim);
+        round.run(fleet, rng, |fleet| fleet.fleet.daemons[victim].kill());
+        fleet.restart(victim);
+        // What became of the victim's attempts is gone, and its ledger as an entry.
+        round.check(fleet, seed, |f| lost.is_named_by(f) || lost.may_own(f, fleet));
+    });
+}
+
+/// Guards against a second run by a process that goes on after its peers took it for dead and after
+/// the deadline of its requests.
+#[gtest]
+fn entry_or_owner_frozen_and_continued() {
+    rounds(31..=34, |fleet, seed, rng| {
+        let round = Round::prepare(fleet, seed, rng);
+        let named = fleet.places.iter().position(|p| p.0 == round.filings[0].named).unwrap();
+        let victim = if rng.bool() { named } else { fleet.any_owner() };
+        let lost = Victim::note(fleet, victim);
+        round.run(fleet, rng, |fleet| {
+            signal(&fleet.fleet.daemons[victim], "-STOP");
+            // Longer than the deadline, because it is longer than the time to be taken for dead.
+            fleet.wait_until_dead(victim);
+            signal(&fleet.fleet.daemons[victim], "-CONT");
+        });
+        // No ledger is gone. But the pause is longer than the deadline, so a filing whose answer
+        // the victim had to read or to pass on has no outcome in time.
+        round.check(fleet, seed, |f| lost.is_named_by(f) || lost.may_own(f, fleet));
+    });
+}
+
+/// Guards against a second run or a false refusal when connections between instances fail.
+#[gtest]
+fn connections_between_entry_and_owner_fail() {
+    rounds(41..=48, |fleet, seed, rng| {
+        let round = Round::prepare(fleet, seed, rng);
+        let victim = fleet.any_owner();
+        let lost = Victim::note(fleet, victim);
+        let kind = rng.usize(..6);
+        let time = Duration::from_millis(rng.u64(100..600));
+        let bytes = rng.u64(100..3_000);
+        round.run(fleet, rng, |fleet| {
+            let relay = &fleet.peers[victim].relay;
+            match kind {
+                0 => relay.cut(),
+                1 => relay.cut_one_way(Direction::ToTarget),
+                2 => relay.cut_one_way(Direction::ToCaller),
+                3 => relay.reset_connections(),
+                4 => relay.cut_after(Direction::ToTarget, Some(bytes)),
+                _ => relay.cut_after(Direction::ToCaller, Some(bytes)),
+            }
+            hold(time);
+            fleet.heal();
+        });
+        // After a reset the entry asks the owner over a new connection, and all processes live, so
+        // every outcome is found. A silent cut lasts until the keepalive finds it, which takes
+        // longer than the deadline, and a connection that is closed after each few bytes may fail
+        // as long. Filings between other instances, or within the victim, are not affected.
+        round.check(fleet, seed, |f| kind != 3 && !lost.is_named_by(f) && lost.may_own(f, fleet));
+    });
+}
+
+/// Guards against a second run or a false refusal when connections to backend servers fail.
+#[gtest]
+fn connections_to_backend_servers_fail() {
+    rounds(51..=58, |fleet, seed, rng| {
+        let round = Round::prepare(fleet, seed, rng);
+        let kind = rng.usize(..6);
+        let time = Duration::from_millis(rng.u64(100..600));
+        let bytes = rng.u64(20..400);
+        round.run(fleet, rng, |fleet| {
+            for backend in &fleet.backends {
+                match kind {
+                    0 => backend.cut(),
+                    1 => backend.cut_one_way(Direction::ToTarget),
+                    2 => backend.cut_one_way(Direction::ToCaller),
+                    3 => backend.reset_connections(),
+                    4 => backend.cut_after(Direction::ToTarget, Some(bytes)),
+                    _ => backend.cut_after(Direction::ToCaller, Some(bytes)),
+                }
+            }
+            hold(time);
+            fleet.heal();
+        });
+        // Each filing that is at a backend server may be lost, and all may be there.
+        round.check(fleet, seed, |_| true);
+    });
+}
+
+/// Guards against a second run when answers are late, within the deadline and beyond it.
+#[gtest]
+fn answers_arrive_late() {
+    rounds(61..=64, |fleet, seed, rng| {
+        let round = Round::prepare(fleet, seed, rng);
+        let is_in_time = rng.bool();
+        let delay = if is_in_time { 100 } else { DEADLINE_MS + 200 };
+        for (_, backend) in &fleet.fleet.backends {
+            backend.set_faults(|f| f.answer_delay = Duration::from_millis(delay));
+        }
+        round.run(fleet, rng, |_| {});
+        for (_, backend) in &fleet.fleet.backends {
+            backend.set_faults(|f| f.answer_delay = Duration::ZERO);
+        }
+        // Answers within the deadline lose nothing; beyond it no answer may be waited for.
+        round.check(fleet, seed, |_| !is_in_time);
+    });
+}
+
+/// Guards against an effect of a store outage on filings: a second run, a refusal or a lost outcome.
+#[gtest]
+fn store_down_or_replies_lost() {
+    rounds(71..=74, |fleet, seed, rng| {
+        let round = Round::prepare(fleet, seed, rng);
+        let faults = match rng.u8(..3) {
+            0 => Faults { down: true, ..Faults::default() },
+            1 => Faults { lose_write_replies: true, lose_read_replies: true, ..Faults::default() },
+            _ => Faults { delay: Duration::from_secs(1), ..Faults::default() },
+        };
+        let began = fleet.fleet.platform.counts();
+        fleet.fleet.platform.set_faults(faults);
+        wait_for("calls that the store fails", || {
+            (fleet.fleet.platform.counts().since(began).reads > 0).then_some(())
+        });
+        round.run(fleet, rng, |_| {});
+        // The store has no part in filings with a ticket.
+        round.check(fleet, seed, |_| false);
+        fleet.fleet.platform.set_faults(Faults::default());
+        for filing in &round.filings {
+            let all_done = filing.replies().iter().all(|r| matches!(r, Reply::Done(_)));
+            expect_that!(all_done, eq(true), "seed {seed}: {:?}", filing.replies());
+        }
+    });
+}
--- /dev/null
+++ b/crates/pollenshed/tests/support/faults.rs
@@ -0,0 +1,269 @@
+//! A fleet whose connections between processes pass through fault-injecting proxies.
+
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    process::Command,
+    time::{Duration, Instant},
+};
+
+use pollenshed_protocol::platform::{InstanceList, ListedInstance};
+use pollenshed_standins::{
+    backend::{Backend, Behaviour, Run},
+    platform::Platform,
+    proxy::Proxy,
+};
+use serde_json::{Value, json};
+
+use super::{Daemon, Fleet, Workdir, config_value, wait_for};
+
+/// Silence after which peers take an instance for dead, in milliseconds.
+pub const DEAD_AFTER_MS: u64 = 1_600;
+
+/// Slots of each backend server as configured. The stand-ins have more, so that a request beyond
+/// the configured slots runs and is counted instead of being shed.
+pub const SLOTS: u64 = 3;
+
+/// Slots of the stand-ins.
+const STANDIN_SLOTS: u64 = 64;
+
+/// An instance: its name and its failure domain.
+pub type Place = (&'static str, &'static str);
+
+/// Two entries in one failure domain and one in the other domain of the region.
+pub const THREE_ENTRIES: [Place; 3] =
+    [("north-a-1", "north-a"), ("north-a-2", "north-a"), ("north-b-1", "north-b")];
+
+/// Proxies in front of the two ports of one instance that peers use.
+pub struct PeerProxies {
+    /// In front of the control port.
+    pub control: Proxy,
+    /// In front of the relay port.
+    pub relay: Proxy,
+}
+
+/// A fleet with a proxy on each path between processes.
+pub struct ProxiedFleet {
+    /// Processes and stand-ins; its daemons are in the order of `places`.
+    pub fleet: Fleet,
+    /// Names and failure domains of the instances.
+    pub places: Vec<Place>,
+    /// Proxies in front of each instance.
+    pub peers: Vec<PeerProxies>,
+    /// Proxies in front of each backend server, in the order of the fleet's backend servers.
+    pub backends: Vec<Proxy>,
+    /// Proxy in front of the platform.
+    pub platform: Proxy,
+}
+
+/// Answer of the stand-ins, which depends on the request alone.
+pub fn answer_to(method: &str, path: &str, body: &[u8]) -> Vec<u8> {
+    let mut answer = format!("{method} {path} answers ").into_bytes();
+    answer.extend_from_slice(body);
+    answer.extend(body.iter().rev());
+    answer
+}
+
+fn answer_of_run(run: &Run) -> (u16, Vec<u8>) {
+    (200, answer_to(&run.method, &run.path, &run.body))
+}
+
+/// Sends a signal to a process that the test started.
+pub fn signal(daemon: &Daemon, name: &str) {
+    let status = Command::new("kill").arg(name).arg(daemon.id().to_string()).status().unwrap();
+    assert!(status.success(), "kill {name} failed");
+}
+
+impl ProxiedFleet {
+    /// Starts two backend servers per failure domain and the instances, and waits until requests
+    /// are served at every entry.
+    pub fn start(places: &[Place], service_time: Duration) -> ProxiedFleet {
+        let mut domains: Vec<&str> = places.iter().map(|(_, domain)| *domain).collect();
+        domains.dedup();
+        let platform = Platform::bind(local()).unwrap();
+        let backends = bind_backends(&domains, service_time);
+        let backend_proxies: Vec<_> =
+            backends.iter().map(|(_, b)| Proxy::bind(b.address()).unwrap()).collect();
+        let config = proxied_config(&domains, &backends, &backend_proxies);
+        let platform_proxy = Proxy::bind(platform.address()).unwrap();
+        let workdir = Workdir::create();
+        let fleet =
+            Fleet { workdir, platform, backends, daemons: Vec::new(), config: config.clone() };
+        let mut proxied = ProxiedFleet {
+            fleet,
+            places: Vec::new(),
+            peers: Vec::new(),
+            backends: backend_proxies,
+            platform: platform_proxy,
+        };
+        proxied.fleet.submit(&config);
+        for place in places {
+            proxied.add(*place);
+        }
+        proxied.list();
+        proxied.wait_until_ready();
+        proxied
+    }
+
+    /// Starts one more instance behind proxies of its own.
+    pub fn add(&mut self, place: Place) {
+        // The instance announces its proxies, so they are bound before it and aimed afterwards.
+        let unaimed = local();
+        let proxies = PeerProxies {
+            control: Proxy::bind(unaimed).unwrap(),
+            relay: Proxy::bind(unaimed).unwrap(),
+        };
+        self.places.push(place);
+        self.peers.push(proxies);
+        let daemon = self.spawn(self.places.len() - 1);
+        self.fleet.daemons.push(daemon);
+    }
+
+    /// Starts a killed instance again.
+    pub fn restart(&mut self, at: usize) {
+        self.fleet.daemons[at].kill();
+        self.fleet.daemons[at] = self.spawn(at);
+    }
+
+    /// Ends an instance and takes it off the platform's list.
+    pub fn remove(&mut self, at: usize) {
+        self.fleet.daemons.remove(at);
+        self.peers.remove(at);
+        self.places.remove(at);
+        self.list();
+    }
+
+    fn spawn(&self, at: usize) -> Daemon {
+        let daemon = Daemon::spawn(&self.fleet.workdir, &self.settings(at));
+        self.peers[at].control.set_target(daemon.peers);
+        self.peers[at].relay.set_target(daemon.relay);
+        daemon
+    }
+
+    fn settings(&self, at: usize) -> Value {
+        let (name, domain) = self.places[at];
+        let number = u8::try_from(at + 1).unwrap();
+        let own = SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, 0, 1, number)), 0).to_string();
+        json!({
+            "instance": name,
+            "failure_domain": domain,
+            "caller_address": own,
+            "peer_address": own,
+            "relay_address": own,
+            "operator_address": "127.0.0.1:0",
+            "announced_peer_address": self.peers[at].control.address().to_string(),
+            "announced_relay_address": self.peers[at].relay.address().to_string(),
+            "platform_address": self.platform.address().to_string(),
+            "timing": {
+                "lookup_ttl_ms": 500,
+                "gossip_period_ms": 100,
+                "suspect_after_ms": 800,
+                "dead_after_ms": DEAD_AFTER_MS,
+                "fence_after_ms": 700,
+                "platform_poll_ms": 300,
+                "platform_timeout_ms": 500,
+                "probe_period_ms": 200,
+                "headroom_ttl_ms": 1000,
+                "stop_timeout_ms": 20000,
+            },
+        })
+    }
+
+    /// Puts the instances on the platform's list.
+    pub fn list(&self) {
+        self.list_with_leaving(&[]);
+    }
+
+    /// Puts the instances and the names of leaving backend servers on the platform's list.
+    pub fn list_with_leaving(&self, leaving: &[String]) {
+        let listed = |(place, proxies): (&Place, &PeerProxies)| ListedInstance {
+            name: place.0.parse().unwrap(),
+            failure_domain: place.1.parse().unwrap(),
+            peer_address: proxies.control.address(),
+            leaving: false,
+        };
+        let instances = self.places.iter().zip(&self.peers).map(listed).collect();
+        let leaving_backend_servers = leaving.to_vec();
+        self.fleet.platform.set_instances(InstanceList { instances, leaving_backend_servers });
+    }
+
+    /// Waits until all instances see each other, all backend servers have an owner that dispatches
+    /// to them, and every entry serves a read.
+    pub fn wait_until_ready(&self) {
+        self.fleet.wait_until_in_force(1);
+        self.fleet.wait_until_served();
+    }
+
+    /// Ends all faults of the proxies.
+    pub fn heal(&mut self) {
+        let peers = self.peers.iter_mut().flat_map(|p| [&mut p.control, &mut p.relay]);
+        for proxy in peers.chain(&mut self.backends) {
+            proxy.heal().unwrap();
+        }
+        self.platform.heal().unwrap();
+    }
+
+    /// Returns the index of the instance that owns a backend server.
+    pub fn owner_of(&self, backend_server: &str) -> Option<usize> {
+        self.fleet.daemons.iter().position(|daemon| {
+            let owned = daemon.status().map(|s| s.owned_backend_servers).unwrap_or_default();
+            owned.iter().any(|server| server.name == backend_server)
+        })
+    }
+
+    /// Returns the names of the backend servers that an instance owns.
+    pub fn owned_by(&self, at: usize) -> Vec<String> {
+        let status = wait_for("a status", || self.fleet.daemons[at].status());
+        status.owned_backend_servers.into_iter().map(|server| server.name).collect()
+    }
+
+    /// Returns an instance that owns a backend server at present.
+    pub fn any_owner(&self) -> usize {
+        let name = &self.fleet.backends[0].0;
+        wait_for("an owner of the first backend server", || self.owner_of(name))
+    }
+
+    /// Waits until another instance takes this one for dead.
+    pub fn wait_until_dead(&self, at: usize) {
+        let name = self.places[at].0;
+        let other = &self.fleet.daemons[(at + 1) % self.places.len()];
+        wait_for("a peer to take the instance for dead", || {
+            let status = other.status()?;
+            let member = status.members.iter().find(|m| m.instance.as_str() == name);
+            member.is_none_or(|m| m.state == "dead").then_some(())
+        });
+    }
+}
+
+/// Keeps a fault in force for a time that the seed chose.
+pub fn hold(time: Duration) {
+    let until = Instant::now() + time;
+    wait_for("the end of the fault", || (Instant::now() >= until).then_some(()));
+}
+
+fn local() -> SocketAddr {
+    (Ipv4Addr::LOCALHOST, 0).into()
+}
+
+fn bind_backends(domains: &[&str], service_time: Duration) -> Vec<(String, Backend)> {
+    let mut backends = Vec::new();
+    for domain in domains {
+        for number in 1..=2 {
+            let name = format!("ledger-{domain}-{number}");
+            let behaviour = Behaviour { name: name.clone(), slots: STANDIN_SLOTS, service_time };
+            let backend = Backend::bind(local(), behaviour).unwrap();
+            backend.set_answer_by(answer_of_run);
+            backends.push((name, backend));
+        }
+    }
+    backends
+}
+
+/// Builds the configuration with the proxies' addresses in place of the backend servers'.
+fn proxied_config(domains: &[&str], backends: &[(String, Backend)], proxies: &[Proxy]) -> Value {
+    let mut config = config_value(domains, backends, SLOTS);
+    let servers = config["services"][0]["backend_servers"].as_array_mut().unwrap();
+    for (server, proxy) in servers.iter_mut().zip(proxies) {
+        server["address"] = json!(proxy.address().to_string());
+    }
+    config
+}
--- a/crates/pollenshed/tests/support/mod.rs
+++ b/crates/pollenshed/tests/support/mod.rs
@@ -2,6 +2,9 @@
 
 #![allow(dead_code, reason = "each test file uses its own part")]
 
+pub mod callers;
+pub mod faults;
+
 use std::{
     fs,
     io::{BufRead, BufReader},
@@ -63,6 +66,8 @@
     pub operators: SocketAddr,
     /// Address for control messages.
     pub peers: SocketAddr,
+    /// Address for relayed work.
+    pub relay: SocketAddr,
     child: Child,
 }
 
@@ -87,8 +92,19 @@
             let prefix = format!("ready: {what} http://");
             line.strip_prefix(&prefix).expect("a ready line").parse().unwrap()
         };
-        let (callers, operators, peers) = (ready("callers"), ready("operators"), ready("peers"));
-        Daemon { name, callers, operators, peers, child }
+        let (callers, operators) = (ready("callers"), ready("operators"));
+        let (peers, relay) = (ready("peers"), ready("relay"));
+        Daemon { name, callers, operators, peers, relay, child }
+    }
+
+    /// Returns the id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Waits until the process has ended by itself and returns whether it succeeded.
+    pub fn wait_for_end(&mut self) -> bool {
+        wait_for("the end of the process", || self.child.try_wait().unwrap()).success()
     }
 
     /// Reads the status as operators do.
@@ -241,13 +257,20 @@
         }
     }
 
+    /// Returns the name of a backend server that ran a request with this body.
+    pub fn backend_that_ran(&self, body: &[u8]) -> Option<String> {
+        let ran = |b: &Backend| b.runs().iter().any(|run| run.body == body);
+        self.backends.iter().find(|(_, b)| ran(b)).map(|(name, _)| name.clone())
+    }
+
     /// Counts the runs of requests with this body over all backend servers.
     pub fn runs_of(&self, body: &[u8]) -> usize {
         self.backends.iter().flat_map(|(_, b)| b.runs()).filter(|run| run.body == body).count()
     }
 }
 
-fn config_value(domains: &[&str], backends: &[(String, Backend)], slots: u64) -> Value {
+/// Builds the configuration of the test fleet.
+pub fn config_value(domains: &[&str], backends: &[(String, Backend)], slots: u64) -> Value {
     let servers: Vec<Value> = backends
         .iter()
         .map(|(name, backend)| {
