--- a/crates/pollenshed/tests/support/callers.rs
+++ b/crates/pollenshed/tests/support/callers.rs
@@ -21,7 +21,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Reply {
     /// A whole answer of a backend server.
-    Done(Vec<u8>),
+    Done(String),
     /// A refusal with its reason.
     NotRun(String),
     /// The request may have run, with the reason.
@@ -80,7 +80,7 @@
         answer.headers().get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().to_owned()
     };
     let (outcome, reason) = (header(OUTCOME_HEADER), header(REASON_HEADER));
-    let body = match answer.body_mut().read_to_vec() {
+    let body = match answer.body_mut().read_to_string() {
         Ok(body) => body,
         Err(e) => return Reply::Broken(e.to_string()),
     };
@@ -118,11 +118,20 @@
         self.replies.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Returns the number of the attempt that ran at a backend server: 0 for the first, and for a
+    /// filing that did not run. A higher one means that an owner promised not to run an earlier one.
+    pub fn attempt(&self, fleet: &Fleet) -> u32 {
+        let runs = fleet.backends.iter().flat_map(|(_, b)| b.runs());
+        let mut own = runs.filter(|run| run.body == self.body.as_bytes());
+        let number = own.next().and_then(|run| run.request_id.rsplit('#').next()?.parse().ok());
+        number.unwrap_or_default()
+    }
+
     /// Compares all replies with what the backend servers ran. Returns what is wrong.
     pub fn find_fault(&self, fleet: &Fleet) -> Option<String> {
         let runs = fleet.runs_of(self.body.as_bytes());
         let replies = self.replies();
-        let expected = answer_to("POST", "/filings", self.body.as_bytes());
+        let expected = answer_to("POST", "/filings", &self.body);
         let wrong = |what: &str| Some(format!("{}: {what}: {runs} runs, {replies:?}", self.ticket));
         if runs > 1 {
             return wrong("ran more than once");
--- a/crates/pollenshed/tests/support/faults.rs
+++ b/crates/pollenshed/tests/support/faults.rs
@@ -56,15 +56,14 @@
 }
 
 /// Answer of the stand-ins, which depends on the request alone.
-pub fn answer_to(method: &str, path: &str, body: &[u8]) -> Vec<u8> {
-    let mut answer = format!("{method} {path} answers ").into_bytes();
-    answer.extend_from_slice(body);
-    answer.extend(body.iter().rev());
-    answer
+pub fn answer_to(method: &str, path: &str, body: &str) -> String {
+    let reversed: String = body.chars().rev().collect();
+    format!("{method} {path} answers {body}, {reversed}")
 }
 
 fn answer_of_run(run: &Run) -> (u16, Vec<u8>) {
-    (200, answer_to(&run.method, &run.path, &run.body))
+    let body = String::from_utf8_lossy(&run.body);
+    (200, answer_to(&run.method, &run.path, &body).into_bytes())
 }
 
 /// Sends a signal to a process that the test started.
@@ -252,6 +251,8 @@
             let behaviour = Behaviour { name: name.clone(), slots: STANDIN_SLOTS, service_time };
             let backend = Backend::bind(local(), behaviour).unwrap();
             backend.set_answer_by(answer_of_run);
+            // Work that goes on after its deadline is the harder case.
+            backend.set_faults(|faults| faults.ignore_deadline = true);
             backends.push((name, backend));
         }
     }
