Record whole sessions of both users and add a load generator

Cause: no test covered a whole session of a deployment, and nothing measured load. Ruled out: pooled connections in the session test, because a refusal that did not read the body closes the connection and the next request then races with the close; the first destination of a drain, which is a farther failure domain when headroom of the near one lapses on a busy machine.

--- /dev/null
+++ b/crates/pollenshed/benches/load/main.rs
@@ -0,0 +1,52 @@
+//! Load measurements of whole deployments on this machine; see docs/measurements.md.
+//!
+//! Usage: `cargo bench -p pollenshed --bench load -- MODE [SCENARIO] [--seed N]`. Each mode starts its
+//! processes itself, takes at most a few minutes and stops them.
+
+mod client;
+mod compare;
+mod fleet;
+mod generator;
+mod levels;
+mod loss;
+mod report;
+#[path = "../../tests/support/mod.rs"]
+mod support;
+
+use tokio::runtime::{Builder, Runtime};
+
+/// Threads that send requests and read answers.
+const GENERATOR_THREADS: usize = 3;
+
+const USAGE: &str = "usage: load levels|floods cali|tokachi|shared
+       load loss cali|tokachi
+       load read|lookups
+options: --seed N";
+
+fn main() {
+    let mut words: Vec<String> = std::env::args().skip(1).filter(|w| w != "--bench").collect();
+    let seed = match words.iter().position(|w| w == "--seed") {
+        Some(at) => words.drain(at..).nth(1).and_then(|w| w.parse().ok()).expect(USAGE),
+        None => fastrand::u64(..),
+    };
+    println!("seed {seed}");
+    fastrand::seed(seed);
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(GENERATOR_THREADS)
+        .enable_all()
+        .build()
+        .expect("the machine has threads left");
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    dispatch(&runtime, &words);
+}
+
+fn dispatch(runtime: &Runtime, words: &[&str]) {
+    match words {
+        ["levels", scenario] => levels::levels(runtime, scenario),
+        ["floods", scenario] => levels::floods(runtime, scenario),
+        ["loss", scenario] => loss::loss(runtime, scenario),
+        ["read"] => compare::read(runtime),
+        ["lookups"] => compare::lookups(runtime),
+        _ => println!("{USAGE}"),
+    }
+}
--- /dev/null
+++ b/crates/pollenshed/tests/sessions.rs
@@ -0,0 +1,301 @@
+//! Golden files of a whole session of each user, with separate processes.
+//!
+//! Ports, incarnations and stamps are replaced, and a backend server by its service and failure
+//! domain, because any free one of the failure domain may run a request.
+
+mod support;
+
+use std::{fmt::Write, fs, time::Duration};
+
+use googletest::prelude::*;
+use pollenshed_protocol::caller::{
+    BACKEND_SERVER_HEADER, LookupAnswer, OUTCOME_HEADER, REASON_HEADER, TICKET_HEADER,
+};
+use serde_json::json;
+use support::{Daemon, Fleet, deployment, wait_for};
+use ureq::{
+    Agent,
+    http::{Request, Response},
+};
+
+/// Time that each request takes at a backend server.
+const SERVICE_TIME: Duration = Duration::from_millis(2);
+
+/// A filing of one user: where it goes and what it contains.
+struct Filing {
+    service: &'static str,
+    path: &'static str,
+    body: &'static str,
+    other_body: &'static str,
+}
+
+/// What differs between the sessions of the two users.
+struct Plan {
+    user: &'static str,
+    /// Failure domain of the first caller.
+    domain: &'static str,
+    /// Path that is read of each service.
+    reads: &'static [(&'static str, &'static str)],
+    filing: Filing,
+}
+
+/// Answers so far, with unstable parts replaced.
+struct Session {
+    fleet: Fleet,
+    agent: Agent,
+    text: String,
+}
+
+impl Session {
+    fn start(plan: &Plan) -> Session {
+        let fleet = deployment::start(deployment::golden_config(plan.user), SERVICE_TIME);
+        let agent = Agent::config_builder()
+            .http_status_as_error(false)
+            // A refusal can close the connection; the next request must not race with that.
+            .max_idle_connections(0)
+            .allow_non_standard_methods(true)
+            .build()
+            .new_agent();
+        Session { fleet, agent, text: String::new() }
+    }
+
+    fn entry(&self, instance: &str) -> &Daemon {
+        self.fleet.daemons.iter().find(|d| d.name == instance).unwrap()
+    }
+
+    fn lookup(&self, instance: &str, service: &str) -> LookupAnswer {
+        let url = format!(
+            "http://{}/v1/lookup?service={service}&client=192.0.2.1",
+            self.entry(instance).callers
+        );
+        self.agent.get(url).call().unwrap().body_mut().read_json().unwrap()
+    }
+
+    /// Looks a service up at an instance and records the answer. The instances of a failure domain
+    /// are ranked by a hash of service and client, so their names are stable.
+    fn record_lookup(&mut self, instance: &str, service: &str) {
+        let answer = self.lookup(instance, service);
+        writeln!(self.text, "lookup {service} at {instance}").unwrap();
+        let binding = answer.binding.split('.').next().unwrap();
+        writeln!(self.text, "  ttl {} ms, binding of {binding}", answer.ttl_ms).unwrap();
+        for entry in &answer.entries {
+            writeln!(self.text, "  entry {} of {}", entry.instance, entry.failure_domain).unwrap();
+        }
+    }
+
+    /// Sends a request to an instance and records the answer.
+    fn send(&mut self, title: &str, instance: &str, request: Request<&[u8]>) {
+        let (mut parts, body) = request.into_parts();
+        let target = parts.uri.to_string();
+        let address = self.entry(instance).callers;
+        parts.uri = format!("http://{address}{target}").parse().unwrap();
+        writeln!(self.text, "{title}: {} {target} at {instance}", parts.method).unwrap();
+        let mut answer = self.agent.run(Request::from_parts(parts, body)).unwrap();
+        let body = answer.body_mut().read_to_string().unwrap();
+        self.record_answer(&answer, &body);
+    }
+
+    fn record_answer<T>(&mut self, answer: &Response<T>, body: &str) {
+        let header = |name: &str| answer.headers().get(name).map(|v| v.to_str().unwrap());
+        let mut line = format!("  {}", answer.status().as_u16());
+        for name in [OUTCOME_HEADER, REASON_HEADER] {
+            if let Some(value) = header(name) {
+                write!(line, " {name}: {value}").unwrap();
+            }
+        }
+        if header("retry-after").is_some() {
+            line.push_str(" retry-after: [seconds]");
+        }
+        let mut body = body.trim_end().to_owned();
+        if let Some(server) = header(BACKEND_SERVER_HEADER) {
+            let domain = deployment::server_domain(&self.fleet.config, server).unwrap();
+            let (service, _) = server.rsplit_once('-').unwrap();
+            body = body.replace(server, &format!("[{service} of {domain}]"));
+        }
+        writeln!(self.text, "{line}\n  {body}").unwrap();
+    }
+
+    fn note(&mut self, line: &str) {
+        writeln!(self.text, "{line}").unwrap();
+    }
+
+    /// Waits for a log line of an instance that has all `parts`.
+    fn wait_for_log(&self, instance: &str, parts: &[&str]) -> String {
+        let path = self.fleet.workdir.path.join(format!("{instance}.log"));
+        wait_for("a log line", || {
+            let text = fs::read_to_string(&path).unwrap();
+            text.lines().find(|line| parts.iter().all(|p| line.contains(p))).map(str::to_owned)
+        })
+    }
+}
+
+fn get(target: &str) -> Request<&'static [u8]> {
+    Request::get(target).body(&b""[..]).unwrap()
+}
+
+fn post<'a>(target: &str, ticket: Option<&str>, body: &'a str) -> Request<&'a [u8]> {
+    let mut builder = Request::post(target);
+    if let Some(ticket) = ticket {
+        builder = builder.header(TICKET_HEADER, ticket);
+    }
+    builder.body(body.as_bytes()).unwrap()
+}
+
+/// Sends a filing, sends it again to the same and to another entry, and sends another content
+/// under its ticket.
+fn filings(session: &mut Session, plan: &Plan) {
+    let first = format!("{}-1", plan.domain);
+    let filing = &plan.filing;
+    let target = format!("/v1/run/{}{}", filing.service, filing.path);
+    let answer = session.lookup(&first, filing.service);
+    let ticket = format!("{}/filing-1", answer.binding);
+    let named = answer.entries[0].instance.to_string();
+    let domains = deployment::domains(&session.fleet.config);
+    let far = domains.iter().find(|d| !d.starts_with(&plan.domain[..4])).unwrap();
+    let far = format!("{far}-1");
+    session.send("filing", &named, post(&target, Some(&ticket), filing.body));
+    session.send("filing sent again", &named, post(&target, Some(&ticket), filing.body));
+    session.send("filing sent elsewhere", &far, post(&target, Some(&ticket), filing.body));
+    let runs = session.fleet.runs_of(filing.body.as_bytes());
+    session.note(&format!("runs of the filing: {runs}"));
+    session.send("conflict", &named, post(&target, Some(&ticket), filing.other_body));
+    let runs = session.fleet.runs_of(filing.other_body.as_bytes());
+    session.note(&format!("runs of the other content: {runs}"));
+}
+
+/// Sends requests that no backend server may see.
+fn refusals(session: &mut Session, plan: &Plan) {
+    let at = format!("{}-1", plan.domain);
+    let filing = &plan.filing;
+    let target = format!("/v1/run/{}{}", filing.service, filing.path);
+    let read = format!("/v1/run/{}/1582", filing.service);
+    session.send("unknown path", &at, get("/v2/run"));
+    session.send("unknown service", &at, get("/v1/run/nessuno/1582"));
+    session.send("lookup without a service", &at, get("/v1/lookup"));
+    session.send("lookup of an unknown service", &at, get("/v1/lookup?service=nessuno"));
+    session.send("unsafe path", &at, get(&format!("/v1/run/{}/a%2fb", filing.service)));
+    let elsewhere = format!("/v1/run/{}/elsewhere", filing.service);
+    session.send("undeclared operation", &at, post(&elsewhere, None, filing.body));
+    session.send("no ticket", &at, post(&target, None, filing.body));
+    session.send("unreadable ticket", &at, post(&target, Some("one"), filing.body));
+    let foreign = format!("{at}.0000000000000001.5/filing-2");
+    session.send("ticket of another run", &at, post(&target, Some(&foreign), filing.body));
+    let unknown = "nobody-1.0000000000000001.5/filing-3";
+    session.send("ticket of nobody", &at, post(&target, Some(unknown), filing.body));
+    let late = Request::get(&read).header("pollenshed-deadline-ms", "0").body(&b""[..]);
+    session.send("no time left", &at, late.unwrap());
+    let odd = Request::get(&read).header("pollenshed-deadline-ms", "soon").body(&b""[..]);
+    session.send("unreadable deadline", &at, odd.unwrap());
+    let large = "x".repeat(1024 * 1024 + 1);
+    let ticket = format!("{}/filing-4", session.lookup(&at, filing.service).binding);
+    let mut request = post(&target, Some(&ticket), &large);
+    // The refusal comes before the body, so a client that sent it anyway might lose the connection
+    // before it has read the answer.
+    request.headers_mut().insert("expect", "100-continue".parse().unwrap());
+    session.send("body too large", &at, request);
+}
+
+/// Takes all backend servers of the first service away and brings them back.
+fn service_outage(session: &mut Session, plan: &Plan) {
+    let (service, path) = plan.reads[0];
+    let at = format!("{}-1", plan.domain);
+    let is_of = |name: &str| name.starts_with(&format!("{service}-"));
+    for (name, backend) in &mut session.fleet.backends {
+        if is_of(name) {
+            backend.crash();
+        }
+    }
+    let target = format!("/v1/run/{service}{path}");
+    let url = format!("http://{}{target}", session.entry(&at).callers);
+    wait_for("a refusal for lack of backend servers", || {
+        let answer = session.agent.get(&url).call().ok()?;
+        (answer.headers().get(REASON_HEADER)? == "no-backend-server").then_some(())
+    });
+    session.send("no backend server is up", &at, get(&target));
+    for (name, backend) in &mut session.fleet.backends {
+        if is_of(name) {
+            backend.restart().unwrap();
+        }
+    }
+    wait_for("the service to be served at home again", || {
+        let server = deployment::read_from(session.entry(&at), service, path)?;
+        let domain = deployment::server_domain(&session.fleet.config, &server)?;
+        (domain == plan.domain).then_some(())
+    });
+    session.send("backend servers are back", &at, get(&target));
+}
+
+/// Drains the caller's failure domain and records where the entry begins to move its traffic.
+fn drain(session: &mut Session, plan: &Plan) {
+    let mut config = session.fleet.config.clone();
+    config["drains"] = json!([{ "failure_domain": plan.domain }]);
+    session.fleet.submit(&config);
+    session.fleet.wait_until_in_force(2);
+    session.note(&format!("drain of {} in force as version 2 at all instances", plan.domain));
+    let at = format!("{}-1", plan.domain);
+    let (service, path) = plan.reads[1];
+    session.send("read right after the drain", &at, get(&format!("/v1/run/{service}{path}")));
+    let moves = format!("shift: {service} of {} moves ", plan.domain);
+    // On a busy machine headroom can lapse for a moment, and the first step goes farther away.
+    let neighbour = plan.domain.replace("-a", "-b");
+    session.wait_for_log(&at, &["INFO", &moves, &format!("FailureDomainName(\"{neighbour}\")")]);
+    session.note(&format!("log of {at}: {moves}[part] to {neighbour}"));
+}
+
+fn run(plan: &Plan) -> String {
+    let mut session = Session::start(plan);
+    let first = format!("{}-1", plan.domain);
+    for (service, path) in plan.reads {
+        session.record_lookup(&first, service);
+        session.send("read", &first, get(&format!("/v1/run/{service}{path}")));
+    }
+    filings(&mut session, plan);
+    refusals(&mut session, plan);
+    service_outage(&mut session, plan);
+    drain(&mut session, plan);
+    session.text
+}
+
+/// Guards against any change of what Calì's callers see that nobody decided.
+#[gtest]
+fn session_of_cali() {
+    let text = run(&Plan {
+        user: "cali",
+        domain: "palermo-a",
+        reads: &[
+            ("tavole", "/1582/10?rite=roman"),
+            ("anagrafe", "/parishes/7"),
+            ("scanner", "/registers/3"),
+            ("archivio", "/almanacs/1700"),
+        ],
+        filing: Filing {
+            service: "anagrafe",
+            path: "/filings",
+            body: "feast of the cooperative on the 4th",
+            other_body: "feast of the cooperative on the 5th",
+        },
+    });
+    insta::assert_snapshot!(text);
+}
+
+/// Guards against any change of what Tokachi's callers see that nobody decided.
+#[gtest]
+fn session_of_tokachi() {
+    let text = run(&Plan {
+        user: "tokachi",
+        domain: "sapporo-a",
+        reads: &[
+            ("tally-view", "/parks/odori"),
+            ("tally-ledger", "/counts/12"),
+            ("log-intake", "/shifts/2"),
+            ("report-vault", "/archive/1999"),
+        ],
+        filing: Filing {
+            service: "tally-ledger",
+            path: "/commits",
+            body: "gate 3: 41 visitors",
+            other_body: "gate 3: 42 visitors",
+        },
+    });
+    insta::assert_snapshot!(text);
+}
--- /dev/null
+++ b/crates/pollenshed/tests/support/deployment.rs
@@ -0,0 +1,146 @@
+//! Whole deployments of the two users, from the configuration that the operators' library prints.
+
+use std::{
+    fs,
+    path::Path,
+    time::{Duration, Instant},
+};
+
+use pollenshed_protocol::caller::BACKEND_SERVER_HEADER;
+use pollenshed_standins::{
+    backend::{Backend, Behaviour},
+    platform::Platform,
+};
+use serde_json::Value;
+
+use super::{Daemon, Fleet, Workdir, domain_of, wait_for};
+
+/// Instances of a user; the first failure domains have one more than the others.
+pub const INSTANCES: usize = 10;
+
+/// Reads the configuration of a user as the operators' library prints it.
+pub fn golden_config(user: &str) -> Value {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../operators/tests/golden");
+    let text = fs::read_to_string(folder.join(format!("{user}.json"))).unwrap();
+    serde_json::from_str(&text).unwrap()
+}
+
+/// Returns the failure domains of a configuration, in its order.
+pub fn domains(config: &Value) -> Vec<String> {
+    let regions = config["regions"].as_array().unwrap();
+    let domains = regions.iter().flat_map(|r| r["failure_domains"].as_array().unwrap());
+    domains.map(|d| d.as_str().unwrap().to_owned()).collect()
+}
+
+/// Returns the names of the services of a configuration.
+pub fn services(config: &Value) -> Vec<String> {
+    let services = config["services"].as_array().unwrap();
+    services.iter().map(|s| s["name"].as_str().unwrap().to_owned()).collect()
+}
+
+/// Returns the failure domain of a backend server.
+pub fn server_domain<'a>(config: &'a Value, server: &str) -> Option<&'a str> {
+    let services = config["services"].as_array().unwrap();
+    let mut servers = services.iter().flat_map(|s| s["backend_servers"].as_array().unwrap());
+    servers.find(|s| s["name"] == server)?["failure_domain"].as_str()
+}
+
+/// Returns the declared slots of a backend server.
+pub fn server_slots(config: &Value, server: &str) -> u64 {
+    let services = config["services"].as_array().unwrap();
+    let mut servers = services.iter().flat_map(|s| s["backend_servers"].as_array().unwrap());
+    servers.find(|s| s["name"] == server).unwrap()["slots"].as_u64().unwrap()
+}
+
+/// Starts a backend server stand-in for each declared backend server and writes its address into
+/// the configuration.
+fn bind_backends(config: &mut Value, service_time: Duration) -> Vec<(String, Backend)> {
+    let mut backends = Vec::new();
+    for service in config["services"].as_array_mut().unwrap() {
+        for server in service["backend_servers"].as_array_mut().unwrap() {
+            let name = server["name"].as_str().unwrap().to_owned();
+            let slots = server["slots"].as_u64().unwrap();
+            let behaviour = Behaviour { name: name.clone(), slots, service_time };
+            let backend = Backend::bind("127.0.0.1:0".parse().unwrap(), behaviour).unwrap();
+            server["address"] = backend.address().to_string().into();
+            backends.push((name, backend));
+        }
+    }
+    backends
+}
+
+/// Starts all backend servers and [`INSTANCES`] instances of a configuration, and waits until every
+/// instance serves every service from its own failure domain.
+pub fn start(mut config: Value, service_time: Duration) -> Fleet {
+    let workdir = Workdir::create();
+    let platform = Platform::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let backends = bind_backends(&mut config, service_time);
+    let mut fleet =
+        Fleet { workdir, platform, backends, daemons: Vec::new(), config: config.clone() };
+    fleet.submit(&config);
+    let domains = domains(&config);
+    for number in 0..INSTANCES {
+        let domain = &domains[number % domains.len()];
+        let instance = format!("{domain}-{}", number / domains.len() + 1);
+        let settings = fleet.settings(&instance, domain);
+        fleet.daemons.push(Daemon::spawn(&fleet.workdir, &settings));
+    }
+    fleet.list_instances();
+    fleet.wait_until_in_force(1);
+    wait_until_warm(&fleet);
+    for daemon in &fleet.daemons {
+        for service in services(&config) {
+            wait_for("every entry to be served at home", || {
+                let server = read_from(daemon, &service, "/ready")?;
+                (server_domain(&config, &server)? == domain_of(&daemon.name)).then_some(())
+            });
+        }
+    }
+    fleet
+}
+
+/// Waits until the owners of all backend servers use all their slots.
+pub fn wait_until_warm(fleet: &Fleet) {
+    let began = Instant::now();
+    wait_for("all slots of every backend server", || {
+        let statuses: Option<Vec<_>> = fleet.daemons.iter().map(Daemon::status).collect();
+        let owned = statuses?.into_iter().flat_map(|s| s.owned_backend_servers);
+        let full = |name: &str, limit| limit == server_slots(&fleet.config, name);
+        let warm = owned.filter(|s| s.state == "ok" && full(&s.name, s.limit)).count();
+        (warm >= fleet.backends.len()).then_some(())
+    });
+    log::debug!("all backend servers were warm after {:?}", began.elapsed());
+}
+
+/// Reads a path through an entry and returns the backend server that answered.
+pub fn read_from(daemon: &Daemon, service: &str, path: &str) -> Option<String> {
+    let url = format!("http://{}/v1/run/{service}{path}", daemon.callers);
+    let answer = ureq::get(url).call().ok()?;
+    Some(answer.headers().get(BACKEND_SERVER_HEADER)?.to_str().ok()?.to_owned())
+}
+
+/// Returns the largest sum of steps that a ramp took in any interval, in parts per million, from an
+/// instance's log.
+///
+/// The interval includes both of its ends, as in the rule that the ramp obeys.
+pub fn largest_shift_ppm(log: &str, service: &str, interval_ms: u64) -> u64 {
+    let steps: Vec<(u64, u64)> = log.lines().filter_map(|l| logged_step(l, service)).collect();
+    let sum_from = |first: usize| -> u64 {
+        let began = steps[first].0;
+        let inside = steps[first..].iter().take_while(|(at, _)| at - began < interval_ms);
+        inside.map(|(_, ppm)| ppm).sum()
+    };
+    (0..steps.len()).map(sum_from).max().unwrap_or(0)
+}
+
+/// Reads the time of day in milliseconds and the size of a step from a log line.
+fn logged_step(line: &str, service: &str) -> Option<(u64, u64)> {
+    let (_, rest) = line.split_once(&format!("shift: {service} of "))?;
+    let (_, rest) = rest.split_once(" moves ")?;
+    let ppm = rest.split(' ').next()?.parse().ok()?;
+    let time = line.split_once('T')?.1.split_once('Z')?.0;
+    let mut parts = time.split([':', '.']).map(str::parse::<u64>);
+    let mut next = || parts.next()?.ok();
+    let (hours, minutes, seconds, ms) = (next()?, next()?, next()?, next()?);
+    Some((((hours * 60 + minutes) * 60 + seconds) * 1000 + ms, ppm))
+}
--- a/crates/pollenshed/tests/support/mod.rs
+++ b/crates/pollenshed/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses its own part")]
 
+pub mod deployment;
+
 use std::{
     fs,
     io::{BufRead, BufReader},
@@ -200,7 +202,7 @@
     pub fn list_instances(&self) {
         let listed = |daemon: &Daemon| ListedInstance {
             name: daemon.name.parse().unwrap(),
-            failure_domain: daemon.name.trim_end_matches("-1").parse().unwrap(),
+            failure_domain: domain_of(&daemon.name).parse().unwrap(),
             peer_address: daemon.peers,
             leaving: false,
         };
@@ -247,6 +249,11 @@
     }
 }
 
+/// Returns the failure domain of an instance named `<failure domain>-<number>`.
+pub fn domain_of(instance: &str) -> &str {
+    instance.rsplit_once('-').unwrap().0
+}
+
 fn config_value(domains: &[&str], backends: &[(String, Backend)], slots: u64) -> Value {
     let servers: Vec<Value> = backends
         .iter()
