Test the store's failures with real processes and settle lost object writes

Cause: nothing showed that traffic survives an outage of the store, that a restored store reverts nothing, or that other instances take over from readers; a submission never ended while every reply to a write was lost, because an object write was repeated and not read back. Ruled out: fixed waits; the tests wait for versions, reads of the platform and served requests. Conclusion: an outage costs new configurations and nothing else.

--- a/crates/coordination/src/replication/submission.rs
+++ b/crates/coordination/src/replication/submission.rs
@@ -2,8 +2,8 @@
 //!
 //! The document is written first and the head row last, by one conditional write, so a head row
 //! always names a stored document. Of submitters that read the same head, the platform lets one
-//! write. A failed call proves nothing: the head is read again, and the submission id in it tells
-//! whether the write took effect, also after later submissions (see [`HeadState::version_of`]).
+//! write. A failed call proves nothing, so what it wrote is read back. The submission id in the head
+//! tells whether the write took effect, also after later submissions ([`HeadState::version_of`]).
 
 use pollenshed_state::{
     ids::{ConfigVersion, Digest},
@@ -34,6 +34,8 @@
     ReadHead,
     /// Write the document under its digest.
     WriteObject,
+    /// Read the document back.
+    ReadObject,
     /// Write the head row if it has the revision; 0 means that it must not exist.
     WriteHead {
         /// Revision that the row must have.
@@ -52,6 +54,8 @@
     Head(Option<StoredHead>),
     /// The document was written.
     ObjectWritten,
+    /// The document was read back, and whether it is whole.
+    Object(bool),
     /// The head row was written.
     HeadWritten,
     /// The condition on the head row did not hold.
@@ -85,6 +89,7 @@
 enum Phase {
     ReadBase,
     WriteObject,
+    CheckObject,
     WriteHead,
     Settle,
     Done(Outcome),
@@ -110,6 +115,7 @@
         match &self.phase {
             Phase::ReadBase | Phase::Settle => Step::ReadHead,
             Phase::WriteObject => Step::WriteObject,
+            Phase::CheckObject => Step::ReadObject,
             Phase::WriteHead => Step::WriteHead {
                 expected_revision: self.base.as_ref().map_or(0, |b| b.revision),
                 head: self.next_head(),
@@ -126,11 +132,14 @@
 
     /// Takes the reply to the call of [`Submission::step`]. A reply to another call changes nothing.
     pub fn reply(&mut self, reply: Reply, now: Instant) {
-        let is_write = self.phase == Phase::WriteHead;
-        self.is_head_sent |= is_write;
+        self.is_head_sent |= self.phase == Phase::WriteHead;
         match (&self.phase, reply) {
             (Phase::ReadBase, Reply::Head(head)) => self.take_base(head),
-            (Phase::WriteObject, Reply::ObjectWritten) => self.phase = Phase::WriteHead,
+            (Phase::WriteObject, Reply::ObjectWritten)
+            | (Phase::CheckObject, Reply::Object(true)) => {
+                self.phase = Phase::WriteHead;
+            }
+            (Phase::CheckObject, Reply::Object(false)) => self.phase = Phase::WriteObject,
             (Phase::WriteHead, Reply::HeadWritten) => {
                 let version = self.next_head().version;
                 self.phase = Phase::Done(Outcome::Accepted { version });
@@ -139,7 +148,7 @@
             (Phase::WriteHead, Reply::HeadRefused) => self.phase = Phase::Settle,
             (Phase::Settle, Reply::Head(head)) => self.settle(head, now),
             (Phase::Done(_), _) => {}
-            (_, Reply::Failed) => self.after_failure(is_write, now),
+            (_, Reply::Failed) => self.after_failure(now),
             _ => {}
         }
     }
@@ -173,13 +182,16 @@
         });
     }
 
-    fn after_failure(&mut self, was_head_write: bool, now: Instant) {
-        if was_head_write {
-            self.phase = Phase::Settle;
-        }
+    fn after_failure(&mut self, now: Instant) {
         if now >= self.plan.deadline {
             let may_be_accepted = self.is_head_sent;
             self.phase = Phase::Done(Outcome::Unavailable { may_be_accepted });
+            return;
+        }
+        match self.phase {
+            Phase::WriteObject => self.phase = Phase::CheckObject,
+            Phase::WriteHead => self.phase = Phase::Settle,
+            _ => {}
         }
     }
 }
--- a/crates/coordination/tests/replication_submission.rs
+++ b/crates/coordination/tests/replication_submission.rs
@@ -19,6 +19,7 @@
         match step {
             Step::ReadHead => Reply::Head(self.row.clone()),
             Step::WriteObject => Reply::ObjectWritten,
+            Step::ReadObject => Reply::Object(true),
             Step::WriteHead { expected_revision, head } => {
                 let revision = self.row.as_ref().map_or(0, |row| row.revision);
                 if revision != *expected_revision {
@@ -106,6 +107,20 @@
     expect_that!(winner.version, eq(ConfigVersion(2)));
 }
 
+/// Guards against a head that names a document of which only a part was stored.
+#[gtest]
+fn failed_object_write_is_checked_and_repeated() {
+    let mut submission = Submission::new(plan("object"));
+    submission.reply(Reply::Head(None), Instant::START);
+    submission.reply(Reply::Failed, Instant::START);
+    expect_that!(submission.step(), eq(&Step::ReadObject));
+    submission.reply(Reply::Object(false), Instant::START);
+    expect_that!(submission.step(), eq(&Step::WriteObject));
+    submission.reply(Reply::Failed, Instant::START);
+    submission.reply(Reply::Object(true), Instant::START);
+    expect_that!(submission.step(), matches_pattern!(Step::WriteHead { .. }));
+}
+
 /// Guards against two operators who started from the same version and both get theirs accepted.
 #[gtest]
 fn submission_that_starts_from_an_old_version_loses() {
--- /dev/null
+++ b/crates/pollenshed/tests/store_outage.rs
@@ -0,0 +1,164 @@
+//! The store down, slow or losing replies, with real processes.
+
+#[path = "support/store.rs"]
+mod store;
+mod support;
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use pollenshed_coordination::replication::Outcome;
+use pollenshed_standins::{backend::Behaviour, platform::Faults};
+use pollenshed_state::ids::ConfigVersion;
+use serde_json::json;
+use store::{Domain, down};
+use support::{Fleet, wait_for};
+
+fn behaviour() -> Behaviour {
+    Behaviour { name: String::new(), slots: 3, service_time: Duration::from_millis(2) }
+}
+
+/// Guards against traffic that needs the store, and a restart that needs it.
+#[gtest]
+fn traffic_and_a_restart_need_no_store() {
+    let mut fleet = Fleet::start(&["north-a", "north-b"], &behaviour());
+    fleet.platform.set_faults(down());
+    fleet.wait_for_reads(4);
+    for _ in 0..20 {
+        fleet.expect_served();
+    }
+    fleet.remove("north-a-1");
+    fleet.spawn_with_seeds("north-a-1", "north-a");
+    fleet.wait_for_versions(&[1, 1]);
+    fleet.wait_until_each_serves();
+}
+
+/// Guards against instances that lose the configuration while they are replaced during an outage,
+/// and against a fleet that does not recover by itself after all of it was replaced at once.
+#[gtest]
+fn replacement_of_all_instances_during_an_outage() {
+    let mut fleet = Fleet::start(&["north-a", "north-b"], &behaviour());
+    fleet.platform.set_faults(down());
+    for domain in ["north-a", "north-b"] {
+        fleet.spawn_with_seeds(&format!("{domain}-2"), domain);
+        fleet.wait_until_in_force(1);
+        fleet.remove(&format!("{domain}-1"));
+        fleet.wait_until_each_serves();
+    }
+    // All at once: nobody is left who has the configuration, so nothing is served.
+    fleet.daemons.clear();
+    for domain in ["north-a", "north-b"] {
+        fleet.spawn_with_seeds(&format!("{domain}-3"), domain);
+    }
+    fleet.wait_for_reads(4);
+    fleet.wait_for_versions(&[0, 0]);
+    let url = format!("http://{}/v1/run/ledger/page", fleet.daemons[0].callers);
+    expect_that!(ureq::get(&url).call(), err(anything()));
+    fleet.platform.set_faults(Faults::default());
+    fleet.wait_until_in_force(1);
+    fleet.wait_until_each_serves();
+}
+
+/// Guards against a slow store that slows traffic down, and a lost reply that loses or doubles a
+/// version.
+#[gtest]
+fn slow_store_that_loses_every_write_reply() {
+    let fleet = Fleet::start(&["north-a", "north-b"], &behaviour());
+    let delay = Duration::from_millis(200);
+    fleet.platform.set_faults(Faults { delay, lose_write_replies: true, ..Faults::default() });
+    for version in 2..=4 {
+        let drain = json!({"backend_server": format!("ledger-north-a-{}", 1 + version % 2)});
+        let outcome = fleet.submit_with_floor(&fleet.config_with_drain(drain), 0);
+        expect_that!(outcome, eq(&Outcome::Accepted { version: ConfigVersion(version) }));
+        fleet.expect_served();
+    }
+    fleet.wait_for_versions(&[4, 4]);
+}
+
+/// Guards against instances that stop obeying changes after reads failed for a while, and against
+/// a log that an outage fills.
+#[gtest]
+fn changes_arrive_after_an_outage() {
+    let fleet = Fleet::start(&["north-a", "north-b"], &behaviour());
+    fleet.platform.set_faults(Faults { lose_read_replies: true, ..Faults::default() });
+    fleet.wait_for_reads(10);
+    fleet.platform.set_faults(Faults::default());
+    let config = fleet.config_with_drain(json!({"failure_domain": "north-b"}));
+    let outcome = fleet.submit_with_floor(&config, 0);
+    expect_that!(outcome, eq(&Outcome::Accepted { version: ConfigVersion(2) }));
+    fleet.wait_for_versions(&[2, 2]);
+    expect_that!(fleet.log_lines("north-a-1", "reader: platform is not available"), le(2));
+}
+
+/// Guards against a head that names a missing document and stops the instances, or is obeyed.
+#[gtest]
+fn missing_object_keeps_the_version_in_force() {
+    let fleet = Fleet::start(&["north-a", "north-b"], &behaviour());
+    fleet.platform.set_faults(Faults { hide_objects: true, ..Faults::default() });
+    let config = fleet.config_with_drain(json!({"failure_domain": "north-b"}));
+    fleet.submit_with_floor(&config, 0);
+    fleet.wait_for_reads(6);
+    fleet.wait_for_versions(&[1, 1]);
+    fleet.expect_served();
+    fleet.platform.set_faults(Faults::default());
+    fleet.wait_for_versions(&[2, 2]);
+}
+
+/// Guards against a failure domain that hears of no change after its readers were paused, and a
+/// paused reader that goes back to what it had.
+#[gtest]
+fn others_take_over_from_paused_readers() {
+    let domain = Domain::start(4, &behaviour());
+    let readers = domain.readers();
+    for reader in &readers {
+        store::signal(&domain.fleet.daemons[*reader], "-STOP");
+    }
+    let config = domain.fleet.config_with_drain(json!({"backend_server": "ledger-north-a-1"}));
+    domain.fleet.submit_with_floor(&config, 0);
+    for (_, daemon) in domain.fleet.daemons.iter().enumerate().filter(|(n, _)| !readers.contains(n))
+    {
+        wait_for("the change at an instance that runs", || {
+            (daemon.status()?.config_version == 2).then_some(())
+        });
+    }
+    for reader in &readers {
+        store::signal(&domain.fleet.daemons[*reader], "-CONT");
+    }
+    domain.fleet.wait_for_versions(&[2; 4]);
+}
+
+/// Guards against a failure domain whose readers run but are cut off from the platform.
+#[gtest]
+fn others_take_over_from_readers_that_are_cut_off() {
+    let mut domain = Domain::start(5, &behaviour());
+    for reader in domain.readers() {
+        domain.links[reader].refuse_new();
+        domain.links[reader].cut();
+        domain.links[reader].reset_connections();
+    }
+    let config = domain.fleet.config_with_drain(json!({"backend_server": "ledger-north-a-1"}));
+    domain.fleet.submit_with_floor(&config, 0);
+    domain.fleet.wait_for_versions(&[2; 5]);
+}
+
+/// Guards against a failure domain that stops or forgets its configuration when it can't reach the
+/// platform at all.
+#[gtest]
+fn failure_domain_that_is_cut_off_keeps_running() {
+    let mut domain = Domain::start(3, &behaviour());
+    for link in &mut domain.links {
+        link.refuse_new();
+        link.cut();
+        link.reset_connections();
+    }
+    let config = domain.fleet.config_with_drain(json!({"backend_server": "ledger-north-a-1"}));
+    domain.fleet.submit_with_floor(&config, 0);
+    for _ in 0..10 {
+        domain.fleet.wait_until_each_serves();
+    }
+    domain.fleet.wait_for_versions(&[1; 3]);
+    for link in &mut domain.links {
+        link.heal().unwrap();
+    }
+    domain.fleet.wait_for_versions(&[2; 3]);
+}
--- a/crates/pollenshed/tests/support/mod.rs
+++ b/crates/pollenshed/tests/support/mod.rs
@@ -97,6 +97,11 @@
         ureq::get(url).call().ok()?.body_mut().read_json().ok()
     }
 
+    /// Returns the id of the process.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Ends the process at once.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
--- a/crates/pollenshedctl/tests/submit.rs
+++ b/crates/pollenshedctl/tests/submit.rs
@@ -55,17 +55,15 @@
 /// Guards against a submission that is reported as failed although its write took effect, and
 /// against one that is written twice.
 #[gtest]
-fn lost_replies_are_settled_by_reading_the_head() {
+fn lost_replies_are_settled_by_reading_back() {
     let setting = Setting::new();
-    // The object's reply is lost as well, so the first write of the head is never reached.
-    setting.platform.set_faults(Faults { lose_write_replies: true, ..Faults::default() });
+    setting.platform.set_faults(Faults { down: true, ..Faults::default() });
     let (code, report) = setting.json("submit", &["cali.json"]);
     expect_that!(code, some(eq(3)));
     expect_that!(report["may_be_accepted"], eq(&json!(false)));
-    setting.platform.set_faults(Faults { down: true, ..Faults::default() });
-    expect_that!(setting.run("submit", &["cali.json"]).code, some(eq(3)));
-    setting.platform.set_faults(Faults::default());
+    setting.platform.set_faults(Faults { lose_write_replies: true, ..Faults::default() });
     expect_that!(setting.json("submit", &["cali.json"]).1["version"], eq(&json!(1)));
+    expect_that!(setting.json("submit", &["other.json"]).1["version"], eq(&json!(2)));
 }
 
 /// Guards against a refused file that is submitted.
--- a/crates/transport/src/platform/submit.rs
+++ b/crates/transport/src/platform/submit.rs
@@ -51,6 +51,9 @@
             Step::WriteObject => {
                 platform.put_object(&digest.hex(), request.document).map(|()| Reply::ObjectWritten)
             }
+            Step::ReadObject => platform
+                .get_object(&digest.hex())
+                .map(|object| Reply::Object(object.is_some_and(|o| o == request.document))),
             Step::WriteHead { expected_revision, head } => platform
                 .put_head(expected_revision, &head)
                 .map(|written| if written { Reply::HeadWritten } else { Reply::HeadRefused }),
