--- a/crates/pollenshed/tests/support/mod.rs
+++ b/crates/pollenshed/tests/support/mod.rs
@@ -121,6 +121,11 @@
         line.trim().trim_end_matches(" kB").parse::<u64>().unwrap() * 1024
     }
 
+    /// Returns the id of the process.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Ends the process at once.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
--- a/crates/transport/src/logs/mod.rs
+++ b/crates/transport/src/logs/mod.rs
@@ -45,6 +45,7 @@
 /// Returns a logger that writes to `queue`.
 pub fn logger(queue: &LineQueue) -> Logger {
     Builder::from_env(Env::default().default_filter_or(DEFAULT_LEVEL))
+        .format_timestamp_millis()
         .target(Target::Pipe(Box::new(queue.clone())))
         .build()
 }
