--- a/crates/coordination/src/ledger/tickets.rs
+++ b/crates/coordination/src/ledger/tickets.rs
@@ -118,7 +118,8 @@
         }
         self.expire(now);
         if self.records.len() >= self.limits.max_tickets {
-            self.refused_until = Some(now);
+            // A stamp may be a little ahead of this clock.
+            self.refused_until = self.refused_until.max(Some(now.max(binding.stamp)));
         }
         // A refused ticket is not recorded, so a late copy must find the same refusal. Its caller
         // gets a later stamp with its next lookup.
--- /dev/null
+++ b/crates/coordination/tests/ledger_attempts.rs
@@ -0,0 +1,85 @@
+//! Attempts at an owner: what was promised as not run never runs.
+
+use googletest::prelude::*;
+use pollenshed_coordination::ledger::{Attempts, Begin, Settlement};
+use pollenshed_state::time::Instant;
+use proptest::{prelude::*, test_runner::RngSeed};
+
+const RETENTION_MS: u64 = 60_000;
+
+fn at(ms: u64) -> Instant {
+    Instant::from_ms(ms)
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Event {
+    Arrive,
+    Dispatch,
+    End,
+    Settle,
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 500, rng_seed: RngSeed::Fixed(11), ..ProptestConfig::default() })]
+
+    /// Guards against a dispatch after a settlement that promised none, and against two dispatches,
+    /// under any order of copies, settlements and ends.
+    #[test]
+    fn settled_attempts_are_never_dispatched(
+        events in prop::collection::vec((0u32..4, 0u64..300), 1..60),
+    ) {
+        let mut attempts: Attempts<u64> = Attempts::new(RETENTION_MS, 100);
+        let (mut promised, mut dispatched, mut now_ms) = (false, 0, 0);
+        for (event, advance_ms) in events {
+            now_ms += advance_ms;
+            let event = [Event::Arrive, Event::Dispatch, Event::End, Event::Settle][event as usize];
+            match event {
+                Event::Arrive => {
+                    let begin = attempts.begin("a", at(now_ms));
+                    prop_assert!(!(promised && begin == Begin::Queue));
+                }
+                Event::Dispatch => dispatched += u32::from(attempts.dispatch("a")),
+                Event::End => attempts.end("a", 1, at(now_ms)),
+                Event::Settle => {
+                    if attempts.settle("a", at(now_ms)) == Some(Settlement::NotRun) {
+                        prop_assert_eq!(dispatched, 0, "promised after a dispatch");
+                        promised = true;
+                    }
+                }
+            }
+            prop_assert!(!(promised && dispatched > 0));
+            prop_assert!(dispatched <= 1);
+        }
+    }
+}
+
+/// Guards against a copy that arrives after the entry was told that the request will not run.
+#[gtest]
+fn late_copy_of_a_settled_attempt_is_refused() {
+    let mut attempts: Attempts<u64> = Attempts::new(RETENTION_MS, 100);
+    expect_that!(attempts.settle("a", at(0)), some(eq(&Settlement::NotRun)));
+    expect_that!(attempts.begin("a", at(1)), eq(Begin::Forbidden));
+    expect_that!(attempts.dispatch("a"), eq(false));
+}
+
+/// Guards against memory that grows with answers nobody asks for any more.
+#[gtest]
+fn outcome_is_dropped_and_the_mark_stays() {
+    let mut attempts: Attempts<u64> = Attempts::new(RETENTION_MS, 100);
+    attempts.begin("a", at(0));
+    attempts.dispatch("a");
+    attempts.end("a", 5, at(10));
+    expect_that!(attempts.settle("a", at(20)), some(eq(&Settlement::Ended(5))));
+    attempts.expire(at(20_000));
+    expect_that!(attempts.settle("a", at(20_000)), none());
+    expect_that!(attempts.begin("a", at(20_000)), eq(Begin::Duplicate));
+}
+
+/// Guards against a promise that a full table could not keep.
+#[gtest]
+fn full_table_promises_nothing() {
+    let mut attempts: Attempts<u64> = Attempts::new(RETENTION_MS, 1);
+    attempts.begin("a", at(0));
+    expect_that!(attempts.begin("b", at(0)), eq(Begin::Full));
+    expect_that!(attempts.settle("b", at(0)), none());
+}
