--- a/crates/pollenshed/tests/support/callers.rs
+++ b/crates/pollenshed/tests/support/callers.rs
@@ -66,6 +66,11 @@
     reply_of(request.send(body))
 }
 
+/// Sends an idempotent request with a body over a connection of its own.
+pub fn put(entry: SocketAddr, path: &str, body: &str) -> Reply {
+    reply_of(agent().put(format!("http://{entry}/v1/run/ledger{path}")).send(body))
+}
+
 /// Sends an idempotent request over a connection of its own.
 pub fn get(entry: SocketAddr, path: &str) -> Reply {
     reply_of(agent().get(format!("http://{entry}/v1/run/ledger{path}")).call())
--- a/crates/pollenshed/tests/support/faults.rs
+++ b/crates/pollenshed/tests/support/faults.rs
@@ -29,6 +29,9 @@
 /// An instance: its name and its failure domain.
 pub type Place = (&'static str, &'static str);
 
+/// One entry in each failure domain of a region.
+pub const TWO_ENTRIES: [Place; 2] = [("north-a-1", "north-a"), ("north-b-1", "north-b")];
+
 /// Two entries in one failure domain and one in the other domain of the region.
 pub const THREE_ENTRIES: [Place; 3] =
     [("north-a-1", "north-a"), ("north-a-2", "north-a"), ("north-b-1", "north-b")];
@@ -266,5 +269,10 @@
     for (server, proxy) in servers.iter_mut().zip(proxies) {
         server["address"] = json!(proxy.address().to_string());
     }
+    // Idempotent work with a body, for faults that depend on the body.
+    let operation = json!(
+        {"methods": ["PUT"], "path_prefix": "/", "rank": "standard", "idempotent": true}
+    );
+    config["services"][0]["operations"].as_array_mut().unwrap().push(operation);
     config
 }
