Believe an answer that says its backend server drains

Cause: an answer with pollenshed-draining stopped new work only until the next probe. When the health endpoint lags or misleads, the probe said "ok", and the server got work again, every probe period.

Ruled out: telling it through the list of leaving servers, because a reader replaces that list with each poll; keeping the sign for good, because a server may return without having been down.

Change: the owner keeps the sign of an answer for 60 s. It ends when the health endpoint has said "draining" too, from then on the endpoint is trusted, or when probes fail.

The sign is lost when the ownership moves; the new owner learns it from one answer.

--- a/crates/pollenshed/src/owner/mod.rs
+++ b/crates/pollenshed/src/owner/mod.rs
@@ -38,6 +38,11 @@
 /// Longest time between two looks at the queues, for limits that rise with time.
 const MAX_TURN: Duration = Duration::from_millis(50);
 
+/// How long an answer that says that its server drains outweighs a health endpoint that never says
+/// so. A server that drains gets no work and gives no further answer, so the sign has to last longer
+/// than a drain; after it, one answer renews it.
+const ANSWERED_DRAINING_MS: u64 = 60_000;
+
 /// What the scheduler decided about a waiting request.
 enum Grant {
     /// Dispatch it to this server.
@@ -62,6 +67,8 @@
     advertised: u64,
     /// When each server last failed. A probe that began earlier says nothing about it.
     failed_at: HashMap<BackendServerName, Instant>,
+    /// Until when a server counts as draining because an answer of its said so.
+    answered_draining: HashMap<BackendServerName, Instant>,
 }
 
 impl Owner {
@@ -75,6 +82,7 @@
                 intakes: HashMap::new(),
                 advertised: 0,
                 failed_at: HashMap::new(),
+                answered_draining: HashMap::new(),
             }),
             turn: Notify::new(),
             probe: Notify::new(),
@@ -116,6 +124,17 @@
         self.probe.notify_one();
     }
 
+    /// Tells whether a server drains, given what its health endpoint says.
+    ///
+    /// Once the endpoint says so, too, it is trusted about the end of the draining.
+    fn is_draining(&self, server: &BackendServerName, health_says_so: bool, now: Instant) -> bool {
+        let answered = &mut lock(&self.state).answered_draining;
+        if health_says_so {
+            answered.remove(server);
+        }
+        health_says_so || answered.get(server).is_some_and(|until| now < *until)
+    }
+
     fn new_id(&self) -> WorkId {
         WorkId(self.next_id.fetch_add(1, Ordering::Relaxed))
     }
--- a/crates/pollenshed/src/owner/probe.rs
+++ b/crates/pollenshed/src/owner/probe.rs
@@ -46,7 +46,8 @@
 /// Probes one server and hands its report to the scheduler. Returns whether it answered.
 fn probe(shared: &Shared, server: &BackendServer) -> bool {
     let Ok(health) = shared.backend.health(server.address) else { return false };
-    let draining = health.status == HealthStatus::Draining;
+    let health_says_so = health.status == HealthStatus::Draining;
+    let draining = shared.owner.is_draining(&server.name, health_says_so, shared.clock.now());
     let report = match shared.backend.load(server.address) {
         Ok(load) => LoadReport { in_use: load.in_use, slots: load.slots, draining },
         Err(_) => LoadReport { in_use: 0, slots: server.slots.0, draining },
@@ -79,6 +80,9 @@
     *count = count.saturating_add(1);
     if *count == MAX_FAILED_PROBES {
         log::warn!("health: {} failed {MAX_FAILED_PROBES} probes and gets no work", server.name);
-        shared.owner.with_scheduler(|scheduler| scheduler.set_down(&server.name));
+        let mut state = lock(&shared.owner.state);
+        state.scheduler.set_down(&server.name);
+        // The drain has ended with the process.
+        state.answered_draining.remove(&server.name);
     }
 }
--- a/crates/pollenshed/src/owner/send.rs
+++ b/crates/pollenshed/src/owner/send.rs
@@ -10,7 +10,7 @@
 };
 use pollenshed_transport::backend::{BackendOutcome, BackendRequest};
 
-use super::{dispatch::Attempt, uploads};
+use super::{ANSWERED_DRAINING_MS, dispatch::Attempt, uploads};
 use crate::{instance::Shared, util::lock, wire};
 
 /// Sends the attempt, whose slot is taken, and waits for its outcome.
@@ -91,6 +91,8 @@
             BackendOutcome::Answered { draining: true, .. }
             | BackendOutcome::Shed { draining: true } => {
                 let report = LoadReport { in_use: 0, slots: server.slots.0, draining: true };
+                let until = now.plus_ms(ANSWERED_DRAINING_MS);
+                state.answered_draining.insert(server.name.clone(), until);
                 state.scheduler.report(&server.name, report, now);
             }
             _ => {}
