Test with real processes that planned stops cut off nobody

Cause: planned stops of entries and backend servers were not tested with real processes and load.

Ruled out: the caller library as load, because its failover would hide broken connections; a bound on refusals, because a refused request is not cut off and its caller sends it again. Refusals are printed.

Change: support/load.rs has callers that cache lookups and count each broken connection, unknown outcome or wrong answer. planned_stops.rs lets a backend server leave by the instance list, its health endpoint or its own answers; stops an entry and sends its tickets again elsewhere; and replaces all entries and all backend servers, printing drain times.

--- a/crates/pollenshed/tests/support/mod.rs
+++ b/crates/pollenshed/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod callers;
 pub mod faults;
+pub mod load;
 pub mod raw;
 
 use std::{
