--- a/crates/pollenshed/tests/support/mod.rs
+++ b/crates/pollenshed/tests/support/mod.rs
@@ -5,6 +5,8 @@
 pub mod callers;
 pub mod deployment;
 pub mod faults;
+pub mod load;
+pub mod raw;
 
 use std::{
     fs,
