Measure the store's load and the cost of control

Ruled out: counting bytes in /proc/PID/io, which does not count socket calls; a proxy before each peer port counts them. A drawn member leaves an instance list that takes longer than a poll period to the chosen readers.

--- /dev/null
+++ b/crates/pollenshed/examples/control_cost.rs
@@ -0,0 +1,164 @@
+//! Measures processor time, memory and control bytes of real, idle instance processes against the
+//! number of instances.
+//!
+//! `cargo build --release -p pollenshed && cargo run --release -p pollenshed --example control_cost
+//! target/release/pollenshed [without-config]`
+//!
+//! All instances are of one failure domain and obey the configuration of one user, whose backend
+//! servers do not answer. Each announces a proxy as its peer address, which counts
+//! the bytes of gossip; headers of TCP and IP are not counted.
+
+use std::{
+    fs,
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    thread,
+    time::Duration,
+};
+
+use eyre::{Result, WrapErr, eyre};
+use pollenshed_coordination::replication::{Outcome, SubmissionId};
+use pollenshed_protocol::platform::{InstanceList, ListedInstance};
+use pollenshed_standins::{
+    platform::Platform,
+    proxy::{Direction, Proxy},
+};
+use pollenshed_state::ids::ConfigVersion;
+use pollenshed_transport::platform::{Platform as Client, SubmitRequest, submit};
+use serde_json::json;
+
+const CONFIG: &str = include_str!("../../operators/tests/golden/cali.json");
+
+const SETTLE: Duration = Duration::from_secs(5);
+const RUN: Duration = Duration::from_secs(10);
+/// Ticks of processor time per second in `/proc/PID/stat`.
+const TICKS_PER_S: f64 = 100.0;
+
+struct Process {
+    child: Child,
+    link: Proxy,
+    name: String,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn main() -> Result<()> {
+    let binary = std::env::args().nth(1).ok_or_else(|| eyre!("the path of pollenshed"))?;
+    let folder = std::env::temp_dir().join(format!("pollenshed-cost-{}", std::process::id()));
+    fs::create_dir_all(&folder)?;
+    println!("instances cpu%/instance rss_MB/instance control_B/s/instance platform_reads/s");
+    for count in [3, 6, 10, 20] {
+        measure(count, Path::new(&binary), &folder)?;
+    }
+    fs::remove_dir_all(&folder).wrap_err("cannot remove the working folder")
+}
+
+fn measure(count: usize, binary: &Path, folder: &Path) -> Result<()> {
+    let platform = Platform::bind(([127, 0, 0, 1], 0).into())?;
+    if std::env::args().nth(2).as_deref() != Some("without-config") {
+        submit_config(&platform)?;
+    }
+    let fleet: Vec<Process> = (0..count)
+        .map(|number| spawn(number, platform.address(), binary, folder))
+        .collect::<Result<_>>()?;
+    let instances = fleet.iter().map(|p| {
+        Ok(ListedInstance {
+            name: p.name.parse()?,
+            failure_domain: "palermo-a".parse()?,
+            peer_address: p.link.address(),
+            leaving: false,
+        })
+    });
+    let instances = instances.collect::<Result<_>>()?;
+    platform.set_instances(InstanceList { instances, ..InstanceList::default() });
+    thread::sleep(SETTLE);
+    let before = (cpu_s(&fleet), bytes(&fleet), platform.counts().reads);
+    thread::sleep(RUN);
+    let after = (cpu_s(&fleet), bytes(&fleet), platform.counts().reads);
+    let per_instance = |total: f64| total / count as f64 / RUN.as_secs_f64();
+    println!(
+        "{count} {:.2} {:.1} {:.0} {:.1}",
+        per_instance((after.0 - before.0) * 100.0),
+        rss_bytes(&fleet) / count as f64 / 1e6,
+        // Each byte is sent by one instance and received by another.
+        per_instance((after.1 - before.1) as f64 * 2.0),
+        (after.2 - before.2) as f64 / RUN.as_secs_f64()
+    );
+    Ok(())
+}
+
+fn submit_config(platform: &Platform) -> Result<()> {
+    let request = SubmitRequest {
+        id: SubmissionId("control-cost".to_owned()),
+        document: CONFIG.as_bytes(),
+        floor: ConfigVersion(0),
+        expected: None,
+        timeout: SETTLE,
+    };
+    match submit(&Client::open(platform.address(), SETTLE), &request) {
+        Outcome::Accepted { .. } => Ok(()),
+        outcome => Err(eyre!("{outcome:?}")),
+    }
+}
+
+fn spawn(number: usize, platform: SocketAddr, binary: &Path, folder: &Path) -> Result<Process> {
+    let name = format!("palermo-a-{number}");
+    let mut link = Proxy::bind(([127, 0, 0, 1], 1).into())?;
+    let settings = json!({
+        "instance": name,
+        "failure_domain": "palermo-a",
+        "caller_address": "127.0.0.1:0",
+        "peer_address": "127.0.0.1:0",
+        "relay_address": "127.0.0.1:0",
+        "operator_address": "127.0.0.1:0",
+        "platform_address": platform.to_string(),
+        "announced_peer_address": link.address().to_string(),
+    });
+    let file: PathBuf = folder.join(format!("{name}.json"));
+    fs::write(&file, settings.to_string())?;
+    let mut child = Command::new(binary)
+        .arg("serve")
+        .arg(&file)
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
+        .spawn()?;
+    let out = child.stdout.take().ok_or_else(|| eyre!("no output"))?;
+    let ready = BufReader::new(out).lines().map_while(Result::ok);
+    let peers = ready.filter_map(|l| l.strip_prefix("ready: peers http://").map(str::to_owned));
+    let peers = { peers }.next().ok_or_else(|| eyre!("{name} did not start"))?;
+    link.set_target(peers.parse()?);
+    link.heal()?;
+    Ok(Process { child, link, name })
+}
+
+fn cpu_s(fleet: &[Process]) -> f64 {
+    let ticks = |p: &Process| -> f64 {
+        let stat = fs::read_to_string(format!("/proc/{}/stat", p.child.id())).unwrap_or_default();
+        // The fields after the name in parentheses; user and system time are the 12th and 13th.
+        let rest = stat.rsplit(')').next().unwrap_or_default();
+        rest.split_whitespace().skip(11).take(2).filter_map(|f| f.parse::<f64>().ok()).sum()
+    };
+    fleet.iter().map(ticks).sum::<f64>() / TICKS_PER_S
+}
+
+fn rss_bytes(fleet: &[Process]) -> f64 {
+    let pages = |p: &Process| -> f64 {
+        let statm = fs::read_to_string(format!("/proc/{}/statm", p.child.id())).unwrap_or_default();
+        statm.split_whitespace().nth(1).and_then(|f| f.parse().ok()).unwrap_or(0.0)
+    };
+    fleet.iter().map(pages).sum::<f64>() * 4096.0
+}
+
+fn bytes(fleet: &[Process]) -> u64 {
+    let both = |p: &Process| {
+        p.link.forwarded_bytes(Direction::ToTarget) + p.link.forwarded_bytes(Direction::ToCaller)
+    };
+    fleet.iter().map(both).sum()
+}
--- a/crates/pollenshed/src/reader/mod.rs
+++ b/crates/pollenshed/src/reader/mod.rs
@@ -23,6 +23,7 @@
     let period_ms = shared.settings.timing.platform_poll_ms;
     let mut failures = 0;
     let mut list_due = Instant::START;
+    let mut list_gap_ms = 0;
     let mut last_plan = PollPlan::Skip;
     // Instances that start together, as after a power failure, do not poll together.
     let mut gap_ms = fastrand::u64(..) % (period_ms / 2).max(1);
@@ -32,11 +33,17 @@
         let plan = poll_plan(&lock(&shared.membership), now, fastrand::u64(..));
         log_plan(&mut last_plan, plan);
         if plan.polls() {
-            let with_list = plan == PollPlan::Alone || now >= list_due;
+            // A drawn member of a large fleet leaves the long list to the chosen readers.
+            let is_list_short = list_gap_ms <= period_ms;
+            let with_list = plan == PollPlan::Alone
+                || now >= list_due && (is_list_short || plan == PollPlan::Reader);
             match poll(&shared, with_list).await {
-                Ok(list_gap_ms) => {
+                Ok(read_list) => {
                     failures = 0;
-                    list_due = list_gap_ms.map_or(list_due, |gap_ms| now.plus_ms(gap_ms));
+                    if let Some(gap_ms) = read_list {
+                        list_gap_ms = gap_ms;
+                        list_due = now.plus_ms(gap_ms);
+                    }
                 }
                 Err(e) => {
                     log_failure(&shared, failures, &e);
