--- a/crates/pollenshed/examples/control_cost.rs
+++ b/crates/pollenshed/examples/control_cost.rs
@@ -15,12 +15,15 @@
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use eyre::{Result, WrapErr, eyre};
 use pollenshed_coordination::replication::{Outcome, SubmissionId};
-use pollenshed_protocol::platform::{InstanceList, ListedInstance};
+use pollenshed_protocol::{
+    operator::StatusBody,
+    platform::{InstanceList, ListedInstance},
+};
 use pollenshed_standins::{
     platform::Platform,
     proxy::{Direction, Proxy},
@@ -31,6 +34,10 @@
 
 const CONFIG: &str = include_str!("../../operators/tests/golden/cali.json");
 
+/// Changes that are submitted and timed.
+const CHANGES: usize = 10;
+/// Time within which a change must be in force everywhere.
+const MAX_CHANGE: Duration = Duration::from_secs(20);
 const SETTLE: Duration = Duration::from_secs(5);
 const RUN: Duration = Duration::from_secs(10);
 /// Ticks of processor time per second in `/proc/PID/stat`.
@@ -40,6 +47,7 @@
     child: Child,
     link: Proxy,
     name: String,
+    operators: String,
 }
 
 impl Drop for Process {
@@ -53,7 +61,10 @@
     let binary = std::env::args().nth(1).ok_or_else(|| eyre!("the path of pollenshed"))?;
     let folder = std::env::temp_dir().join(format!("pollenshed-cost-{}", std::process::id()));
     fs::create_dir_all(&folder)?;
-    println!("instances cpu%/instance rss_MB/instance control_B/s/instance platform_reads/s");
+    println!(
+        "instances cpu%/instance rss_MB/instance control_B/s/instance platform_reads/s \
+         mean_change_ms max_change_ms"
+    );
     for count in [3, 6, 10, 20] {
         measure(count, Path::new(&binary), &folder)?;
     }
@@ -62,8 +73,9 @@
 
 fn measure(count: usize, binary: &Path, folder: &Path) -> Result<()> {
     let platform = Platform::bind(([127, 0, 0, 1], 0).into())?;
-    if std::env::args().nth(2).as_deref() != Some("without-config") {
-        submit_config(&platform)?;
+    let with_config = std::env::args().nth(2).as_deref() != Some("without-config");
+    if with_config {
+        submit_config(&platform, 0)?;
     }
     let fleet: Vec<Process> = (0..count)
         .map(|number| spawn(number, platform.address(), binary, folder))
@@ -83,21 +95,26 @@
     thread::sleep(RUN);
     let after = (cpu_s(&fleet), bytes(&fleet), platform.counts().reads);
     let per_instance = |total: f64| total / count as f64 / RUN.as_secs_f64();
+    let changes = if with_config { change_ms(&fleet, &platform)? } else { Vec::new() };
     println!(
-        "{count} {:.2} {:.1} {:.0} {:.1}",
+        "{count} {:.2} {:.1} {:.0} {:.1} {:.0} {:.0}",
         per_instance((after.0 - before.0) * 100.0),
         rss_bytes(&fleet) / count as f64 / 1e6,
         // Each byte is sent by one instance and received by another.
         per_instance((after.1 - before.1) as f64 * 2.0),
-        (after.2 - before.2) as f64 / RUN.as_secs_f64()
+        (after.2 - before.2) as f64 / RUN.as_secs_f64(),
+        changes.iter().sum::<f64>() / changes.len().max(1) as f64,
+        changes.iter().copied().fold(0.0, f64::max)
     );
     Ok(())
 }
 
-fn submit_config(platform: &Platform) -> Result<()> {
+/// Submits the configuration with a number of newlines after it, so that each has another digest.
+fn submit_config(platform: &Platform, number: usize) -> Result<()> {
+    let document = CONFIG.to_owned() + &"\n".repeat(number);
     let request = SubmitRequest {
-        id: SubmissionId("control-cost".to_owned()),
-        document: CONFIG.as_bytes(),
+        id: SubmissionId(format!("control-cost-{number}")),
+        document: document.as_bytes(),
         floor: ConfigVersion(0),
         expected: None,
         timeout: SETTLE,
@@ -108,6 +125,30 @@
     }
 }
 
+/// Submits changes and returns the time until each was in force at all instances.
+fn change_ms(fleet: &[Process], platform: &Platform) -> Result<Vec<f64>> {
+    let mut times = Vec::new();
+    for number in 1..=CHANGES {
+        let start = Instant::now();
+        submit_config(platform, number)?;
+        let version = number as u64 + 1;
+        for process in fleet {
+            let url = format!("{}/v1/status", process.operators);
+            let status = || -> Option<StatusBody> {
+                ureq::get(&url).call().ok()?.body_mut().read_json().ok()
+            };
+            while status().is_none_or(|s| s.config_version < version) {
+                if start.elapsed() > MAX_CHANGE {
+                    return Err(eyre!("change {number} did not reach {}", process.name));
+                }
+                thread::sleep(Duration::from_millis(5));
+            }
+        }
+        times.push(start.elapsed().as_secs_f64() * 1e3);
+    }
+    Ok(times)
+}
+
 fn spawn(number: usize, platform: SocketAddr, binary: &Path, folder: &Path) -> Result<Process> {
     let name = format!("palermo-a-{number}");
     let mut link = Proxy::bind(([127, 0, 0, 1], 1).into())?;
@@ -130,12 +171,16 @@
         .stderr(Stdio::null())
         .spawn()?;
     let out = child.stdout.take().ok_or_else(|| eyre!("no output"))?;
-    let ready = BufReader::new(out).lines().map_while(Result::ok);
-    let peers = ready.filter_map(|l| l.strip_prefix("ready: peers http://").map(str::to_owned));
-    let peers = { peers }.next().ok_or_else(|| eyre!("{name} did not start"))?;
+    let mut lines = BufReader::new(out).lines().map_while(Result::ok);
+    let mut ready = |what: &str| {
+        let found = lines.find_map(|l| l.strip_prefix(what).map(str::to_owned));
+        found.ok_or_else(|| eyre!("{name} did not start"))
+    };
+    let operators = ready("ready: operators ")?;
+    let peers = ready("ready: peers http://")?;
     link.set_target(peers.parse()?);
     link.heal()?;
-    Ok(Process { child, link, name })
+    Ok(Process { child, link, name, operators })
 }
 
 fn cpu_s(fleet: &[Process]) -> f64 {
