--- a/crates/pollenshed/src/entry/dispatch.rs
+++ b/crates/pollenshed/src/entry/dispatch.rs
@@ -11,11 +11,13 @@
     AnswerReply, DispatchRequest, NotRunReason, UnknownReason, answer_reply,
 };
 use pollenshed_state::{ids::InstanceName, time::Instant, units::ByteSize};
+use pollenshed_transport::metrics::Counter;
 
 use super::{
     attempts::{Next, Tried},
     http::Classified,
     settle::{SETTLE_GRACE_MS, settle},
+    uploads,
 };
 use crate::{instance::Shared, owner, util::lock, wire};
 
@@ -90,7 +92,9 @@
         Next::AskAnother => true,
         Next::Retry => work.service().is_some_and(|service| {
             let is_idempotent = work.operation.idempotent;
-            lock(&shared.routing).retry_budget(service).try_retry(is_idempotent, now)
+            let may = lock(&shared.routing).retry_budget(service).try_retry(is_idempotent, now);
+            shared.metrics.count(Counter::Retries, u64::from(may));
+            may
         }),
     }
 }
@@ -135,7 +139,7 @@
     let assignment = lock(&shared.ownership).assignment().clone();
     let request = RouteRequest {
         rank: work.operation.rank,
-        request_bytes: ByteSize(work.request.body.len() as u64),
+        request_bytes: ByteSize(body_bytes(work)),
         answer_bytes: ByteSize(service.max_answer_bytes.0.min(EXPECTED_ANSWER_BYTES)),
         excluded: &tried.owners,
         counted_for: tried.counted_for.as_ref(),
@@ -151,6 +155,12 @@
     lock(&shared.routing).choose(&request, view, now).map_err(Some)
 }
 
+/// Returns the size of a request on a link. The body of an upload is fetched by the owner.
+fn body_bytes(work: &Classified) -> u64 {
+    let parts: u64 = uploads::parts_of(&work.request).iter().map(|p| p.length_bytes).sum();
+    parts.max(work.request.body.len() as u64)
+}
+
 fn log_target(work: &Classified, target: &Target) {
     log::info!(
         "route: {} {} {} to {} of {} ({:?})",
@@ -220,7 +230,7 @@
         content_digest: Bytes::copy_from_slice(wire::content_digest(&work.request).as_bytes()),
         failure_domain: target.failure_domain.to_string(),
         from_failure_domain: shared.settings.failure_domain.to_string(),
-        upload_parts: Vec::new(),
+        upload_parts: uploads::parts_of(&work.request),
         crashed_backend_servers: tried.crashed.clone(),
     };
     if target.owner == shared.settings.instance {
--- a/crates/pollenshed/src/entry/http.rs
+++ b/crates/pollenshed/src/entry/http.rs
@@ -1,33 +1,39 @@
 //! Reads callers' requests.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use hyper::{Request, Response, StatusCode};
+use hyper::{
+    Request, Response, StatusCode,
+    header::{CONTENT_LENGTH, HeaderValue, RETRY_AFTER},
+};
 use pollenshed_protocol::{
-    caller::{CALLER_HEADER, DEADLINE_HEADER, Outcome, TICKET_HEADER},
+    caller::{CALLER_HEADER, DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, Outcome, TICKET_HEADER},
     peer::{Header, HttpRequest},
 };
 use pollenshed_state::{
     config::{Operation, Service},
     ids::{ServiceName, Ticket},
     time::Instant,
+    units::ByteSize,
 };
 use pollenshed_transport::edge::{AnswerBody, BodyError, RequestBody};
 
 use super::{
+    admission::Admitted,
     answer::{from_reply, json, refusal},
-    dispatch, ticketed,
+    claims, dispatch, ticketed, uploads,
 };
 use crate::{
     config::InForce,
     instance::Shared,
     lookup::{self, NoAnswer},
+    wire,
 };
 
 const RUN_PREFIX: &str = "/v1/run/";
 
 /// An answer that ends a request before it is relayed.
-type Refused = Box<Response<AnswerBody>>;
+pub(super) type Refused = Box<Response<AnswerBody>>;
 
 /// Answers one request of a caller.
 pub async fn handle(
@@ -45,6 +51,9 @@
             Err(refused) => *refused,
         };
     }
+    if path.starts_with(uploads::PREFIX) {
+        return uploads::handle(shared, request).await;
+    }
     invalid(StatusCode::NOT_FOUND, "no such path; see docs/callers.md")
 }
 
@@ -77,6 +86,7 @@
 }
 
 /// A request that was read and classified.
+#[derive(Debug, Clone)]
 pub struct Classified {
     /// The request to relay.
     pub request: HttpRequest,
@@ -121,23 +131,31 @@
     })?;
     let deadline = read_deadline(&shared, &request, &current, &operation)?;
     let ticket = read_ticket(&request)?;
+    let key = header(&request, IDEMPOTENCY_KEY_HEADER).map(str::to_owned);
     let caller = header(&request, CALLER_HEADER).unwrap_or("anonymous").to_owned();
     let headers = passed_headers(&request);
     let limit = service.max_request_bytes.0;
+    let announced = header(&request, CONTENT_LENGTH.as_str()).and_then(|v| v.parse().ok());
+    let held = ByteSize(announced.unwrap_or(limit).min(limit));
+    let _admitted = Admitted::admit(&shared, operation.rank, held)?;
     let service_name = service.name.to_string();
     let body = request.into_body().read_whole(limit).await.map_err(|e| body_error(&e))?;
     let request = HttpRequest { service: service_name, method, path, headers, body, caller };
     let work = Classified { request, operation, deadline, current };
-    let reply = match (work.operation.idempotent, ticket) {
-        (true, _) => dispatch::run(&shared, &work, &new_request_id()).await,
-        (false, Some(ticket)) => ticketed::run(&shared, ticket, work).await,
-        (false, None) => {
+    let (rank, began) = (work.operation.rank, shared.clock.now());
+    let reply = match (work.operation.idempotent, ticket, key) {
+        (true, _, _) => dispatch::run(&shared, &work, &new_request_id()).await,
+        (false, Some(ticket), _) => ticketed::run(&shared, ticket, work).await,
+        (false, None, Some(key)) => claims::run(&shared, &key, work).await,
+        (false, None, None) => {
             return Err(refuse(
                 StatusCode::PRECONDITION_REQUIRED,
                 "the operation is not idempotent, so the request needs a ticket; see docs/callers.md",
             ));
         }
     };
+    let took = Duration::from_micros(shared.clock.now().since_us(began));
+    shared.metrics.request(rank, wire::outcome_of(&reply), took);
     Ok(from_reply(reply))
 }
 
@@ -146,7 +164,7 @@
     format!("{:016x}{:016x}", fastrand::u64(..), fastrand::u64(..))
 }
 
-fn read_deadline(
+pub(super) fn read_deadline(
     shared: &Shared,
     request: &Request<RequestBody>,
     current: &InForce,
@@ -163,7 +181,7 @@
     Ok(shared.clock.now().plus_ms(wanted_ms.min(longest_ms)))
 }
 
-fn read_ticket(request: &Request<RequestBody>) -> Result<Option<Ticket>, Refused> {
+pub(super) fn read_ticket(request: &Request<RequestBody>) -> Result<Option<Ticket>, Refused> {
     match header(request, TICKET_HEADER).map(str::parse::<Ticket>) {
         None => Ok(None),
         Some(Ok(ticket)) => Ok(Some(ticket)),
@@ -171,11 +189,11 @@
     }
 }
 
-fn header<'a>(request: &'a Request<RequestBody>, name: &str) -> Option<&'a str> {
+pub(super) fn header<'a>(request: &'a Request<RequestBody>, name: &str) -> Option<&'a str> {
     request.headers().get(name)?.to_str().ok()
 }
 
-fn passed_headers(request: &Request<RequestBody>) -> Vec<Header> {
+pub(super) fn passed_headers(request: &Request<RequestBody>) -> Vec<Header> {
     request
         .headers()
         .iter()
@@ -188,12 +206,16 @@
 }
 
 /// Builds the answer for a body that could not be read; the request did not run.
-fn body_error(error: &BodyError) -> Refused {
+pub(super) fn body_error(error: &BodyError) -> Refused {
     let (status, reason) = (error.status(), error.reason());
-    Box::new(refusal(status, Outcome::NotRun, reason, &error.to_string()))
+    let mut answer = refusal(status, Outcome::NotRun, reason, &error.to_string());
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("1"));
+    }
+    Box::new(answer)
 }
 
-fn refuse(status: StatusCode, detail: &str) -> Refused {
+pub(super) fn refuse(status: StatusCode, detail: &str) -> Refused {
     Box::new(invalid(status, detail))
 }
 
--- a/crates/pollenshed/src/entry/mod.rs
+++ b/crates/pollenshed/src/entry/mod.rs
@@ -1,13 +1,16 @@
 //! Entry: takes callers' requests, routes them to owners and answers.
 
+mod admission;
 mod answer;
 mod attempts;
+mod claims;
 mod dispatch;
 mod heirs;
 mod http;
 mod routing;
 mod settle;
 mod ticketed;
+mod uploads;
 
 use std::{io, sync::Arc};
 
@@ -16,9 +19,11 @@
 use pollenshed_transport::edge::Edge;
 use tokio::net::TcpListener;
 
+pub use claims::ClaimBudget;
 pub use heirs::{hand_over, take_over};
 pub use routing::Routing;
 use ticketed::run_named;
+pub use uploads::whole_digest;
 
 use crate::{instance::Shared, wire};
 
--- a/crates/pollenshed/src/owner/send.rs
+++ b/crates/pollenshed/src/owner/send.rs
@@ -8,9 +8,12 @@
     config::BackendServer,
     ids::{BackendServerName, Digest},
 };
-use pollenshed_transport::backend::{BackendOutcome, BackendRequest};
+use pollenshed_transport::{
+    backend::{BackendOutcome, BackendRequest},
+    metrics::{Counter, Timing},
+};
 
-use super::dispatch::Attempt;
+use super::{dispatch::Attempt, uploads};
 use crate::{instance::Shared, util::lock, wire};
 
 /// Sends the attempt, whose slot is taken, and waits for its outcome.
@@ -45,14 +48,15 @@
         return BackendOutcome::ConnectFailed("the dispatch carries no request".to_owned());
     };
     log::info!("dispatch: {} {} ({id}) to {}", request.service, attempt.id, server.name);
-    let outcome = shared.backend.send(&BackendRequest {
+    let send = BackendRequest {
         address: server.address,
         request,
         request_id: &attempt.id,
         timeout: Duration::from_micros(attempt.deadline.since_us(began)),
         idempotent: attempt.idempotent,
         max_answer_bytes: attempt.max_answer_bytes,
-    });
+    };
+    let outcome = uploads::send(shared, &send, &attempt.request.upload_parts, attempt.deadline);
     let latency_us = shared.clock.now().since_us(began);
     report(shared, attempt, id, server, &outcome, latency_us);
     outcome
@@ -71,11 +75,18 @@
             Finished::Answered { latency_us }
         }
         BackendOutcome::Shed { .. } => Finished::Shed,
-        BackendOutcome::ConnectFailed(_) => Finished::Failed,
+        BackendOutcome::ConnectFailed(_) | BackendOutcome::BodyUnavailable(_) => Finished::Failed,
         BackendOutcome::ConnectionLost(_) => Finished::Crashed,
         BackendOutcome::TimedOut => Finished::Abandoned,
     };
     let now = shared.clock.now();
+    match outcome {
+        BackendOutcome::Answered { .. } => {
+            shared.metrics.time(Timing::Backend, attempt.rank, Duration::from_micros(latency_us));
+        }
+        BackendOutcome::Shed { .. } => shared.metrics.count(Counter::Shed, 1),
+        _ => {}
+    }
     {
         let mut state = lock(&shared.owner.state);
         state.scheduler.finish(id, finished, now);
@@ -160,6 +171,7 @@
             wire::not_run_retry(NotRunReason::Shed, SHED_RETRY_AFTER_MS, "the server shed it")
         }
         BackendOutcome::ConnectFailed(e) => wire::not_run(NotRunReason::ConnectFailed, e),
+        BackendOutcome::BodyUnavailable(e) => wire::not_run(NotRunReason::StoreUnavailable, e),
         BackendOutcome::ConnectionLost(e) => wire::unknown(UnknownReason::ConnectionLost, e),
         BackendOutcome::TimedOut => {
             wire::unknown(UnknownReason::Timeout, "the deadline passed at the backend server")
