Send headroom to a peer only when it is news

Cause: each gossip message held all advertisements, which owners renewed in every period: 33 KB/s with three idle instances, over the 24 KB/s that control may cost. Ruled out: a shorter time to live (headroom would lapse on its way). Change: owners renew an advertisement when it changes by a fifth or after a quarter of its time to live; a peer gets what arrived since its last message. Conclusion: whole_path and the routing tests pass.

--- a/crates/coordination/examples/membership_size.rs
+++ b/crates/coordination/examples/membership_size.rs
@@ -58,7 +58,8 @@
     for table in &mut tables {
         for other in 1..members {
             let (records, heartbeats) = (Vec::new(), Vec::new());
-            let exchange = Exchange { sender: record(other), records, heartbeats, digest: 0 };
+            let exchange =
+                Exchange { sender: record(other), records, heartbeats, buckets: Vec::new() };
             table.merge(&exchange, Time::START);
         }
     }
@@ -80,7 +81,8 @@
                 .map(|n| record(1 + (period as usize * 40 + n) % (members - 1)))
                 .map(|r| Heartbeat { key: r.key(), counter: 1 + period, stamp_ms: period * 250 })
                 .collect();
-            let answer = Exchange { sender: peer, records: Vec::new(), heartbeats, digest: 0 };
+            let answer =
+                Exchange { sender: peer, records: Vec::new(), heartbeats, buckets: Vec::new() };
             table.merge(&answer, now);
         }
     }
--- a/crates/coordination/src/routing/advert.rs
+++ b/crates/coordination/src/routing/advert.rs
@@ -52,6 +52,8 @@
     advert: Advertisement,
     expires_at: Instant,
     bucket: Bucket,
+    /// Number of the store operation that brought the advertisement.
+    arrival: u64,
 }
 
 /// Advertisements in force, by service, failure domain and owner.
@@ -60,13 +62,14 @@
     ttl_ms: u64,
     spend_from: Instant,
     stored: BTreeMap<Key, Stored>,
+    arrivals: u64,
 }
 
 impl Advertisements {
     /// Starts empty. Nothing is spent before `spend_from` (see the module's documentation), and no
     /// advertisement is used for longer than `ttl_ms`.
     pub fn new(ttl_ms: u64, spend_from: Instant) -> Advertisements {
-        Advertisements { ttl_ms, spend_from, stored: BTreeMap::new() }
+        Advertisements { ttl_ms, spend_from, stored: BTreeMap::new(), arrivals: 0 }
     }
 
     /// Stores an advertisement.
@@ -99,7 +102,9 @@
             bucket.set_rate(rate, size, now);
         }
         let expires_at = now.plus_ms(advert.ttl_left_ms.min(self.ttl_ms));
-        self.stored.insert(key, Stored { advert, expires_at, bucket });
+        self.arrivals += 1;
+        let arrival = self.arrivals;
+        self.stored.insert(key, Stored { advert, expires_at, bucket, arrival });
         Ok(())
     }
 
@@ -142,16 +147,25 @@
         self.in_force(now).map(|(a, _)| a).filter(move |a| a.service == *service)
     }
 
-    /// Returns all advertisements in force, with the time that each can still be used in
-    /// `ttl_left_ms`, to be passed on.
-    pub fn to_pass_on(&self, now: Instant) -> Vec<Advertisement> {
-        let passed = self.in_force(now).map(|(advert, expires_at)| {
-            let ttl_left_ms = expires_at.since_ms(now);
-            Advertisement { ttl_left_ms, ..advert.clone() }
+    /// Returns the advertisements in force that arrived after the operation `after`, with the time
+    /// that each can still be used in `ttl_left_ms`, to be passed on.
+    ///
+    /// A peer that was sent all up to [`Advertisements::arrivals`] needs only later ones. One that a
+    /// lost message held comes again with its next sequence.
+    pub fn to_pass_on(&self, after: u64, now: Instant) -> Vec<Advertisement> {
+        let news = self.stored.values().filter(|s| s.arrival > after && now < s.expires_at);
+        let passed = news.map(|s| {
+            let ttl_left_ms = s.expires_at.since_ms(now);
+            Advertisement { ttl_left_ms, ..s.advert.clone() }
         });
         passed.filter(|advert| advert.ttl_left_ms > 0).collect()
     }
 
+    /// Returns the number of the last store operation.
+    pub fn arrivals(&self) -> u64 {
+        self.arrivals
+    }
+
     fn in_force(&self, now: Instant) -> impl Iterator<Item = (&Advertisement, Instant)> {
         let stored = self.stored.values().filter(move |s| now < s.expires_at);
         stored.map(|s| (&s.advert, s.expires_at))
--- a/crates/coordination/tests/routing_headroom.rs
+++ b/crates/coordination/tests/routing_headroom.rs
@@ -110,10 +110,10 @@
     expect_that!(store(&mut adverts, advert(99, 1, 5), 3_000), err(eq(Ignored::OldSequence)));
     let over = Advertisement { ttl_left_ms: 0, ..advert(10, 1, 6) };
     expect_that!(store(&mut adverts, over, 0), err(eq(Ignored::Expired)));
-    let passed_on = adverts.to_pass_on(ms(1_500));
+    let passed_on = adverts.to_pass_on(0, ms(1_500));
     expect_that!(passed_on, len(eq(1)));
     expect_that!(passed_on[0].ttl_left_ms, eq(500));
-    expect_that!(adverts.to_pass_on(ms(2_000)), is_empty());
+    expect_that!(adverts.to_pass_on(0, ms(2_000)), is_empty());
     expect_false!(try_spend(&mut adverts, 2_000));
 }
 
--- a/crates/pollenshed/src/entry/routing.rs
+++ b/crates/pollenshed/src/entry/routing.rs
@@ -4,12 +4,15 @@
 
 use pollenshed_coordination::{
     limits::RetryBudget,
-    routing::{Advertisements, LinkBudget, NoCapacity, RouteRequest, RouteView, Router, Target},
+    routing::{
+        Advertisement, Advertisements, LinkBudget, NoCapacity, RouteRequest, RouteView, Router,
+        Target,
+    },
     shift::{ONE_PPM, Ramp},
 };
 use pollenshed_state::{
     config::{Config, Network, Service},
-    ids::ServiceName,
+    ids::{InstanceName, ServiceName},
     settings::Settings,
     time::Instant,
     units::{BitRate, Percent},
@@ -39,6 +42,8 @@
     /// One ramp per service.
     pub ramps: HashMap<ServiceName, Ramp>,
     retry_budgets: HashMap<ServiceName, RetryBudget>,
+    /// Last advertisement that was sent to each peer.
+    sent_to: HashMap<InstanceName, u64>,
 }
 
 impl Routing {
@@ -60,6 +65,7 @@
             ramps: HashMap::new(),
             home_loads: HashMap::new(),
             retry_budgets: HashMap::new(),
+            sent_to: HashMap::new(),
             settings: settings.clone(),
         }
     }
@@ -92,6 +98,19 @@
         self.router.choose(request, view, ramp, now)
     }
 
+    /// Returns the advertisements that a peer was not sent yet.
+    pub fn headroom_news(&mut self, peer: &InstanceName, now: Instant) -> Vec<Advertisement> {
+        let sent = self.sent_to.entry(peer.clone()).or_default();
+        let news = self.router.advertisements.to_pass_on(*sent, now);
+        *sent = self.router.advertisements.arrivals();
+        news
+    }
+
+    /// Forgets what was sent to peers that are gone, so that they get everything if they return.
+    pub fn retain_peers(&mut self, is_known: impl Fn(&InstanceName) -> bool) {
+        self.sent_to.retain(|peer, _| is_known(peer));
+    }
+
     /// Returns the retry budget of a service.
     pub fn retry_budget(&mut self, service: &Service) -> &mut RetryBudget {
         let share = service.retry_budget_percent;
--- a/crates/pollenshed/src/gossip/message.rs
+++ b/crates/pollenshed/src/gossip/message.rs
@@ -9,7 +9,7 @@
     time::Instant,
 };
 
-use crate::{instance::Shared, util::lock, wire};
+use crate::{entry::Routing, instance::Shared, util::lock, wire};
 
 /// Builds the message for a peer; `heard` is the one that it answers.
 pub fn to(
@@ -21,21 +21,10 @@
     let exchange = lock(&shared.membership).records_for(peer, heard, now);
     let mut message = wire::exchange_to_wire(&exchange);
     {
-        let routing = lock(&shared.routing);
-        let adverts = routing.router.advertisements.to_pass_on(now);
-        message.headroom = adverts.iter().map(wire::headroom_to_wire).collect();
-        message.ramp = routing
-            .ramps
-            .iter()
-            .flat_map(|(service, ramp)| {
-                ramp.position().iter().map(move |(to, share_ppm)| RampPosition {
-                    service: service.to_string(),
-                    from_failure_domain: ramp.home().to_string(),
-                    to_failure_domain: to.to_string(),
-                    share_ppm,
-                })
-            })
-            .collect();
+        let mut routing = lock(&shared.routing);
+        message.headroom =
+            routing.headroom_news(peer, now).iter().map(wire::headroom_to_wire).collect();
+        message.ramp = ramp_positions(&routing);
     }
     message.leaving_backend_servers = lock(&shared.leaving_backend_servers)
         .iter(now)
@@ -50,6 +39,19 @@
     message
 }
 
+/// Returns the ramps that are away from home.
+fn ramp_positions(routing: &Routing) -> Vec<RampPosition> {
+    let positions = routing.ramps.iter().flat_map(|(service, ramp)| {
+        ramp.position().iter().map(move |(to, share_ppm)| RampPosition {
+            service: service.to_string(),
+            from_failure_domain: ramp.home().to_string(),
+            to_failure_domain: to.to_string(),
+            share_ppm,
+        })
+    });
+    positions.collect()
+}
+
 /// Builds the answer to a peer's message.
 pub fn answer(shared: &Shared, message: &ExchangeMessage) -> ExchangeMessage {
     let now = shared.clock.now();
--- a/crates/pollenshed/src/gossip/mod.rs
+++ b/crates/pollenshed/src/gossip/mod.rs
@@ -7,7 +7,7 @@
 use std::{sync::Arc, time::Duration};
 
 use pollenshed_coordination::{
-    membership::PeerTarget,
+    membership::{MemberState, PeerTarget},
     ownership::{LiveEntry, live_entries},
 };
 use pollenshed_protocol::peer::ExchangeMessage;
@@ -75,6 +75,12 @@
         membership.tick(now);
         membership.pick_peers(now, fastrand::u64(..))
     };
+    {
+        let membership = lock(&shared.membership);
+        lock(&shared.routing).retain_peers(|peer| {
+            membership.state_of(peer, now).is_some_and(MemberState::is_running)
+        });
+    }
     lock(&shared.fence).ran(now);
     if lock(&shared.membership).is_superseded() && !shared.is_leaving() {
         log::error!("membership: a later process has the name of this instance; it stops");
--- a/crates/pollenshed/src/owner/headroom.rs
+++ b/crates/pollenshed/src/owner/headroom.rs
@@ -14,7 +14,15 @@
 
 use crate::{config::InForce, instance::Shared, util::lock};
 
-/// Builds the advertisements of this owner, one for each service and failure domain of its servers.
+/// How often an advertisement is repeated in its time to live, so that it does not lapse on its way
+/// through a few rounds of gossip or with one lost message.
+const REFRESHES_PER_TTL: u64 = 4;
+
+/// A change of the rate by less than this part is told with the next refresh.
+const CLOSE_PART: u64 = 5;
+
+/// Builds the advertisements of this owner that are due, one for each service and failure domain of
+/// its servers: those that changed much, and all once in a quarter of their time to live.
 ///
 /// `entries` is the number of entries that can send requests here.
 pub fn advertisements(
@@ -24,6 +32,8 @@
     now: Instant,
 ) -> Vec<Advertisement> {
     let mut state = lock(&shared.owner.state);
+    let refresh_ms = shared.settings.timing.headroom_ttl_ms / REFRESHES_PER_TTL;
+    let is_due = state.advertised_at.is_none_or(|at| now.since_ms(at) >= refresh_ms);
     state.advertised += 1;
     let sequence = state.advertised;
     let snapshot = state.scheduler.snapshot(now);
@@ -44,6 +54,12 @@
                 .entry((service.name.clone(), domain.clone()))
                 .or_insert_with(|| Intake::new(now))
                 .advertise(share, now);
+            let key = (service.name.clone(), domain.clone());
+            let said = state.said.get(&key);
+            if !is_due && said.is_some_and(|said| is_close(said, share, &counts)) {
+                continue;
+            }
+            state.said.insert(key, (share, counts.usable));
             adverts.push(Advertisement {
                 owner: shared.settings.instance.clone(),
                 incarnation: shared.incarnation,
@@ -58,9 +74,18 @@
             });
         }
     }
+    if is_due {
+        state.advertised_at = Some(now);
+    }
     adverts
 }
 
+/// Tells whether an advertisement can wait for its refresh, because little has changed.
+fn is_close(said: &(u64, u32), share: u64, counts: &Counts) -> bool {
+    let (rate, usable) = *said;
+    usable == counts.usable && share.abs_diff(rate) <= rate / CLOSE_PART
+}
+
 #[derive(Default)]
 struct Counts {
     usable: u32,
--- a/crates/pollenshed/src/owner/mod.rs
+++ b/crates/pollenshed/src/owner/mod.rs
@@ -65,6 +65,10 @@
     waiting: HashMap<WorkId, oneshot::Sender<Grant>>,
     intakes: HashMap<(ServiceName, FailureDomainName), Intake>,
     advertised: u64,
+    /// When all advertisements were refreshed.
+    advertised_at: Option<Instant>,
+    /// Rate and usable servers of the last advertisement.
+    said: HashMap<(ServiceName, FailureDomainName), (u64, u32)>,
     /// When each server last failed. A probe that began earlier says nothing about it.
     failed_at: HashMap<BackendServerName, Instant>,
     /// Until when a server counts as draining because an answer of its said so.
@@ -81,6 +85,8 @@
                 waiting: HashMap::new(),
                 intakes: HashMap::new(),
                 advertised: 0,
+                advertised_at: None,
+                said: HashMap::new(),
                 failed_at: HashMap::new(),
                 answered_draining: HashMap::new(),
             }),
