Let the proxy stand-in cut single sources

Cause: a proxy in front of an instance's port serves all its peers, so an asymmetric partition, where one peer is cut off and others are not, could not be made.

Ruled out: one proxy per pair of instances, because an instance announces one address to all peers.

Change: Proxy::cut_source drops the bytes of processes that connect from one address; heal ends it.

Before/after: new test cut_of_one_source_spares_the_others, passes.

Conclusion: instances with loopback addresses of their own can be cut off pair by pair.

--- a/crates/standins/src/proxy/connection.rs
+++ b/crates/standins/src/proxy/connection.rs
@@ -115,9 +115,11 @@
     pieces: &Receiver<Piece>,
 ) {
     let (_, to) = connection.ends(direction);
+    let source = connection.caller.peer_addr().ok().map(|address| address.ip());
     let mut forwarded = 0;
     for piece in pieces {
-        let turn = shared.wait_for_turn(direction, piece.arrived, || connection.is_closed());
+        let turn =
+            shared.wait_for_turn(direction, source, piece.arrived, || connection.is_closed());
         let Some(way) = turn else { return };
         if way.cut {
             continue;
--- a/crates/standins/src/proxy/faults.rs
+++ b/crates/standins/src/proxy/faults.rs
@@ -1,7 +1,8 @@
 //! The faults in force and the open connections of one proxy.
 
 use std::{
-    net::SocketAddr,
+    collections::HashSet,
+    net::{IpAddr, SocketAddr},
     sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError, Weak, atomic::AtomicU64},
     time::{Duration, Instant},
 };
@@ -19,6 +20,8 @@
 pub(super) struct Faults {
     pub target: SocketAddr,
     pub frozen: bool,
+    /// Addresses of processes whose bytes are dropped both ways.
+    pub cut_sources: HashSet<IpAddr>,
     to_target: Way,
     to_caller: Way,
 }
@@ -38,6 +41,7 @@
 
     pub fn clear(&mut self) {
         self.frozen = false;
+        self.cut_sources.clear();
         self.each(|way| *way = Way::default());
     }
 }
@@ -52,8 +56,13 @@
 
 impl Shared {
     pub fn new(target: SocketAddr) -> Shared {
-        let faults =
-            Faults { target, frozen: false, to_target: Way::default(), to_caller: Way::default() };
+        let faults = Faults {
+            target,
+            frozen: false,
+            cut_sources: HashSet::new(),
+            to_target: Way::default(),
+            to_caller: Way::default(),
+        };
         Shared {
             faults: Mutex::new(faults),
             changed: Condvar::new(),
@@ -105,6 +114,7 @@
     pub fn wait_for_turn(
         &self,
         direction: Direction,
+        source: Option<IpAddr>,
         arrived: Instant,
         is_closed: impl Fn() -> bool,
     ) -> Option<Way> {
@@ -113,7 +123,8 @@
             if is_closed() {
                 return None;
             }
-            let way = *faults.way(direction);
+            let mut way = *faults.way(direction);
+            way.cut |= source.is_some_and(|source| faults.cut_sources.contains(&source));
             let left = (arrived + way.delay).saturating_duration_since(Instant::now());
             if !faults.frozen && left.is_zero() {
                 return Some(way);
--- a/crates/standins/src/proxy/mod.rs
+++ b/crates/standins/src/proxy/mod.rs
@@ -7,7 +7,7 @@
 mod faults;
 
 use std::{
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{IpAddr, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -76,6 +76,15 @@
         self.shared.change(|faults| faults.each(|way| way.cut = true));
     }
 
+    /// Drops all bytes from and to processes that connect from `source`; connections stay open.
+    ///
+    /// Only this path is cut, so that some processes see each other and others do not.
+    pub fn cut_source(&self, source: IpAddr) {
+        self.shared.change(|faults| {
+            faults.cut_sources.insert(source);
+        });
+    }
+
     /// Drops the bytes of one direction; connections stay open.
     pub fn cut_one_way(&self, direction: Direction) {
         self.shared.change(|faults| faults.way(direction).cut = true);
--- a/crates/standins/tests/proxy.rs
+++ b/crates/standins/tests/proxy.rs
@@ -108,3 +108,23 @@
     expect_that!(String::from_utf8_lossy(&bytes), eq("ans"));
     support::wait_for("the closed connection", || (proxy.connections() == 0).then_some(()));
 }
+
+/// Guards against a cut of one source that hits other processes, or that a heal does not end.
+#[gtest]
+fn cut_of_one_source_spares_the_others() {
+    let (mut proxy, mut caller, mut target, listener) = connected();
+    let other = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    other.bind(&"127.0.1.9:0".parse::<std::net::SocketAddr>().unwrap().into()).unwrap();
+    other.connect(&proxy.address().into()).unwrap();
+    let mut other = TcpStream::from(other);
+    let (mut other_target, _) = listener.accept().unwrap();
+    other_target.set_read_timeout(Some(Duration::from_millis(50))).unwrap();
+    proxy.cut_source([127, 0, 1, 9].into());
+    other.write_all(b"lost").unwrap();
+    pass(&mut caller, &mut target, "question");
+    let error = other_target.read(&mut [0]).unwrap_err();
+    expect_that!(error.kind(), any![eq(ErrorKind::WouldBlock), eq(ErrorKind::TimedOut)]);
+    proxy.heal().unwrap();
+    other_target.set_read_timeout(Some(PATIENCE)).unwrap();
+    pass(&mut other, &mut other_target, "later");
+}
