Test with real processes that a crashing request takes two servers

Cause: the quarantine was tested in the coordination layer only; news of a crash has to reach the other owners before the caller's next sending.

Ruled out: copies sent at the same instant under several tickets; the news cannot be ahead of them, and the promise is about a caller that sends again after an answer.

Change: crashing_requests.rs sends a request that crashes its server 12 times to seed-chosen entries, as idempotent request and as filing under new tickets, and restarts crashed servers in between. A third test lets innocent requests share the crashed server and expects them served.

Conclusion: at most two servers crash when sendings follow each other.

--- /dev/null
+++ b/crates/pollenshed/tests/crashing_requests.rs
@@ -0,0 +1,129 @@
+//! A request that crashes each backend server that runs it takes down two servers and no third.
+
+mod support;
+
+use std::{
+    sync::atomic::{AtomicBool, Ordering},
+    thread,
+    time::Duration,
+};
+
+use fastrand::Rng;
+use googletest::prelude::*;
+use pollenshed_standins::backend::Backend;
+use support::{
+    callers::{Filing, Reply, get, put},
+    faults::{ProxiedFleet, THREE_ENTRIES, answer_to},
+    wait_for,
+};
+
+/// Part of a body that makes the stand-ins crash.
+const MARK: &str = "crash now";
+
+/// Backend servers that a crashing request may take down.
+const MAX_CRASHES: u64 = 2;
+
+/// Sendings of the crashing request by its caller.
+const RESENDS: u32 = 12;
+
+/// Time that a request takes, so that innocent requests are on a server when it crashes.
+const SERVICE_TIME: Duration = Duration::from_millis(80);
+
+fn crashes(fleet: &ProxiedFleet) -> u64 {
+    fleet.fleet.backends.iter().map(|(_, b)| b.counts().crashes).sum()
+}
+
+fn start() -> ProxiedFleet {
+    let fleet = ProxiedFleet::start(&THREE_ENTRIES, SERVICE_TIME);
+    for (_, backend) in &fleet.fleet.backends {
+        backend.set_faults(|faults| faults.crash_mark = Some(MARK.into()));
+    }
+    fleet
+}
+
+/// Starts crashed servers again, so that a crashing request finds servers to crash.
+fn restart_crashed(fleet: &mut ProxiedFleet) {
+    let crashed: Vec<&mut Backend> =
+        fleet.fleet.backends.iter_mut().map(|(_, b)| b).filter(|b| !b.is_up()).collect();
+    for backend in crashed {
+        backend.restart().unwrap();
+    }
+    fleet.fleet.wait_until_served();
+}
+
+/// Sends a crashing request again and again to all entries and checks the crashes.
+fn resend(seeds: std::ops::RangeInclusive<u64>, send: impl Fn(&ProxiedFleet, usize, &str, u32)) {
+    let mut fleet = start();
+    for seed in seeds {
+        let mut rng = Rng::with_seed(seed);
+        let before = crashes(&fleet);
+        let body = format!("{MARK} {seed}");
+        for number in 0..RESENDS {
+            let entry = rng.usize(..fleet.fleet.daemons.len());
+            send(&fleet, entry, &body, number);
+            if rng.bool() {
+                restart_crashed(&mut fleet);
+            }
+        }
+        let sum = crashes(&fleet) - before;
+        println!("seed {seed}: {sum} crashes in {RESENDS} sendings");
+        expect_that!(sum, all!(gt(0), le(MAX_CRASHES)), "seed {seed}");
+        restart_crashed(&mut fleet);
+    }
+}
+
+/// Guards against a third crash by an idempotent request, which the entry itself sends again.
+#[gtest]
+fn idempotent_request_crashes_two_servers_at_most() {
+    resend(301..=303, |fleet, entry, body, _| {
+        let reply = put(fleet.fleet.daemons[entry].callers, "/crash", body);
+        assert!(!matches!(reply, Reply::Done(_)), "{reply:?}");
+    });
+}
+
+/// Guards against a third crash by a filing that its caller sends under new tickets.
+#[gtest]
+fn filing_under_new_tickets_crashes_two_servers_at_most() {
+    resend(311..=313, |fleet, entry, body, _| {
+        let filing = Filing::prepare(fleet.fleet.daemons[entry].callers, 1, body.to_owned());
+        let ticket = format!("{}-{entry}-{}", filing.ticket, fastrand::u32(..));
+        let reply = support::callers::post(filing.address, &ticket, body, 2_000);
+        assert!(!matches!(reply, Reply::Done(_)), "{reply:?}");
+    });
+}
+
+/// Guards against a quarantine that refuses requests which shared a server with a crashing one.
+#[gtest]
+fn innocent_requests_are_served_after_a_crash() {
+    let mut fleet = start();
+    for seed in 321..=323 {
+        let entries: Vec<_> = fleet.fleet.daemons.iter().map(|d| d.callers).collect();
+        let is_over = AtomicBool::new(false);
+        let before = crashes(&fleet);
+        thread::scope(|scope| {
+            for number in 0..6_usize {
+                let (entry, is_over) = (entries[number % entries.len()], &is_over);
+                scope.spawn(move || {
+                    while !is_over.load(Ordering::SeqCst) {
+                        put(entry, "/innocent", &format!("innocent {seed}-{number}"));
+                    }
+                });
+            }
+            wait_for("innocent requests", || {
+                fleet.fleet.backends.iter().all(|(_, b)| b.in_use() > 0).then_some(())
+            });
+            let filing = Filing::prepare(entries[0], 1, format!("{MARK} innocent test {seed}"));
+            filing.send(filing.address, 2_000);
+            is_over.store(true, Ordering::SeqCst);
+        });
+        expect_that!(crashes(&fleet) - before, gt(0), "no server crashed");
+        restart_crashed(&mut fleet);
+        for number in 0..6 {
+            let body = format!("innocent {seed}-{number}");
+            let reply = put(entries[0], "/innocent", &body);
+            let expected = Reply::Done(answer_to("PUT", "/innocent", &body));
+            expect_that!(reply, eq(&expected), "seed {seed}");
+        }
+        expect_that!(get(entries[1], "/other"), matches_pattern!(Reply::Done(anything())));
+    }
+}
