--- a/crates/pollenshed/src/cmd/serve.rs
+++ b/crates/pollenshed/src/cmd/serve.rs
@@ -36,7 +36,7 @@
 }
 
 fn serve(settings: Settings) -> Result<()> {
-    env_logger::Builder::from_default_env().format_timestamp_millis().init();
+    env_logger::init();
     let instance = Instance::spawn(settings)?;
     println!("ready: callers http://{}", instance.caller_address());
     println!("ready: operators http://{}", instance.operator_address());
--- a/crates/pollenshed/src/gossip/steering.rs
+++ b/crates/pollenshed/src/gossip/steering.rs
@@ -27,7 +27,7 @@
         let step = ramp.step(is_cold, now);
         if step.moved_ppm > 0 {
             log::info!(
-                "shift: {} of {home} moves {} ppm to {:?}, {} ppm left, receivers {}",
+                "shift: {} of {home} moves {} ppm at {now} to {:?}, {} ppm left, receivers {}",
                 service.name,
                 step.moved_ppm,
                 ramp.position(),
--- a/crates/pollenshed/tests/support/deployment.rs
+++ b/crates/pollenshed/tests/support/deployment.rs
@@ -91,7 +91,7 @@
     for daemon in &fleet.daemons {
         for service in services(&config) {
             wait_for("every entry to be served at home", || {
-                let server = read_from(daemon, &service, "/ready")?;
+                let server = read_from(daemon, &service, &read_path(&config, &service))?;
                 (server_domain(&config, &server)? == domain_of(&daemon.name)).then_some(())
             });
         }
@@ -99,6 +99,16 @@
     fleet
 }
 
+/// Returns a path of a service that can be read.
+fn read_path(config: &Value, service: &str) -> String {
+    let services = config["services"].as_array().unwrap();
+    let service = services.iter().find(|s| s["name"] == service).unwrap();
+    let operations = service["operations"].as_array().unwrap();
+    let is_read = |o: &&Value| o["methods"].as_array().unwrap().contains(&"GET".into());
+    let prefix = operations.iter().find(is_read).unwrap()["path_prefix"].as_str().unwrap();
+    format!("{}/ready", prefix.trim_end_matches('/'))
+}
+
 /// Waits until the owners of all backend servers use all their slots.
 pub fn wait_until_warm(fleet: &Fleet) {
     let began = Instant::now();
@@ -122,25 +132,25 @@
 /// Returns the largest sum of steps that a ramp took in any interval, in parts per million, from an
 /// instance's log.
 ///
-/// The interval includes both of its ends, as in the rule that the ramp obeys.
+/// The interval includes both of its ends, as in the rule that the ramp obeys. The time is that of
+/// the decision on the instance's own clock, because the line itself can be written late.
 pub fn largest_shift_ppm(log: &str, service: &str, interval_ms: u64) -> u64 {
     let steps: Vec<(u64, u64)> = log.lines().filter_map(|l| logged_step(l, service)).collect();
     let sum_from = |first: usize| -> u64 {
-        let began = steps[first].0;
-        let inside = steps[first..].iter().take_while(|(at, _)| at - began < interval_ms);
+        let began_us = steps[first].0;
+        let inside =
+            steps[first..].iter().take_while(|(at, _)| at - began_us <= interval_ms * 1000);
         inside.map(|(_, ppm)| ppm).sum()
     };
     (0..steps.len()).map(sum_from).max().unwrap_or(0)
 }
 
-/// Reads the time of day in milliseconds and the size of a step from a log line.
+/// Reads the time in microseconds and the size of a step from a log line.
 fn logged_step(line: &str, service: &str) -> Option<(u64, u64)> {
     let (_, rest) = line.split_once(&format!("shift: {service} of "))?;
     let (_, rest) = rest.split_once(" moves ")?;
-    let ppm = rest.split(' ').next()?.parse().ok()?;
-    let time = line.split_once('T')?.1.split_once('Z')?.0;
-    let mut parts = time.split([':', '.']).map(str::parse::<u64>);
-    let mut next = || parts.next()?.ok();
-    let (hours, minutes, seconds, ms) = (next()?, next()?, next()?, next()?);
-    Some((((hours * 60 + minutes) * 60 + seconds) * 1000 + ms, ppm))
+    let (ppm, rest) = rest.split_once(" ppm at ")?;
+    let (seconds, us) = rest.split_once('s')?.0.split_once('.')?;
+    let (seconds, us): (u64, u64) = (seconds.parse().ok()?, us.parse().ok()?);
+    Some((seconds * 1_000_000 + us, ppm.parse().ok()?))
 }
--- a/crates/pollenshed/tests/support/mod.rs
+++ b/crates/pollenshed/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 pub mod deployment;
+pub mod load;
 
 use std::{
     fs,
