Keep the declared share of a rank while traffic has nowhere to go

Cause: after an overload a part of the position lies in failure domains that cannot serve; what is left was kept for more urgent arrivals, so an urgent flood refused nearly all other work (KeptForUrgent). Ruled out: the owner's queues; the refusals came from the entry. Change: a rank within its declared share of what can be served is not kept back.

--- a/crates/coordination/src/shift/ramp.rs
+++ b/crates/coordination/src/shift/ramp.rs
@@ -6,6 +6,7 @@
     config::{Rank, ShiftPolicy},
     ids::FailureDomainName,
     time::Instant,
+    units::Percent,
 };
 
 use super::{
@@ -47,6 +48,7 @@
     steps: VecDeque<(Instant, u32)>,
     requests: Counts,
     lookups: Counts,
+    min_shares: [Percent; 3],
     is_fresh: bool,
 }
 
@@ -62,6 +64,7 @@
             target: Shares::home(),
             last_step: None,
             steps: VecDeque::new(),
+            min_shares: [Percent(0); 3],
             is_fresh: true,
         }
     }
@@ -92,6 +95,12 @@
         self.policy = policy;
     }
 
+    /// Sets the share of the traffic that each rank keeps although more urgent work could use it,
+    /// indexed by [`Rank::index`].
+    pub fn set_min_shares(&mut self, min_shares: [Percent; 3]) {
+        self.min_shares = min_shares;
+    }
+
     /// Sets where the traffic should go.
     pub fn set_target(&mut self, target: Shares) {
         self.target = target;
@@ -260,7 +269,12 @@
         } else {
             ONE_PPM.saturating_sub(lost_ppm)
         };
-        urgent > 0 && urgent + sent + 1 > whole_part(totals.all_arrived(), share)
+        let whole = whole_part(totals.all_arrived(), share);
+        let counted = totals.sent.iter().filter(|(d, _)| is_counted(d));
+        let own: u64 = counted.map(|(_, ranks)| ranks[rank.index()]).sum();
+        let min_ppm = self.min_shares[rank.index()].0.min(100) as u32 * (ONE_PPM / 100);
+        let is_within_own_share = own < whole_part(whole, min_ppm);
+        urgent > 0 && urgent + sent + 1 > whole && !is_within_own_share
     }
 }
 
--- a/crates/coordination/tests/shift_cap.rs
+++ b/crates/coordination/tests/shift_cap.rs
@@ -4,7 +4,7 @@
 
 use googletest::prelude::*;
 use pollenshed_coordination::shift::{Ramp, Shares, StayReason};
-use pollenshed_state::config::Rank;
+use pollenshed_state::{config::Rank, units::Percent};
 use proptest::{collection::vec, prelude::*};
 use routing_support::{DOMAINS, domain, ms, proptest_config, shift_policy};
 
@@ -247,3 +247,29 @@
     expect_false!(ramp.adopt(shares([500_000, 0, 0]), ms(1)));
     expect_that!(ramp.position().home_ppm(), eq(1_000_000));
 }
+
+/// Guards against urgent arrivals that push another rank below its declared share while a part of
+/// the traffic has nowhere to go.
+#[gtest]
+fn rank_keeps_its_declared_share_while_a_failure_domain_is_lost() {
+    let mut ramp = Ramp::new(domain(DOMAINS[0]), shift_policy(100, 100, INTERVAL_MS));
+    ramp.set_min_shares([50, 30, 10].map(Percent));
+    ramp.set_target(shares([400_000, 0, 0]));
+    for at in 1..40 {
+        ramp.step(false, ms(at * INTERVAL_MS / 20));
+    }
+    let now = ms(2 * INTERVAL_MS + 1);
+    for _ in 0..100 {
+        ramp.arrive(Rank::Urgent, now);
+    }
+    let mut sent = 0;
+    for _ in 0..10 {
+        ramp.arrive(Rank::Deferrable, now);
+        if ramp.check_request(&domain(DOMAINS[0]), Rank::Deferrable, 400_000, now).is_ok() {
+            ramp.sent(&domain(DOMAINS[0]), Rank::Deferrable, now);
+            sent += 1;
+        }
+    }
+    // 110 arrivals, of which 60 % can be served, of which 10 % are the rank's own.
+    expect_that!(sent, eq(6));
+}
--- a/crates/pollenshed/src/entry/routing.rs
+++ b/crates/pollenshed/src/entry/routing.rs
@@ -8,7 +8,7 @@
     shift::{ONE_PPM, Ramp},
 };
 use pollenshed_state::{
-    config::{Config, Network, Service},
+    config::{Config, Network, Rank, Service},
     ids::ServiceName,
     settings::Settings,
     time::Instant,
@@ -74,6 +74,13 @@
                 .and_modify(|ramp| ramp.set_policy(service.shift.clone(), now))
                 .or_insert_with(|| Ramp::new(home, service.shift.clone()));
         }
+        let min_shares = Rank::ALL.map(|rank| {
+            let policy = config.ranks.iter().find(|p| p.rank == rank);
+            policy.map_or(Percent(0), |p| p.min_share_percent)
+        });
+        for ramp in self.ramps.values_mut() {
+            ramp.set_min_shares(min_shares);
+        }
         self.ramps.retain(|name, _| config.services.iter().any(|s| s.name == *name));
     }
 
