Leave a margin of service time when requests wait in a queue

Cause: at 300 % load and in floods a queue serves each request at the edge of its deadline. Half of the usual service time sufficed to be dispatched, so many ended at the deadline after taking a slot. Ruled out: the machine; the answers were the backend servers' own 504 at the deadline. Change: while others of the service and rank wait, one and a half times the usual time must be left. A lone request is still dispatched with half the usual time left.

--- a/crates/coordination/src/limits/dispatch.rs
+++ b/crates/coordination/src/limits/dispatch.rs
@@ -14,6 +14,10 @@
 /// Part of the usual service time that must be left for a request to be dispatched. The usual time
 /// itself would refuse requests that run faster than the mean.
 const MIN_TIME_SHARE: f64 = 0.5;
+/// The same while others of the service and rank wait. Without a margin above the usual time, a long
+/// queue ends up serving requests at the edge of their deadline, and each that misses it has wasted
+/// a slot.
+const MIN_TIME_SHARE_IN_QUEUE: f64 = 1.5;
 
 /// Result of looking at the head of the queues.
 enum Step {
@@ -150,11 +154,13 @@
     }
 
     fn check_start(&self, work: &Work, now: Instant) -> Result<(), RefusalReason> {
-        let service_us = self
-            .services
-            .get(&work.service)
-            .map_or(0.0, |state| state.rank_time[work.rank.index()].get_us(now));
-        if now.plus_us((service_us * MIN_TIME_SHARE) as u64) >= work.deadline {
+        let rank = work.rank.index();
+        let needed_us = self.services.get(&work.service).map_or(0.0, |state| {
+            let others_wait = state.ranks[rank].len() > 1;
+            let share = if others_wait { MIN_TIME_SHARE_IN_QUEUE } else { MIN_TIME_SHARE };
+            state.rank_time[rank].get_us(now) * share
+        });
+        if now.plus_us(needed_us as u64) >= work.deadline {
             return Err(RefusalReason::Deadline);
         }
         if self.quarantine.is_refused(&work.content, now) {
