--- a/crates/pollenshed/tests/support/mod.rs
+++ b/crates/pollenshed/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 pub mod callers;
+pub mod closed_loop;
 pub mod deployment;
 pub mod faults;
 pub mod load;
