--- a/crates/coordination/src/membership/record.rs
+++ b/crates/coordination/src/membership/record.rs
@@ -11,7 +11,8 @@
 use super::hash::hash_of;
 
 /// What an instance says about itself and others pass on unchanged.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct MemberRecord {
     /// Name of the instance.
     pub instance: InstanceName,
@@ -46,7 +47,8 @@
 }
 
 /// The counter of a member whose record the receiver has, in the few bytes that each period needs.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Heartbeat {
     /// [`MemberRecord::key`] of the member.
     pub key: u64,
--- a/crates/coordination/src/membership/roster.rs
+++ b/crates/coordination/src/membership/roster.rs
@@ -19,7 +19,8 @@
 const BUCKETS: u64 = 16;
 
 /// A part of a roster with the counters of its members.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Bucket {
     /// Which part; empty parts are left out.
     pub index: u32,
--- a/crates/pollenshed/src/entry/claims.rs
+++ b/crates/pollenshed/src/entry/claims.rs
@@ -46,7 +46,8 @@
 }
 
 /// Value of a claim row.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 struct Claim {
     /// Ticket under which the request runs.
     ticket: String,
--- a/crates/pollenshed/src/entry/uploads/store.rs
+++ b/crates/pollenshed/src/entry/uploads/store.rs
@@ -73,7 +73,8 @@
 }
 
 /// What an upload is for, as its first call said.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Opened {
     /// Service that gets the upload.
     pub service: ServiceName,
--- a/crates/pollenshedctl/src/submission.rs
+++ b/crates/pollenshedctl/src/submission.rs
@@ -128,7 +128,8 @@
 }
 
 /// How a submission ended, as it is printed with `--json`.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub struct Report {
     outcome: &'static str,
     version: u64,
--- a/crates/protocol/src/backend/mod.rs
+++ b/crates/protocol/src/backend/mod.rs
@@ -12,14 +12,16 @@
 pub const DRAINING_HEADER: &str = "pollenshed-draining";
 
 /// Body of `GET /health`.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct HealthBody {
     /// Whether the server takes new work.
     pub status: HealthStatus,
 }
 
 /// What a backend server says about itself.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum HealthStatus {
     /// The server takes new work.
@@ -29,7 +31,8 @@
 }
 
 /// Body of `GET /load`.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LoadBody {
     /// Requests that the server is running.
     pub in_use: u64,
--- a/crates/protocol/src/caller/mod.rs
+++ b/crates/protocol/src/caller/mod.rs
@@ -31,7 +31,8 @@
 pub const BACKEND_SERVER_HEADER: &str = "pollenshed-backend-server";
 
 /// What became of a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Outcome {
     /// A backend server ran the request and this is its whole answer.
@@ -78,7 +79,8 @@
 }
 
 /// Answer of `GET /v1/lookup`.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LookupAnswer {
     /// Service that was asked for.
     pub service: ServiceName,
@@ -91,7 +93,8 @@
 }
 
 /// One entry in a [`LookupAnswer`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LookupEntry {
     /// Instance that the entry runs on.
     pub instance: InstanceName,
@@ -102,7 +105,8 @@
 }
 
 /// Body of every answer that pollenshed itself gives in place of a backend server's.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct RefusalBody {
     /// What became of the request.
     pub outcome: Outcome,
--- a/crates/protocol/src/caller/uploads.rs
+++ b/crates/protocol/src/caller/uploads.rs
@@ -10,7 +10,8 @@
 pub const MAX_PARTS: u32 = 4_096;
 
 /// Answer of `POST /v1/uploads/{service}/{path}`.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct UploadOpened {
     /// Id of the upload. The same ticket always gets the same id.
     pub upload: String,
@@ -21,7 +22,8 @@
 }
 
 /// One part of an upload.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct UploadPart {
     /// Position of the part, from 1.
     pub number: u32,
@@ -32,7 +34,8 @@
 }
 
 /// Answer of `GET /v1/uploads/{id}`.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct UploadStatus {
     /// Id of the upload.
     pub upload: String,
@@ -45,7 +48,8 @@
 }
 
 /// Body of `POST /v1/uploads/{id}/complete`.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct UploadComplete {
     /// Digest of the whole upload.
--- a/crates/protocol/src/operator/explain.rs
+++ b/crates/protocol/src/operator/explain.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Answer of `GET /v1/explain?service=NAME[&client=IP]`: where a request would go now and why.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ExplainBody {
     /// Instance that answers; others can have heard other news.
     pub instance: InstanceName,
@@ -22,7 +23,8 @@
 }
 
 /// One entry in an [`ExplainBody`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ExplainedEntry {
     /// Name of the instance.
     pub instance: InstanceName,
@@ -33,7 +35,8 @@
 }
 
 /// One failure domain in an [`ExplainBody`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ExplainedFailureDomain {
     /// Name of the failure domain.
     pub failure_domain: FailureDomainName,
@@ -48,7 +51,8 @@
 }
 
 /// One backend server in an [`ExplainBody`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ExplainedBackendServer {
     /// Name of the backend server.
     pub name: BackendServerName,
--- a/crates/protocol/src/operator/mod.rs
+++ b/crates/protocol/src/operator/mod.rs
@@ -10,7 +10,8 @@
 pub use explain::{ExplainBody, ExplainedBackendServer, ExplainedEntry, ExplainedFailureDomain};
 
 /// Answer of `GET /v1/status`.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct StatusBody {
     /// Instance that answers.
     pub instance: InstanceName,
@@ -33,7 +34,8 @@
 }
 
 /// One member in a [`StatusBody`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct MemberStatus {
     /// Name of the instance.
     pub instance: InstanceName,
@@ -48,7 +50,8 @@
 }
 
 /// One owned backend server in a [`StatusBody`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct OwnedBackendServer {
     /// Name of the backend server.
     pub name: String,
--- a/crates/protocol/src/platform/mod.rs
+++ b/crates/protocol/src/platform/mod.rs
@@ -14,7 +14,8 @@
 use serde::{Deserialize, Serialize};
 
 /// A row of a table.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Row {
     /// Number of writes to the row; a row that does not exist has revision 0.
     pub revision: u64,
@@ -23,7 +24,8 @@
 }
 
 /// A conditional write of a row.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct PutRow {
     /// Revision that the row must have; 0 means that the row must not exist.
     pub expected_revision: u64,
@@ -32,7 +34,8 @@
 }
 
 /// The platform's view of the instances; it lags.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct InstanceList {
     /// Instances that the platform believes in.
     pub instances: Vec<ListedInstance>,
@@ -42,7 +45,8 @@
 }
 
 /// One instance of the list.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ListedInstance {
     /// Name of the instance.
     pub name: InstanceName,
@@ -63,7 +67,8 @@
 pub const CLAIM_TABLE: &str = "pollenshed-claims";
 
 /// Value of the head row, which names the configuration in force.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Head {
     /// Number of the configuration; it only goes up.
     pub version: u64,
@@ -78,7 +83,8 @@
 }
 
 /// A submission that a later one replaced, in a [`Head`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct PastHead {
     /// Version that it made.
     pub version: u64,
--- a/crates/state/src/blocks/mod.rs
+++ b/crates/state/src/blocks/mod.rs
@@ -20,9 +20,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Number of a site, an index into the list of sites.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct SiteNumber(pub u16);
 
--- a/crates/state/src/check/mod.rs
+++ b/crates/state/src/check/mod.rs
@@ -22,7 +22,8 @@
 }
 
 /// The result of checking one file.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct FileReport {
     /// Name of the file.
     pub file: String,
--- a/crates/state/src/config/diff.rs
+++ b/crates/state/src/config/diff.rs
@@ -9,7 +9,8 @@
 use super::document::Config;
 
 /// One difference between two configurations.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Change {
     /// Path of the field, keyed by name, such as `services[tavole].shift.cap_percent`.
     pub path: String,
@@ -19,7 +20,8 @@
 }
 
 /// What happened to a field. A list whose order changed is given by the keys of its entries.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 #[serde(tag = "change", rename_all = "snake_case")]
 pub enum ChangeKind {
     /// The new configuration has it and the old one does not.
--- a/crates/state/src/config/document.rs
+++ b/crates/state/src/config/document.rs
@@ -8,7 +8,8 @@
 };
 
 /// Everything that operators declare. Its printed form is described in `docs/configuration.md`.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Config {
     /// Version of the document's format; 1 today.
@@ -29,7 +30,8 @@
 }
 
 /// A region and its failure domains.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Region {
     /// Name of the region.
@@ -39,7 +41,8 @@
 }
 
 /// What the network between the failure domains offers.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Network {
     /// One-way delay between failure domains of a region.
@@ -55,7 +58,8 @@
 }
 
 /// How urgent a service's work is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Rank {
     /// Served first.
@@ -107,7 +111,8 @@
 }
 
 /// What a rank is granted under contention.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RankPolicy {
     /// The rank that the policy is for.
@@ -119,7 +124,8 @@
 }
 
 /// A service and its backend servers.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Service {
     /// Name of the service, part of the path of each request.
@@ -141,7 +147,8 @@
 }
 
 /// A kind of request of a service, told by method and path.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Operation {
     /// HTTP methods in upper case.
@@ -155,7 +162,8 @@
 }
 
 /// Cap on moving a service's traffic.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ShiftPolicy {
     /// Share of the service's traffic that may move in one interval.
@@ -167,7 +175,8 @@
 }
 
 /// One backend server.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct BackendServer {
     /// Name, unique over all services.
@@ -183,7 +192,8 @@
 }
 
 /// A planned drain: the target gets no new work while this is in force.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "snake_case")]
 pub enum Drain {
     /// Drains one backend server.
--- a/crates/state/src/findings/mod.rs
+++ b/crates/state/src/findings/mod.rs
@@ -5,7 +5,8 @@
 use serde::Serialize;
 
 /// A place in a text; both numbers start at 1 and the column counts characters.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize)]
 pub struct Position {
     /// Number of the line.
     pub line: usize,
@@ -35,7 +36,8 @@
 }
 
 /// One thing that is wrong.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Finding {
     /// Name of the file; empty for a value that was built in code.
     pub file: String,
@@ -65,7 +67,8 @@
 /// Everything that is wrong in one file or value, sorted by position.
 ///
 /// Results hold it only if there is at least one finding.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 #[serde(transparent)]
 pub struct Findings(Vec<Finding>);
 
--- a/crates/state/src/ids/digest.rs
+++ b/crates/state/src/ids/digest.rs
@@ -4,7 +4,8 @@
 use sha2::{Digest as _, Sha256};
 
 /// A SHA-256 digest, written as `sha256:` and 64 lower-case hexadecimal digits.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct Digest([u8; 32]);
 
--- a/crates/state/src/ids/incarnation.rs
+++ b/crates/state/src/ids/incarnation.rs
@@ -5,7 +5,8 @@
 /// Distinguishes one run of an instance from the next, so that a restart is not taken for a pause.
 ///
 /// It is drawn at random at start and written as 16 hexadecimal digits.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Incarnation(pub u64);
 
@@ -39,9 +40,8 @@
 }
 
 /// The number of an accepted configuration. It only goes up; 0 means that none is known.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct ConfigVersion(pub u64);
 
--- a/crates/state/src/settings/mod.rs
+++ b/crates/state/src/settings/mod.rs
@@ -85,7 +85,8 @@
 });
 
 /// Settings file of one instance, described in `docs/settings.md`.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Name of this instance, unique among all instances of the user.
@@ -123,7 +124,8 @@
 }
 
 /// Periods and timeouts of one instance. All instances of a user should use the same values.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Timing {
     /// How long a caller may cache a lookup answer.
@@ -169,7 +171,8 @@
 }
 
 /// Limits that protect an entry from its callers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct CallerLimits {
     /// Connections open at the same time.
--- a/crates/state/src/time/mod.rs
+++ b/crates/state/src/time/mod.rs
@@ -7,9 +7,8 @@
 /// A point on the monotonic clock of one process, in microseconds since its start.
 ///
 /// Instants of different processes must not be compared.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Instant(u64);
 
