Make an owner wait again after a pause of dead_after_ms

Cause: after such a pause peers have owned its backend servers. The fence opened with the first fresh exchange, the ownership map still held the servers as usable, and the owner counted only its own requests until the next load report, while its successor's requests still ran.

Ruled out: waiting after each pause; below dead_after_ms no successor has dispatched, because it waits for dead_after_ms and fence_after_ms.

Change: the fence reports a pause of dead_after_ms or more, and the control loop then makes owned servers unusable for dead_after_ms, as after a takeover from a live owner.

Conclusion: the gap is closed; a long pause costs dead_after_ms more.

--- a/crates/coordination/src/ownership/fence.rs
+++ b/crates/coordination/src/ownership/fence.rs
@@ -11,6 +11,7 @@
     open_after_ms: u64,
     last_run: Instant,
     closed_at: Option<Instant>,
+    was_long_pause: bool,
 }
 
 impl Fence {
@@ -21,6 +22,7 @@
             open_after_ms: timing.dead_after_ms,
             last_run: now,
             closed_at: Some(now),
+            was_long_pause: false,
         }
     }
 
@@ -54,8 +56,18 @@
         self.closed_at.is_none()
     }
 
+    /// Returns whether there was a pause of `dead_after_ms` or more since the last call.
+    ///
+    /// After a shorter one no successor has begun to dispatch: it waits for `dead_after_ms` of
+    /// silence and then for `fence_after_ms`.
+    pub fn take_long_pause(&mut self) -> bool {
+        std::mem::take(&mut self.was_long_pause)
+    }
+
     fn detect_pause(&mut self, now: Instant) {
-        if now.since_ms(self.last_run) >= self.fence_after_ms {
+        let gap_ms = now.since_ms(self.last_run);
+        if gap_ms >= self.fence_after_ms {
+            self.was_long_pause |= gap_ms >= self.open_after_ms;
             self.closed_at = Some(now);
             self.last_run = now;
         }
--- a/crates/coordination/src/ownership/map.rs
+++ b/crates/coordination/src/ownership/map.rs
@@ -83,6 +83,15 @@
         OwnershipChange { gained, lost }
     }
 
+    /// Waits again before dispatching to any owned server, as after a takeover from a live owner.
+    ///
+    /// After a long pause others have owned the servers, and this instance does not know what they
+    /// dispatched.
+    pub fn wait_again(&mut self, now: Instant) {
+        let usable_at = now.plus_ms(self.wait_after_live_ms);
+        self.owned.values_mut().for_each(|at| *at = usable_at);
+    }
+
     fn wait_ms(&self, previous: Option<MemberState>) -> u64 {
         match previous {
             Some(MemberState::Leaving) => 0,
--- a/crates/pollenshed/src/gossip/mod.rs
+++ b/crates/pollenshed/src/gossip/mod.rs
@@ -75,7 +75,15 @@
         membership.tick(now);
         membership.pick_peers(now, fastrand::u64(..))
     };
-    lock(&shared.fence).ran(now);
+    let was_long_pause = {
+        let mut fence = lock(&shared.fence);
+        fence.ran(now);
+        fence.take_long_pause()
+    };
+    if was_long_pause {
+        log::warn!("placement: paused for so long that peers may have taken over; waits again");
+        lock(&shared.ownership).wait_again(now);
+    }
     if let Some(current) = shared.config.get() {
         update(shared, &current, now);
     }
