Keep running when nobody reads standard output

Cause: `println!` panics when standard output is closed. Ruled out: lost configuration changes (the log of the dead instance ends with the panic in serve.rs). Change: `serve` and `dev` ignore errors of standard output. Before/after: closed_output_does_not_end_the_daemon fails before, passes after.

--- a/crates/pollenshed/src/cmd/dev.rs
+++ b/crates/pollenshed/src/cmd/dev.rs
@@ -20,7 +20,7 @@
 use pollenshed_transport::logs;
 use serde_json::{Value, json};
 
-use super::{EXIT_FAILED, fail};
+use super::{EXIT_FAILED, fail, say};
 
 const ABOUT: &str = "Runs one instance with a platform and backend servers on loopback, to try out";
 
@@ -78,7 +78,7 @@
     wait_until_served(&instance)?;
     print_ready(&instance);
     instance.wait_for_signal()?;
-    println!("stopping");
+    say(format_args!("stopping"));
     instance.stop();
     logs::flush(FLUSH_TIMEOUT);
     Ok(())
@@ -189,24 +189,24 @@
 fn print_ready(instance: &Instance) {
     let callers = instance.caller_address();
     let operators = instance.operator_address();
-    println!("ready: callers http://{callers}");
-    println!("ready: operators http://{operators}");
-    println!();
-    println!("# Which entries to use for a service:");
-    println!("curl 'http://{callers}/v1/lookup?service=anagrafe'");
-    println!("# An idempotent read:");
-    println!("curl -i 'http://{callers}/v1/run/tavole/tables/2026'");
-    println!("# A filing that is sent twice with one ticket and runs once:");
-    println!(
+    say(format_args!("ready: callers http://{callers}"));
+    say(format_args!("ready: operators http://{operators}"));
+    say(format_args!(""));
+    say(format_args!("# Which entries to use for a service:"));
+    say(format_args!("curl 'http://{callers}/v1/lookup?service=anagrafe'"));
+    say(format_args!("# An idempotent read:"));
+    say(format_args!("curl -i 'http://{callers}/v1/run/tavole/tables/2026'"));
+    say(format_args!("# A filing that is sent twice with one ticket and runs once:"));
+    say(format_args!(
         "ticket=$(curl -s 'http://{callers}/v1/lookup?service=anagrafe' | \
          sed 's/.*\"binding\":\"\\([^\"]*\\)\".*/\\1/')/filing-$RANDOM"
-    );
+    ));
     for _ in 0..2 {
-        println!(
+        say(format_args!(
             "curl -i -H \"pollenshed-ticket: $ticket\" -d 'feast on the 4th' \
              http://{callers}/v1/run/anagrafe/filings"
-        );
+        ));
     }
-    println!("# What this instance knows:");
-    println!("curl 'http://{operators}/v1/status'");
+    say(format_args!("# What this instance knows:"));
+    say(format_args!("curl 'http://{operators}/v1/status'"));
 }
--- a/crates/pollenshed/src/cmd/mod.rs
+++ b/crates/pollenshed/src/cmd/mod.rs
@@ -1,6 +1,10 @@
 //! Subcommands of the daemon, one file each.
 
-use std::process::ExitCode;
+use std::{
+    fmt,
+    io::{self, Write},
+    process::ExitCode,
+};
 
 pub mod check;
 pub mod dev;
@@ -18,3 +22,9 @@
     eprintln!("pollenshed: {message}");
     ExitCode::from(code)
 }
+
+/// Prints a line to standard output. A reader that has closed it must not end the daemon, as
+/// `println!` would.
+fn say(line: fmt::Arguments<'_>) {
+    let _ = writeln!(io::stdout().lock(), "{line}");
+}
--- a/crates/pollenshed/src/cmd/serve.rs
+++ b/crates/pollenshed/src/cmd/serve.rs
@@ -7,7 +7,7 @@
 
 use pollenshed_transport::logs;
 
-use super::{EXIT_FAILED, EXIT_REFUSED, fail};
+use super::{EXIT_FAILED, EXIT_REFUSED, fail, say};
 
 /// Time for the last log lines at the end of the process.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
@@ -43,10 +43,10 @@
 fn serve(settings: Settings) -> Result<()> {
     logs::init().wrap_err("cannot start the log writer")?;
     let instance = Instance::spawn(settings)?;
-    println!("ready: callers http://{}", instance.caller_address());
-    println!("ready: operators http://{}", instance.operator_address());
-    println!("ready: peers http://{}", instance.shared().settings.peer_address);
-    println!("ready: relay http://{}", instance.shared().settings.relay_address);
+    say(format_args!("ready: callers http://{}", instance.caller_address()));
+    say(format_args!("ready: operators http://{}", instance.operator_address()));
+    say(format_args!("ready: peers http://{}", instance.shared().settings.peer_address));
+    say(format_args!("ready: relay http://{}", instance.shared().settings.relay_address));
     instance.wait_for_signal()?;
     instance.stop();
     logs::flush(FLUSH_TIMEOUT);
--- a/crates/pollenshed/src/gossip/mod.rs
+++ b/crates/pollenshed/src/gossip/mod.rs
@@ -81,7 +81,15 @@
             membership.state_of(peer, now).is_some_and(MemberState::is_running)
         });
     }
-    lock(&shared.fence).ran(now);
+    let was_long_pause = {
+        let mut fence = lock(&shared.fence);
+        fence.ran(now);
+        fence.take_long_pause()
+    };
+    if was_long_pause {
+        log::warn!("placement: paused for so long that peers may have taken over; waits again");
+        lock(&shared.ownership).wait_again(now);
+    }
     if lock(&shared.membership).is_superseded() && !shared.is_leaving() {
         log::error!("membership: a later process has the name of this instance; it stops");
         shared.stop_requested.notify_one();
--- a/crates/pollenshed/tests/commands.rs
+++ b/crates/pollenshed/tests/commands.rs
@@ -3,9 +3,11 @@
 use std::{
     io::{BufRead, BufReader, Read},
     process::{Command, Stdio},
+    time::Duration,
 };
 
 use googletest::prelude::*;
+use pollenshed_standins::backend::Behaviour;
 
 mod support;
 
@@ -79,3 +81,32 @@
     expect_that!(Command::new("kill").args(["-INT", &id]).status().unwrap().success(), eq(true));
     expect_that!(child.wait().unwrap().success(), eq(true));
 }
+
+/// Guards against a daemon that ends because nobody reads its standard output any more.
+#[gtest]
+fn closed_output_does_not_end_the_daemon() {
+    let service_time = Duration::from_millis(5);
+    let behaviour = Behaviour { name: String::new(), slots: 3, service_time };
+    let fleet = support::Fleet::start(&["north-a"], &behaviour);
+    let settings = fleet.settings("north-a-2", "north-a");
+    let file = fleet.workdir.path.join("north-a-2.json");
+    std::fs::write(&file, settings.to_string()).unwrap();
+    let mut child = Command::new(env!("CARGO_BIN_EXE_pollenshed"))
+        .arg("serve")
+        .arg(&file)
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap();
+    drop(child.stdout.take());
+    support::wait_for("the instance to join", || {
+        let members = fleet.daemons[0].status()?.members;
+        members
+            .iter()
+            .any(|m| m.instance.as_str() == "north-a-2" && m.state == "alive")
+            .then_some(())
+    });
+    expect_that!(child.try_wait().unwrap(), none());
+    child.kill().unwrap();
+    child.wait().unwrap();
+}
