--- a/crates/pollenshed/examples/control_cost.rs
+++ b/crates/pollenshed/examples/control_cost.rs
@@ -38,6 +38,8 @@
 const CHANGES: usize = 10;
 /// Time within which a change must be in force everywhere.
 const MAX_CHANGE: Duration = Duration::from_secs(20);
+/// Time within which an instance must answer operators.
+const STATUS_TIMEOUT: Duration = Duration::from_secs(2);
 const SETTLE: Duration = Duration::from_secs(5);
 const RUN: Duration = Duration::from_secs(10);
 /// Ticks of processor time per second in `/proc/PID/stat`.
@@ -135,11 +137,17 @@
         for process in fleet {
             let url = format!("{}/v1/status", process.operators);
             let status = || -> Option<StatusBody> {
-                ureq::get(&url).call().ok()?.body_mut().read_json().ok()
+                let get = ureq::get(&url).config().timeout_global(Some(STATUS_TIMEOUT)).build();
+                get.call().ok()?.body_mut().read_json().ok()
             };
-            while status().is_none_or(|s| s.config_version < version) {
+            loop {
+                let found = status().map(|s| s.config_version);
+                if found >= Some(version) {
+                    break;
+                }
                 if start.elapsed() > MAX_CHANGE {
-                    return Err(eyre!("change {number} did not reach {}", process.name));
+                    let name = &process.name;
+                    return Err(eyre!("change {number} did not reach {name}: status {found:?}"));
                 }
                 thread::sleep(Duration::from_millis(5));
             }
--- a/crates/pollenshed/examples/lookup_cost.rs
+++ b/crates/pollenshed/examples/lookup_cost.rs
@@ -64,7 +64,7 @@
     let mut table = Membership::new(record(0)?, Params::new(&Timing::default()), Time::START);
     for other in 1..members {
         let (sender, records, heartbeats) = (record(other)?, Vec::new(), Vec::new());
-        table.merge(&Exchange { sender, records, heartbeats, digest: 0 }, Time::START);
+        table.merge(&Exchange { sender, records, heartbeats, buckets: Vec::new() }, Time::START);
     }
     let (service, domain) = ("tavole".parse()?, "palermo-a".parse()?);
     let start = Instant::now();
--- a/crates/pollenshed/examples/store_load.rs
+++ b/crates/pollenshed/examples/store_load.rs
@@ -49,7 +49,7 @@
     let mut table = Membership::new(record(own), Params::new(&Timing::default()), Time::START);
     for other in (0..members).filter(|other| *other != own) {
         let (records, heartbeats) = (Vec::new(), Vec::new());
-        let exchange = Exchange { sender: record(other), records, heartbeats, digest: 0 };
+        let exchange = Exchange { sender: record(other), records, heartbeats, buckets: Vec::new() };
         table.merge(&exchange, Time::START);
     }
     table
