Keep the output of measured processes open

Cause: control_cost closed a daemon's standard output after the line that it needs; main has printed one more ready line since, and println panics then, so processes ended in the middle of the measurement. Ruled out: a fault of gossip or of the status; the logs show the panic in cmd/serve.rs.

--- a/crates/pollenshed/examples/control_cost.rs
+++ b/crates/pollenshed/examples/control_cost.rs
@@ -178,7 +178,8 @@
         .stdout(Stdio::piped())
         .stderr(Stdio::null())
         .spawn()?;
-    let out = child.stdout.take().ok_or_else(|| eyre!("no output"))?;
+    // The pipe stays open, because a daemon that can't print its last ready line panics.
+    let out = child.stdout.as_mut().ok_or_else(|| eyre!("no output"))?;
     let mut lines = BufReader::new(out).lines().map_while(Result::ok);
     let mut ready = |what: &str| {
         let found = lines.find_map(|l| l.strip_prefix(what).map(str::to_owned));
