Do not steer before owners can have advertised

Cause: right after a start no owner has advertised yet, so each entry took its own failure domain for lost, moved traffic away at the cap and was then bound by the cap on the way back (503 not-run, ShiftCap, on an idle fleet). Ruled out: the rounding of shares; at the home position everything is admitted. Change: ramps take their first step after dead_after_ms + headroom_ttl_ms. Conclusion: a restarted fleet starts at home, as the design asks for.

--- a/crates/pollenshed/src/gossip/mod.rs
+++ b/crates/pollenshed/src/gossip/mod.rs
@@ -118,7 +118,12 @@
             now,
         );
     }
-    steering::step(&mut routing, &current.config, now);
+    // Owners dispatch, and so advertise, only some time after a start. Without this wait an entry of
+    // a fleet that starts would take its own failure domain for lost and move traffic away.
+    let timing = &shared.settings.timing;
+    if now.as_ms() >= timing.dead_after_ms + timing.headroom_ttl_ms {
+        steering::step(&mut routing, &current.config, now);
+    }
 }
 
 /// Recomputes which backend servers this instance owns, and logs what changed.
