--- a/crates/pollenshed/tests/steering.rs
+++ b/crates/pollenshed/tests/steering.rs
@@ -167,6 +167,20 @@
     expect_slots_kept(&fleet);
 }
 
+/// Guards against a popular read that is refused everywhere, because two backend servers that ran
+/// it were lost together with their failure domain.
+#[gtest]
+fn lost_failure_domain_does_not_quarantine_popular_reads() {
+    let mut fleet = start();
+    let mut load = Load::start(&all(&fleet), &Work { callers: 16, ..READS });
+    load.wait_until_done(ENOUGH);
+    crash_servers(&mut fleet, "north-a");
+    let goal = load.counts().0 + ENOUGH;
+    wait_for("more requests to be sent", || (load.counts().0 >= goal).then_some(()));
+    load.finish();
+    expect_that!(load.reasons(), not(contains_substring("quarantined")));
+}
+
 /// Guards against overload of the other region and a jump of traffic when a whole region is lost
 /// and comes back.
 #[gtest]
