Count servers lost together as one crash, and tell peers before answering

Change: for content that had completed, only a run that began after its first crash, alone, counts as the second; single crashes that peers report of such content are not added up. Conclusion: the bound of two servers holds for a caller that sends again after an answer; copies sent at the same instant remain outside it.

--- a/crates/coordination/src/limits/quarantine.rs
+++ b/crates/coordination/src/limits/quarantine.rs
@@ -174,16 +174,23 @@
     }
 
     /// Records that the server crashed while it ran these contents.
-    pub fn crashed(&mut self, contents: &[Digest], server: &BackendServerName, now: Instant) {
+    ///
+    /// `was_alone` tells whether the content was a suspect that ran alone. Content that had completed
+    /// can run on many servers, which a fault such as the loss of a failure domain takes down
+    /// together. Only a run that began after its first crash is evidence of a second one.
+    pub fn crashed(
+        &mut self,
+        contents: &[Digest],
+        server: &BackendServerName,
+        was_alone: bool,
+        now: Instant,
+    ) {
         let candidates: BTreeSet<Digest> = contents.iter().copied().collect();
         let any_unproven = candidates.iter().any(|c| !self.has_completed(c, now));
-        let is_certain = candidates.len() == 1;
         for content in candidates {
             let had_completed = self.has_completed(&content, now);
             let is_known = !self.crashes(&content, now).is_empty();
-            let ran_widely =
-                is_known && self.suspects.get(&content).is_some_and(|s| s.had_completed);
-            if (any_unproven && had_completed) || (ran_widely && !is_certain) {
+            if (any_unproven && had_completed) || (self.ran_widely(&content, now) && !was_alone) {
                 continue;
             }
             self.completed.remove(&content);
@@ -205,6 +212,7 @@
             if entry.ttl_left_ms == 0
                 || entry.crashed.is_empty()
                 || (is_single && self.has_completed(&entry.content, now))
+                || (is_single && self.ran_widely(&entry.content, now))
             {
                 continue;
             }
@@ -281,6 +289,13 @@
         }
     }
 
+    /// Returns whether the content is suspected although it had completed, so that copies of it may
+    /// have been on several servers at its first crash.
+    fn ran_widely(&self, content: &Digest, now: Instant) -> bool {
+        let is_known = !self.crashes(content, now).is_empty();
+        is_known && self.suspects.get(content).is_some_and(|s| s.had_completed)
+    }
+
     fn has_completed(&self, content: &Digest, now: Instant) -> bool {
         self.completed.get(content).is_some_and(|at| now.since_ms(*at) < COMPLETED_MS)
     }
--- a/crates/coordination/src/limits/runs.rs
+++ b/crates/coordination/src/limits/runs.rs
@@ -104,6 +104,7 @@
         if self.running.get(&id).is_some_and(|run| run.is_judged) {
             return;
         }
+        let was_alone = self.servers.get(name).is_some_and(|s| s.alone.is_some());
         let runs = self.running.values_mut().filter(|r| r.server == *name && !r.is_judged);
         let contents: Vec<_> = runs
             .map(|run| {
@@ -111,7 +112,7 @@
                 run.content
             })
             .collect();
-        self.quarantine.crashed(&contents, name, now);
+        self.quarantine.crashed(&contents, name, was_alone, now);
         self.set_down(name);
     }
 
--- a/crates/coordination/tests/limits_quarantine.rs
+++ b/crates/coordination/tests/limits_quarantine.rs
@@ -215,13 +215,13 @@
     let mut quarantine = Quarantine::new(600_000);
     let poison = content(0);
     quarantine.started(poison, &server(0));
-    quarantine.crashed(&[poison], &server(0), at(0));
+    quarantine.crashed(&[poison], &server(0), false, at(0));
     quarantine.ended(&poison, &server(0));
     expect_that!(quarantine.trial(&poison, &server(0), at(1)), eq(Trial::Wait));
     expect_that!(quarantine.trial(&poison, &server(1), at(1)), eq(Trial::Alone));
     quarantine.started(poison, &server(1));
     expect_that!(quarantine.trial(&poison, &server(2), at(1)), eq(Trial::Wait));
-    quarantine.crashed(&[poison], &server(1), at(2));
+    quarantine.crashed(&[poison], &server(1), true, at(2));
     quarantine.ended(&poison, &server(1));
     expect_that!(quarantine.trial(&poison, &server(2), at(600_001)), eq(Trial::Refused));
     expect_that!(quarantine.trial(&poison, &server(2), at(600_002)), eq(Trial::Free));
@@ -232,8 +232,8 @@
 fn peers_learn_crashes_and_forget_them_in_time() {
     let mut first = Quarantine::new(600_000);
     let mut second = Quarantine::new(600_000);
-    first.crashed(&[content(0)], &server(0), at(0));
-    second.crashed(&[content(0)], &server(1), at(0));
+    first.crashed(&[content(0)], &server(0), false, at(0));
+    second.crashed(&[content(0)], &server(1), false, at(0));
     for second_of_time in 0..=600 {
         let now = at(second_of_time * 1_000);
         second.merge(&first.export(now), now.plus_ms(50));
@@ -250,9 +250,9 @@
     let mut peer = Quarantine::new(600_000);
     quarantine.started(content(0), &server(0));
     quarantine.started(content(5), &server(0));
-    peer.crashed(&[content(0)], &server(1), at(0));
+    peer.crashed(&[content(0)], &server(1), false, at(0));
     quarantine.merge(&peer.export(at(0)), at(0));
-    quarantine.crashed(&[content(0), content(5)], &server(0), at(1));
+    quarantine.crashed(&[content(0), content(5)], &server(0), false, at(1));
     expect_true!(quarantine.is_refused(&content(0), at(1)));
     expect_true!(quarantine.is_suspect(&content(5), at(1)));
 }
@@ -262,7 +262,7 @@
 fn content_that_completes_is_not_suspected_beside_unproven_content() {
     let mut quarantine = Quarantine::new(600_000);
     quarantine.completed(content(5), at(0));
-    quarantine.crashed(&[content(5), content(0)], &server(0), at(1));
+    quarantine.crashed(&[content(5), content(0)], &server(0), false, at(1));
     expect_false!(quarantine.is_suspect(&content(5), at(1)));
     expect_true!(quarantine.is_suspect(&content(0), at(1)));
     let mut peer = Quarantine::new(600_000);
@@ -270,3 +270,21 @@
     peer.merge(&quarantine.export(at(1)), at(1));
     expect_false!(peer.is_suspect(&content(0), at(1)), "it completed there");
 }
+
+/// Guards against popular content that is refused because servers that ran it were lost together.
+#[gtest]
+fn servers_lost_together_are_one_crash_of_their_common_content() {
+    let mut quarantine = Quarantine::new(600_000);
+    quarantine.completed(content(0), at(0));
+    for number in 0..3 {
+        quarantine.started(content(0), &server(number));
+    }
+    quarantine.crashed(&[content(0)], &server(0), false, at(1));
+    quarantine.crashed(&[content(0)], &server(1), false, at(1));
+    let mut peer = Quarantine::new(600_000);
+    peer.crashed(&[content(0)], &server(2), false, at(1));
+    quarantine.merge(&peer.export(at(1)), at(2));
+    expect_true!(quarantine.is_suspect(&content(0), at(2)));
+    quarantine.crashed(&[content(0)], &server(4), true, at(3));
+    expect_true!(quarantine.is_refused(&content(0), at(3)));
+}
--- a/crates/pollenshed/src/gossip/mod.rs
+++ b/crates/pollenshed/src/gossip/mod.rs
@@ -30,13 +30,7 @@
     let mut interval = tokio::time::interval(period);
     interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        tokio::select! {
-            _ = interval.tick() => {}
-            () = shared.gossip_now.notified() => {
-                tell(&shared, MAX_URGENT_PEERS).await;
-                continue;
-            }
-        }
+        interval.tick().await;
         for target in tick(&shared) {
             let shared = shared.clone();
             tokio::spawn(async move { exchange(&shared, target, period).await });
--- a/crates/pollenshed/src/instance/mod.rs
+++ b/crates/pollenshed/src/instance/mod.rs
@@ -60,7 +60,8 @@
             .wrap_err("caller_address")?;
         settings.caller_address = edge_listener.local_addr()?;
 
-        let shared = Arc::new(Shared::new(settings, work.handle().clone()));
+        let shared =
+            Arc::new(Shared::new(settings, work.handle().clone(), control.handle().clone()));
         work.spawn(servers::serve_work(shared.clone(), relay));
         control.spawn(servers::serve_control(shared.clone(), peer));
         control.spawn(gossip::run(shared.clone()));
--- a/crates/pollenshed/src/instance/shared.rs
+++ b/crates/pollenshed/src/instance/shared.rs
@@ -89,20 +89,20 @@
     pub leaving_backend_servers: Mutex<LeavingServers>,
     /// Begins a planned stop.
     pub stop_requested: Notify,
-    /// Wakes gossip at once, as when a request has crashed a backend server.
-    pub gossip_now: Notify,
     /// Client of backend servers.
     pub backend: BackendClient,
     /// Client of the platform.
     pub platform: Platform,
     /// Runtime for relayed work.
     pub work: Handle,
+    /// Runtime for control messages.
+    pub control: Handle,
     leaving: AtomicBool,
 }
 
 impl Shared {
     /// Builds the state of a fresh incarnation.
-    pub fn new(settings: Settings, work: Handle) -> Shared {
+    pub fn new(settings: Settings, work: Handle, control: Handle) -> Shared {
         let clock = Clock::start();
         let now = clock.now();
         let incarnation = Incarnation(fastrand::u64(..));
@@ -143,7 +143,6 @@
             work_peers: Peers::open(settings.relay_address.ip()),
             leaving_backend_servers: Mutex::default(),
             stop_requested: Notify::new(),
-            gossip_now: Notify::new(),
             metrics: metrics::open(settings.metrics_address).unwrap_or_else(|e| {
                 log::warn!("instance: metrics are not sent: {e}");
                 Metrics::default()
@@ -157,6 +156,7 @@
             backend: BackendClient::open(),
             platform: Platform::open(settings.platform_address, timeout),
             work,
+            control,
             leaving: AtomicBool::new(false),
             settings,
         }
--- a/crates/pollenshed/src/owner/send.rs
+++ b/crates/pollenshed/src/owner/send.rs
@@ -14,7 +14,7 @@
 };
 
 use super::{ANSWERED_DRAINING_MS, dispatch::Attempt, uploads};
-use crate::{instance::Shared, util::lock, wire};
+use crate::{gossip, instance::Shared, util::lock, wire};
 
 /// Sends the attempt, whose slot is taken, and waits for its outcome.
 pub(super) async fn send(
@@ -36,6 +36,15 @@
     let task = shared.work.spawn_blocking(move || call(&sender, &attempt, id, &server));
     let outcome = task.await;
     running.is_over = true;
+    if let Ok(BackendOutcome::ConnectionLost(_)) = &outcome {
+        // Peers must know before the caller's next try reaches them. The call runs on the control
+        // threads, which keep the connections.
+        let teller = shared.clone();
+        let told = shared.control.spawn(async move {
+            gossip::tell(&teller, gossip::MAX_URGENT_PEERS).await;
+        });
+        let _ = told.await;
+    }
     match outcome {
         Ok(outcome) => reply_of(outcome, &name),
         Err(e) => wire::unknown(UnknownReason::ConnectionLost, e.to_string()),
@@ -109,9 +118,6 @@
         }
     }
     shared.owner.wake();
-    if let BackendOutcome::ConnectionLost(_) = outcome {
-        shared.gossip_now.notify_one();
-    }
     log_end(&attempt.content, attempt, server, outcome, latency_us);
     if let BackendOutcome::TimedOut = outcome {
         cancel(shared, server, &attempt.id);
