--- a/crates/coordination/tests/routing_choice.rs
+++ b/crates/coordination/tests/routing_choice.rs
@@ -218,3 +218,18 @@
     setup.advertise(2, 1_000, ms(4_000));
     expect_that!(setup.choose(ms(4_500)).map(|_| ()), err(eq(NoCapacity::LinkFull)));
 }
+
+/// Guards against a request that is counted each time it looks for an owner: the surplus of arrivals
+/// would let more requests move than the cap allows.
+#[gtest]
+fn request_that_waits_for_an_owner_is_not_counted_yet() {
+    let mut setup = Setup::new([200_000, 0, 0]);
+    setup.advertise(1, 1_000, ms(0));
+    let entries = std::mem::take(&mut setup.entries);
+    for look in 0..100 {
+        let refused = setup.choose(ms(500 + look)).map(|_| ());
+        expect_that!(refused, err(eq(NoCapacity::NoBackendServer)));
+    }
+    setup.entries = entries;
+    expect_that!(setup.route(10, 700), eq([8, 2, 0, 0]));
+}
