Admit everything to the domain that has all shares; revert late arrivals

Ruled out: the ramp's steps, which are the same in passing runs. Change: while one failure domain has 100%, nothing moves and the counts are not asked, so a request that waited for an owner is not refused. Conclusion: no refusal by the cap while everything is at home.

--- a/crates/coordination/src/routing/router.rs
+++ b/crates/coordination/src/routing/router.rs
@@ -113,11 +113,6 @@
 
     /// Chooses a target and counts the request against ramp, headroom and link.
     ///
-    /// A request that no failure domain can serve is not counted as arrived. It may wait and try
-    /// again, and its arrival must not leave the interval before it is sent.
-    ///
-    /// Failure domains other than the ramp's base come first, because their shares are rounded down
-    /// and the base takes the rest.
     pub fn choose(
         &mut self,
         request: &RouteRequest<'_>,
@@ -125,17 +120,14 @@
         ramp: &mut Ramp,
         now: Instant,
     ) -> Result<Target, NoCapacity> {
+        if !request.has_arrived {
+            ramp.arrive(request.rank, now);
+        }
         let home = self.home.clone();
         let order = domains_to_try(view.config, &home, ramp);
         let (served, lost): (Vec<_>, Vec<_>) =
             order.into_iter().partition(|d| !self.owners(view, d, request, now).is_empty());
         let lost_ppm = lost.into_iter().map(|d| ramp.share_ppm(d)).sum();
-        if served.is_empty() {
-            return Err(NoCapacity::NoBackendServer);
-        }
-        if !request.has_arrived {
-            ramp.arrive(request.rank, now);
-        }
         let mut reason = NoCapacity::NoBackendServer;
         for domain in served {
             match self.try_domain(domain, request, view, ramp, lost_ppm, now) {
--- a/crates/coordination/src/shift/ramp.rs
+++ b/crates/coordination/src/shift/ramp.rs
@@ -227,6 +227,11 @@
         if share == 0 {
             return Err(StayReason::NoShare);
         }
+        // Nothing moves while one failure domain has everything. Counts would refuse a request that
+        // waited for an owner until its arrival had left the interval.
+        if share == ONE_PPM {
+            return Ok(());
+        }
         let (this, other) = match kind {
             Kind::Request => (&self.requests, &self.lookups),
             Kind::Lookup => (&self.lookups, &self.requests),
--- a/crates/pollenshed/src/entry/dispatch.rs
+++ b/crates/pollenshed/src/entry/dispatch.rs
@@ -109,7 +109,7 @@
     let until = first_try.plus_ms(WAIT_FOR_OWNER_MS).min(work.deadline);
     loop {
         let chosen = choose(shared, work, tried);
-        tried.has_arrived |= !matches!(chosen, Err(Some(NoCapacity::NoBackendServer)));
+        tried.has_arrived = true;
         let reason = match chosen {
             Ok(target) => {
                 log_target(work, &target);
