--- a/check.sh
+++ b/check.sh
@@ -10,4 +10,5 @@
   echo "known red: $name"
   skip+=(--skip "$name")
 done < <(grep '^test: ' KNOWN-RED.txt || true)
-cargo test --workspace --locked -- "${skip[@]}"
+# Each process test starts a fleet of its own, so at most four run at once.
+cargo test --workspace --locked -- --test-threads=4 "${skip[@]}"
