Wait for the final refusal in the golden sessions

The session waited for any answer with the reason no-backend-server and recorded the next one. Owners give this reason one by one while the entry still learns from advertisements which of them have lost their servers, so the recorded answer was that of an owner, of the shift cap or of the entry, by chance.

--- a/crates/pollenshed/tests/sessions.rs
+++ b/crates/pollenshed/tests/sessions.rs
@@ -207,9 +207,12 @@
     }
     let target = format!("/v1/run/{service}{path}");
     let url = format!("http://{}{target}", session.entry(&at).callers);
-    wait_for("a refusal for lack of backend servers", || {
-        let answer = session.agent.get(&url).call().ok()?;
-        (answer.headers().get(REASON_HEADER)? == "no-backend-server").then_some(())
+    // The owners answer first, one by one. The refusal is final once the entry has learned from all
+    // owners that they have no usable backend server.
+    wait_for("a refusal for lack of backend servers everywhere", || {
+        let mut answer = session.agent.get(&url).call().ok()?;
+        let body = answer.body_mut().read_to_string().ok()?;
+        body.contains("no backend server of the service can be reached").then_some(())
     });
     session.send("no backend server is up", &at, get(&target));
     for (name, backend) in &mut session.fleet.backends {
