Hold the slot of an abandoned request until the server has ended it

Cause: a slot of an abandoned request was free again 500 ms after the request's deadline, whatever the backend server did. That is a time and no proof: 4 of 3 slots were seen earlier, and a server that runs longer than that got a second set of requests. Change: an owner repeats the cancel call until the server answers 200 (the request holds no slot any more) or three times 404, and frees the slot then. A server that never says so keeps the slot for 10 s after the deadline. The stand-in answers a cancel call once the run has ended. Conclusion: the hold no longer depends on the machine's speed while a server answers cancel calls.

--- a/crates/coordination/src/limits/runs.rs
+++ b/crates/coordination/src/limits/runs.rs
@@ -7,7 +7,7 @@
 
 use super::{
     Refusal, RefusalReason, Scheduler, WorkId,
-    scheduler::{ABANDONED_GRACE_MS, Queued},
+    scheduler::{ABANDONED_HOLD_MS, Queued},
 };
 
 /// Bounds of the time before a resend, before jitter.
@@ -119,7 +119,7 @@
     pub(super) fn abandon(&mut self, id: WorkId) {
         if let Some(run) = self.running.get_mut(&id) {
             run.is_abandoned = true;
-            self.abandoned.insert((run.deadline.plus_ms(ABANDONED_GRACE_MS), id));
+            self.abandoned.insert((run.deadline.plus_ms(ABANDONED_HOLD_MS), id));
         }
     }
 
@@ -134,7 +134,7 @@
 
     pub(super) fn end_run(&mut self, id: WorkId) {
         let Some(run) = self.running.remove(&id) else { return };
-        self.abandoned.remove(&(run.deadline.plus_ms(ABANDONED_GRACE_MS), id));
+        self.abandoned.remove(&(run.deadline.plus_ms(ABANDONED_HOLD_MS), id));
         self.quarantine.ended(&run.content, &run.server);
         if let Some(server) = self.servers.get_mut(&run.server) {
             server.end(id);
--- a/crates/coordination/src/limits/scheduler.rs
+++ b/crates/coordination/src/limits/scheduler.rs
@@ -14,10 +14,10 @@
     service::Service,
 };
 
-/// Time after its deadline for which an abandoned request still holds its slot. The backend server
-/// counts the deadline from the arrival of the request, so it stops a little later, and on a busy
-/// machine threads start late.
-pub(super) const ABANDONED_GRACE_MS: u64 = 500;
+/// Time after its deadline for which an abandoned request holds its slot at most. `release` frees it
+/// as soon as the backend server says that it does not run the request; the time bounds what a
+/// server that never says so can hold back.
+pub(super) const ABANDONED_HOLD_MS: u64 = 10_000;
 /// Part of the capacity that own demand and work of other failure domains may fill together.
 const HEADROOM_SHARE: f64 = 0.85;
 /// Memory that a waiting request holds beside its body.
--- a/crates/coordination/src/limits/work.rs
+++ b/crates/coordination/src/limits/work.rs
@@ -113,7 +113,7 @@
     /// The request ended without telling anything about its content, as by a failed connection.
     Failed,
     /// Nobody waits any more, but the server may still run the request. The slot stays in use until
-    /// the request's deadline or until `release`.
+    /// `release`, or until ten seconds after the request's deadline.
     Abandoned,
 }
 
--- a/crates/coordination/tests/limits_scheduler.rs
+++ b/crates/coordination/tests/limits_scheduler.rs
@@ -17,6 +17,8 @@
 };
 use proptest::prelude::*;
 
+/// Time after its deadline for which an abandoned request holds its slot at most.
+const ABANDONED_HOLD_MS: u64 = 10_000;
 const SERVERS: usize = 3;
 const SLOTS: u64 = 3;
 
@@ -104,7 +106,8 @@
         while let Some(next) = self.scheduler.next(at(self.now_ms)) {
             let deadline_ms = *self.open.get(&next.id).expect("only open work is dispatched");
             assert!(deadline_ms > self.now_ms, "{} was dispatched late", next.id);
-            let previous = self.held.insert(next.id, (next.server.clone(), deadline_ms + 500));
+            let previous =
+                self.held.insert(next.id, (next.server.clone(), deadline_ms + ABANDONED_HOLD_MS));
             assert!(previous.is_none(), "{} was dispatched twice", next.id);
         }
     }
@@ -381,18 +384,22 @@
 
 /// Guards against a slot that is free while an abandoned request may still run.
 #[gtest]
-fn abandoned_work_holds_its_slot_until_its_end_or_deadline() {
+fn abandoned_work_holds_its_slot_until_it_is_known_to_have_ended() {
     let mut scheduler = scheduler(1, 1, SchedulerPolicy::default());
-    for (id, deadline_ms) in [(0, 1_000), (1, 5_000), (2, 9_000)] {
+    for (id, deadline_ms) in [(0, 1_000), (1, 15_000), (2, 19_000), (3, 25_000)] {
         queued(&mut scheduler, work(id, Rank::Urgent, 0, at(deadline_ms)), at(0));
     }
     let first = scheduler.next(at(0)).unwrap().id;
     expect_true!(scheduler.finish(first, Finished::Abandoned, at(10)));
-    expect_that!(scheduler.next_expiry(), some(eq(at(1_500))));
-    expect_that!(scheduler.next(at(1_499)), none());
-    let second = scheduler.next(at(1_500)).unwrap().id;
-    expect_true!(scheduler.finish(second, Finished::Abandoned, at(1_600)));
-    expect_that!(scheduler.next(at(1_600)), none());
-    expect_false!(scheduler.finish(second, Finished::Failed, at(1_700)), "it ended before");
-    expect_that!(scheduler.next(at(1_700)), some(anything()));
+    expect_that!(scheduler.next_expiry(), some(eq(at(11_000))));
+    expect_that!(scheduler.next(at(10_999)), none());
+    let second = scheduler.next(at(11_000)).unwrap().id;
+    expect_true!(scheduler.finish(second, Finished::Abandoned, at(11_600)));
+    expect_that!(scheduler.next(at(11_600)), none());
+    expect_false!(scheduler.finish(second, Finished::Failed, at(11_700)), "it ended before");
+    let third = scheduler.next(at(11_700)).unwrap().id;
+    expect_true!(scheduler.finish(third, Finished::Abandoned, at(11_800)));
+    expect_that!(scheduler.next(at(11_899)), none());
+    expect_true!(scheduler.release(third, at(11_900)));
+    expect_that!(scheduler.next(at(11_900)), some(anything()));
 }
--- a/crates/pollenshed/src/owner/mod.rs
+++ b/crates/pollenshed/src/owner/mod.rs
@@ -3,6 +3,7 @@
 //! The decisions are those of [`Scheduler`]; this module feeds it with events and carries its
 //! assignments out. See `docs/design.md`, "One owner per backend server" and "Limits".
 
+mod cancel;
 mod dispatch;
 mod headroom;
 mod probe;
--- a/crates/pollenshed/src/owner/send.rs
+++ b/crates/pollenshed/src/owner/send.rs
@@ -13,7 +13,12 @@
     metrics::{Counter, Timing},
 };
 
-use super::{ANSWERED_DRAINING_MS, dispatch::Attempt, uploads};
+use super::{
+    ANSWERED_DRAINING_MS,
+    cancel::{self, Abandoned},
+    dispatch::Attempt,
+    uploads,
+};
 use crate::{gossip, instance::Shared, util::lock, wire};
 
 /// Sends the attempt, whose slot is taken, and waits for its outcome.
@@ -51,7 +56,12 @@
     }
 }
 
-fn call(shared: &Shared, attempt: &Attempt, id: WorkId, server: &BackendServer) -> BackendOutcome {
+fn call(
+    shared: &Arc<Shared>,
+    attempt: &Attempt,
+    id: WorkId,
+    server: &BackendServer,
+) -> BackendOutcome {
     let began = shared.clock.now();
     let Some(request) = &attempt.request.request else {
         return BackendOutcome::ConnectFailed("the dispatch carries no request".to_owned());
@@ -72,7 +82,7 @@
 }
 
 fn report(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     attempt: &Attempt,
     id: WorkId,
     server: &BackendServer,
@@ -120,7 +130,10 @@
     shared.owner.wake();
     log_end(&attempt.content, attempt, server, outcome, latency_us);
     if let BackendOutcome::TimedOut = outcome {
-        cancel(shared, server, &attempt.id);
+        cancel::spawn(
+            shared,
+            Abandoned { id, request_id: attempt.id.clone(), server: server.clone() },
+        );
     }
 }
 
@@ -143,13 +156,6 @@
     }
 }
 
-/// Tells the server that nobody waits any more. A failure changes nothing: the slot stays counted.
-fn cancel(shared: &Shared, server: &BackendServer, request_id: &str) {
-    if let Err(e) = shared.backend.cancel(server.address, request_id) {
-        log::debug!("dispatch: cancel of {request_id} at {} failed: {e}", server.name);
-    }
-}
-
 /// A request at a backend server. Dropping it early, as when the caller goes away, cancels it.
 struct Running {
     shared: Arc<Shared>,
@@ -166,9 +172,9 @@
         }
         let now = self.shared.clock.now();
         lock(&self.shared.owner.state).scheduler.finish(self.id, Finished::Abandoned, now);
-        let (shared, server) = (self.shared.clone(), self.server.clone());
         let request_id = std::mem::take(&mut self.request_id);
-        self.shared.work.spawn_blocking(move || cancel(&shared, &server, &request_id));
+        let server = self.server.clone();
+        cancel::spawn(&self.shared, Abandoned { id: self.id, request_id, server });
     }
 }
 
--- a/crates/standins/src/backend/work.rs
+++ b/crates/standins/src/backend/work.rs
@@ -40,6 +40,9 @@
     Crashed,
 }
 
+/// Longest time that a cancel call waits for the end of the run.
+const MAX_CANCEL_WAIT: Duration = Duration::from_millis(500);
+
 /// Runs one request; nothing means that the server crashed and the connection is gone.
 pub(super) fn run(shared: &Shared, head: &Head, body: Body, epoch: u64) -> Option<Answer> {
     let arrived = Instant::now();
@@ -180,10 +183,11 @@
         state.running.insert(id.to_owned(), left);
     }
     state.remember_load();
+    shared.changed.notify_all();
     Some(state.faults.answer_delay)
 }
 
-/// Stops a running request early.
+/// Stops a running request early and answers 200 once it holds no slot any more.
 pub(super) fn cancel(shared: &Shared, id: &str) -> Answer {
     let mut state = shared.lock();
     state.counts.cancel_calls += 1;
@@ -192,10 +196,16 @@
     let Some(running) = state.running.keys().find(same).cloned() else {
         return Answer::text(404, "no such request");
     };
-    if !state.faults.ignore_cancel {
-        state.cancelled.insert(running);
+    if state.faults.ignore_cancel {
+        return Answer::text(202, "still running");
     }
-    drop(state);
+    state.cancelled.insert(running.clone());
     shared.changed.notify_all();
+    let is_running = |state: &mut State| state.running.contains_key(&running);
+    let waited = shared.changed.wait_timeout_while(state, MAX_CANCEL_WAIT, is_running);
+    let (_state, timeout) = waited.unwrap_or_else(std::sync::PoisonError::into_inner);
+    if timeout.timed_out() {
+        return Answer::text(202, "still running");
+    }
     Answer::text(200, "")
 }
--- a/crates/standins/tests/backend.rs
+++ b/crates/standins/tests/backend.rs
@@ -27,7 +27,9 @@
     wait_for("the first run", || (server.in_use() == 1).then_some(()));
     let shed = call(address, "POST /x", "", "other").unwrap();
     expect_that!(shed, contains_substring("pollenshed-shed: 1"));
-    call(address, "POST /cancel/a_1_0", "", "").unwrap();
+    let cancelled = call(address, "POST /cancel/a_1_0", "", "").unwrap();
+    expect_that!(cancelled, starts_with("HTTP/1.1 200"));
+    expect_that!(server.in_use(), eq(0), "the answer tells that the slot is free");
     expect_that!(first.join().unwrap().unwrap(), contains_substring("cancelled"));
     expect_that!(server.counts().cancelled, eq(1));
     expect_that!(server.runs().len(), eq(1));
--- a/crates/transport/src/backend/mod.rs
+++ b/crates/transport/src/backend/mod.rs
@@ -70,6 +70,17 @@
     BodyUnavailable(String),
 }
 
+/// What a server said about a request that it was asked to cancel.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CancelOutcome {
+    /// The request ran and has stopped; it holds no slot any more.
+    Stopped,
+    /// The server knows no such request: it has ended, or has not arrived yet.
+    NotRunning,
+    /// The server did not say, or still runs the request.
+    Unknown(String),
+}
+
 /// A client of backend servers. Calls block; clones share connections.
 #[derive(Debug, Clone)]
 pub struct BackendClient {
@@ -144,10 +155,15 @@
     }
 
     /// Tells a server that nobody waits for a request any more.
-    pub fn cancel(&self, address: SocketAddr, request_id: &str) -> Result<(), String> {
+    pub fn cancel(&self, address: SocketAddr, request_id: &str) -> CancelOutcome {
         let id = request_id.replace(['/', '#', '?', '%'], "_");
         let url = format!("http://{address}/cancel/{id}");
-        self.control.post(url).send_empty().map(drop).map_err(|e| e.to_string())
+        match self.control.post(url).send_empty().map(|answer| answer.status().as_u16()) {
+            Ok(200) => CancelOutcome::Stopped,
+            Ok(404) => CancelOutcome::NotRunning,
+            Ok(status) => CancelOutcome::Unknown(format!("status {status}")),
+            Err(e) => CancelOutcome::Unknown(e.to_string()),
+        }
     }
 
     fn get_json<T: serde::de::DeserializeOwned>(&self, url: &str) -> Result<T, String> {
