Keep the pace of shifts and leave no request between two receivers

A ramp skipped a step when its call came less than a spacing after the last one, so a jitter of a millisecond halved the pace. After the shift, each change of headroom moved shares between the two receivers, up to 2 % of the traffic four times a second, at the cost of the cap. A failure domain that lost everything gave its share last, after receivers were balanced. Ruled out: the cap itself; no log shows a step above it. Change: a step is as large as the time since the last one, up to two spacings; a target that differs by less than 10 % only in proportions is ignored; domains without a share give first; the base gets what the others' own bounds leave.

--- a/crates/coordination/src/shift/position.rs
+++ b/crates/coordination/src/shift/position.rs
@@ -1,6 +1,6 @@
 //! Shares of traffic per failure domain, and moving from one set of shares to another.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use pollenshed_state::ids::FailureDomainName;
 
@@ -68,30 +68,47 @@
 
     /// Moves at most `step_ppm` of the traffic towards `target` and returns how much moved.
     ///
-    /// Each share that is too large gives in the order of the names, the home share last, and each
-    /// that is too small takes in the same order.
+    /// Failure domains that get nothing any more give first, because their traffic may be lost, then
+    /// all others in the order of their names; those that are too small take in the same order. The
+    /// home failure domain comes last in each group.
     pub fn step_towards(&mut self, target: &Shares, step_ppm: u32) -> u32 {
         let moved = step_ppm.min(self.distance_ppm(target));
+        let mut parts = self.parts(target);
         let mut to_give = moved;
-        for (domain, share) in &mut self.away {
-            let given = share.saturating_sub(target.of(domain)).min(to_give);
-            *share -= given;
+        parts.sort_by_key(|part| part.wanted > 0);
+        for part in &mut parts {
+            let given = part.share.saturating_sub(part.wanted).min(to_give);
+            part.share -= given;
             to_give -= given;
         }
-        let mut to_take = moved - self.home_gain(target, moved - to_give);
-        for (domain, wanted) in target.iter() {
-            let share = self.away.entry(domain.clone()).or_insert(0);
-            let taken = wanted.saturating_sub(*share).min(to_take);
-            *share += taken;
+        let mut to_take = moved;
+        for part in &mut parts {
+            let taken = part.wanted.saturating_sub(part.share).min(to_take);
+            part.share += taken;
             to_take -= taken;
         }
-        self.away.retain(|_, share| *share > 0);
+        let away = parts.into_iter().filter_map(|part| Some((part.domain?, part.share)));
+        self.away = away.filter(|(_, share)| *share > 0).collect();
         moved
     }
 
-    /// Returns how much of `given_away`, which other failure domains gave, the home one keeps.
-    fn home_gain(&self, target: &Shares, given_away: u32) -> u32 {
-        let home_before = self.home_ppm() - given_away;
-        target.home_ppm().saturating_sub(home_before).min(given_away)
+    /// Returns the shares here and in `target`, in the order of the names, the home domain last.
+    fn parts(&self, target: &Shares) -> Vec<Part> {
+        let names: BTreeSet<_> = self.away.keys().chain(target.away.keys()).collect();
+        let away = names.into_iter().map(|name| Part {
+            domain: Some(name.clone()),
+            share: self.of(name),
+            wanted: target.of(name),
+        });
+        let home = Part { domain: None, share: self.home_ppm(), wanted: target.home_ppm() };
+        away.chain([home]).collect()
     }
 }
+
+/// A share now and in the target.
+struct Part {
+    /// The failure domain; nothing for the home one.
+    domain: Option<FailureDomainName>,
+    share: u32,
+    wanted: u32,
+}
--- a/crates/coordination/src/shift/ramp.rs
+++ b/crates/coordination/src/shift/ramp.rs
@@ -17,6 +17,13 @@
 /// Steps in which a position moves by the cap.
 pub const STEPS_PER_INTERVAL: u64 = 20;
 
+/// Largest step in steps of regular spacing. A ramp that was not called for longer makes one regular
+/// step, so that a pause is not made up for at once.
+const MAX_SPACINGS_PER_STEP: u64 = 2;
+
+/// Smallest part of the traffic that moves only to follow changed headroom.
+const MIN_REBALANCED_PPM: u32 = ONE_PPM / 10;
+
 /// What a step of a position did, for the log line.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RampStep {
@@ -102,8 +109,17 @@
     }
 
     /// Sets where the traffic should go.
+    ///
+    /// Headroom changes all the time. A target that sends the same share away, to the same failure
+    /// domains, only in slightly other proportions is ignored, because each move costs warm caches
+    /// and a part of the cap.
     pub fn set_target(&mut self, target: Shares) {
-        self.target = target;
+        let is_alike = target.home_ppm() == self.target.home_ppm()
+            && target.iter().map(|(d, _)| d).eq(self.target.iter().map(|(d, _)| d))
+            && self.target.distance_ppm(&target) < MIN_REBALANCED_PPM;
+        if !is_alike {
+            self.target = target;
+        }
     }
 
     /// Returns the home failure domain.
@@ -139,7 +155,8 @@
 
     /// Moves the position by at most one step.
     ///
-    /// Call it at least [`STEPS_PER_INTERVAL`] times per interval, or the shift takes longer.
+    /// Call it about [`STEPS_PER_INTERVAL`] times per interval. A late call moves more, up to two
+    /// regular steps; after a longer pause the shift takes longer.
     /// `are_receivers_cold` selects the lower cap.
     pub fn step(&mut self, are_receivers_cold: bool, now: Instant) -> RampStep {
         let allowed = self.allowed_step_ppm(are_receivers_cold, now);
@@ -159,7 +176,8 @@
             self.steps.pop_front();
         }
         let spacing_us = interval_us.div_ceil(STEPS_PER_INTERVAL);
-        if self.last_step.is_some_and(|at| now.since_us(at) < spacing_us) {
+        let passed_us = self.last_step.map_or(spacing_us, |at| now.since_us(at));
+        if passed_us < spacing_us - spacing_us / 4 {
             return 0;
         }
         let warm = self.policy.cap_percent.0;
@@ -167,7 +185,12 @@
         let cap_percent = if are_receivers_cold { cold } else { warm }.min(100);
         let cap_ppm = cap_percent as u32 * (ONE_PPM / 100);
         let used_ppm = self.steps.iter().fold(0u32, |sum, (_, moved)| sum.saturating_add(*moved));
-        (cap_ppm / STEPS_PER_INTERVAL as u32).min(cap_ppm.saturating_sub(used_ppm))
+        // A step as large as the time since the last one keeps the pace when calls come early or late.
+        let is_pause = passed_us > MAX_SPACINGS_PER_STEP * spacing_us;
+        let counted_us = if is_pause { spacing_us } else { passed_us };
+        let step_ppm =
+            u128::from(cap_ppm) * u128::from(counted_us) / u128::from(interval_us.max(1));
+        (step_ppm as u32).min(cap_ppm.saturating_sub(used_ppm))
     }
 
     /// Counts a request that arrived. Call it once per request, before [`Ramp::check_request`].
@@ -232,26 +255,40 @@
         if share == ONE_PPM {
             return Ok(());
         }
-        let (this, other) = match kind {
-            Kind::Request => (&self.requests, &self.lookups),
-            Kind::Lookup => (&self.lookups, &self.requests),
-        };
-        let sent = this.totals().sent_to(domain) + 1;
-        let fits = if domain == self.base() {
-            sent <= self.left_for_base(this.totals().all_arrived())
+        let sent = self.counts(kind).0.totals().sent_to(domain) + 1;
+        let allowed = if domain == self.base() {
+            self.allowed_at_base(kind, now)
         } else {
-            let others = (other.totals().sent_to(domain), other.sure_arrivals(now));
-            is_within((sent, this.sure_arrivals(now)), others, share)
+            self.allowed_at(domain, kind, now)
         };
-        if fits { Ok(()) } else { Err(StayReason::ShareUsed) }
+        if sent <= allowed { Ok(()) } else { Err(StayReason::ShareUsed) }
     }
 
-    /// Returns how many of `arrived` requests the others leave to the base after rounding down.
-    fn left_for_base(&self, arrived: u64) -> u64 {
+    /// Returns the counts of a kind of event and those of the other kind.
+    fn counts(&self, kind: Kind) -> (&Counts, &Counts) {
+        match kind {
+            Kind::Request => (&self.requests, &self.lookups),
+            Kind::Lookup => (&self.lookups, &self.requests),
+        }
+    }
+
+    /// Returns how many events of the interval may go to `domain`, which is not the base. What the
+    /// other kind of event has moved there counts against its share.
+    fn allowed_at(&self, domain: &FailureDomainName, kind: Kind, now: Instant) -> u64 {
+        let (this, other) = self.counts(kind);
+        let moved = (other.totals().sent_to(domain), other.sure_arrivals(now));
+        part_beside(this.sure_arrivals(now), self.share_ppm(domain), moved)
+    }
+
+    /// Returns what the arrivals of the interval leave to the base: all that the others may not get.
+    ///
+    /// It uses the others' own bounds. With looser ones a request could be too many everywhere.
+    fn allowed_at_base(&self, kind: Kind, now: Instant) -> u64 {
         let base = self.base();
         let away = self.position.iter().map(|(domain, _)| domain);
         let others = away.chain([&self.home]).filter(|domain| *domain != base);
-        arrived - others.map(|d| whole_part(arrived, self.share_ppm(d))).sum::<u64>()
+        let for_others = others.map(|d| self.allowed_at(d, kind, now)).sum::<u64>();
+        self.counts(kind).0.totals().all_arrived().saturating_sub(for_others)
     }
 
     /// Returns whether more urgent arrivals need what is left of the shares.
@@ -297,14 +334,16 @@
     (u128::from(count) * u128::from(share_ppm) / u128::from(ONE_PPM)) as u64
 }
 
-/// Returns whether two fractions (part, whole) add up to `share_ppm` at most, without rounding.
-fn is_within(this: (u64, u64), other: (u64, u64), share_ppm: u32) -> bool {
-    let [a, b, c, d] = [this.0, this.1, other.0, other.1].map(u128::from);
-    let (one, share) = (u128::from(ONE_PPM), u128::from(share_ppm));
-    if c == 0 {
-        return a * one <= b * share;
+/// Returns the largest part of `whole` that, together with the fraction `other` (part, whole), is at
+/// most `share_ppm`.
+fn part_beside(whole: u64, share_ppm: u32, other: (u64, u64)) -> u64 {
+    if other.0 == 0 {
+        return whole_part(whole, share_ppm);
     }
-    // The product is at most 2^20 times the square of the events of one interval, far below 2^128.
-    let d = d.max(1);
-    (a * d + c * b) * one <= b * d * share
+    // The products are at most 2^20 times the square of the events of one interval, far below 2^128.
+    let [whole, share, part, total] =
+        [whole, u64::from(share_ppm), other.0, other.1.max(1)].map(u128::from);
+    let one = u128::from(ONE_PPM);
+    let left = (share * total).saturating_sub(part * one);
+    (whole * left / (one * total)) as u64
 }
--- a/crates/coordination/tests/shift_cap.rs
+++ b/crates/coordination/tests/shift_cap.rs
@@ -248,6 +248,81 @@
     }
 }
 
+/// Guards against a shift that takes twice its time because each call comes a little late or early.
+#[gtest]
+fn late_and_early_calls_keep_the_pace() {
+    let mut ramp = new_ramp();
+    ramp.set_target(shares([1_000_000, 0, 0]));
+    let mut now_ms = 0;
+    for call in 0.. {
+        if ramp.step(false, ms(now_ms)).left_ppm == 0 {
+            break;
+        }
+        now_ms += if call % 2 == 0 { 95 } else { 112 };
+    }
+    // Ten intervals of 2,000 ms at a cap of 10 %, and a tenth for rounding.
+    expect_that!(now_ms, le(22_000));
+}
+
+/// Guards against a shift that spends its cap on changes of headroom between receivers.
+#[gtest]
+fn slightly_changed_headroom_moves_nothing() {
+    let mut ramp = Ramp::new(domain(DOMAINS[0]), shift_policy(100, 100, INTERVAL_MS));
+    ramp.set_target(shares([500_000, 500_000, 0]));
+    for call in 0..30 {
+        ramp.step(false, ms(call * INTERVAL_MS / 20));
+    }
+    for (target, moved) in [([550_000, 450_000, 0], 0), ([600_000, 400_000, 0], 50_000)] {
+        ramp.set_target(shares(target));
+        let step = ramp.step(false, ms(3 * INTERVAL_MS));
+        expect_that!(step.moved_ppm, eq(moved), "{target:?}");
+    }
+}
+
+/// Guards against traffic that stays at a lost home domain while receivers are balanced.
+#[gtest]
+fn domains_without_a_share_give_first() {
+    let mut position = shares([400_000, 0, 0]);
+    let moved = position.step_towards(&shares([100_000, 900_000, 0]), 500_000);
+    expect_that!(moved, eq(500_000));
+    expect_that!(position, eq(&shares([400_000, 500_000, 0])));
+    let mut position = shares([400_000, 300_000, 300_000]);
+    position.step_towards(&shares([100_000, 900_000, 0]), 200_000);
+    expect_that!(position, eq(&shares([400_000, 500_000, 100_000])));
+}
+
+/// Guards against requests that are refused although all receivers serve, because the receivers'
+/// bounds leave a gap between them.
+#[gtest]
+fn no_request_is_left_between_two_receivers() {
+    let mut ramp = Ramp::new(domain(DOMAINS[0]), shift_policy(100, 100, INTERVAL_MS));
+    ramp.set_target(shares([500_000, 500_000, 0]));
+    for call in 0..30 {
+        ramp.step(false, ms(call * INTERVAL_MS / 20));
+    }
+    let receivers = [domain(AWAY[0]), domain(AWAY[1])];
+    let mut refused = 0;
+    for number in 0..4_000 {
+        // Several arrivals in each slice of the counts, with lookups among them.
+        let now = ms(2 * INTERVAL_MS + number / 2);
+        if number % 50 == 0 {
+            ramp.lookup_arrived(now);
+            let _ = ramp.admit_lookup(&receivers[1], now);
+        }
+        ramp.arrive(Rank::Urgent, now);
+        let base = ramp.base().clone();
+        let other = receivers.iter().find(|d| **d != base).unwrap();
+        let domains = [other.clone(), base];
+        let mut taken =
+            domains.iter().filter(|d| ramp.check_request(d, Rank::Urgent, 0, now).is_ok());
+        match taken.next().cloned() {
+            Some(domain) => ramp.sent(&domain, Rank::Urgent, now),
+            None => refused += 1,
+        }
+    }
+    expect_that!(refused, eq(0));
+}
+
 /// Guards against a position that makes up for a pause in one go.
 #[gtest]
 fn pause_is_followed_by_single_steps() {
