Write log lines with key-value fields

Cause: log lines put their inputs into sentences, partly with `Debug`, so tests and operators had to cut numbers out of prose, and routing lines did not say which shares decided.

Ruled out: the default form of `env_logger` for fields. It does not quote, so an error text with spaces can look like other fields.

Change: each line has a fixed prefix, a short sentence and the inputs that decided as `log` key-values with units in their names. `route:` lines carry rank, reason, the share of the failure domain and the share of the failure domains that can't serve; refusals carry the position of the ramp and the waiting time. `Shares`, `RouteReason` and `NoCapacity` have `Display`. Values with spaces or quotes are quoted. The detail of a refusal for lack of capacity reads `shift-cap` instead of `ShiftCap`.

Tests: `logged_step` panics on a line of a step without its fields; before, it passed for no step. `wait_for_shift` and the sessions take only lines of steps with a share of the wanted failure domain. `changes_arrive_after_an_outage` counts all failed polls, not only those with one error text.

Before and after: shift: ledger of north-a moves 500 ppm at 3.000001s to Shares { .. }, .. shift: traffic moves service=ledger home=north-a at_us=3000001 moved_ppm=500 ..

--- a/crates/coordination/src/routing/router.rs
+++ b/crates/coordination/src/routing/router.rs
@@ -1,6 +1,6 @@
 //! Chooses the failure domain and the owner of a request.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, fmt};
 
 use pollenshed_state::{
     config::{Config, Drain, Rank, Service},
@@ -60,6 +60,10 @@
     pub link: Option<RegionName>,
     /// Why it goes there.
     pub reason: RouteReason,
+    /// Share of the service's traffic that may go to the failure domain, in parts per million.
+    pub share_ppm: u32,
+    /// Share of the failure domains that can't serve now, in parts per million.
+    pub lost_ppm: u32,
 }
 
 /// Why a request goes where it goes, for the log line.
@@ -73,6 +77,16 @@
     OtherRegion,
 }
 
+impl fmt::Display for RouteReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            RouteReason::Home => "home",
+            RouteReason::HomeRegion => "home-region",
+            RouteReason::OtherRegion => "other-region",
+        })
+    }
+}
+
 /// Why a request goes nowhere. It is refused as not run. Of several reasons the last one holds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum NoCapacity {
@@ -88,6 +102,18 @@
     LinkFull,
 }
 
+impl fmt::Display for NoCapacity {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            NoCapacity::NoBackendServer => "no-backend-server",
+            NoCapacity::ShiftCap => "shift-cap",
+            NoCapacity::KeptForUrgent => "kept-for-urgent",
+            NoCapacity::NoHeadroom => "no-headroom",
+            NoCapacity::LinkFull => "link-full",
+        })
+    }
+}
+
 /// Routes the requests of one entry.
 #[derive(Debug, Clone)]
 pub struct Router {
@@ -103,6 +129,7 @@
     incarnation: Incarnation,
     link: Option<RegionName>,
     reason: RouteReason,
+    lost_ppm: u32,
 }
 
 impl Router {
@@ -165,7 +192,7 @@
         }
         let owner = pick(&owners, request.random).ok_or(NoCapacity::NoHeadroom)?;
         let LiveEntry { instance, incarnation, .. } = owner.clone();
-        Ok(Choice { owner: instance, incarnation, link, reason })
+        Ok(Choice { owner: instance, incarnation, link, reason, lost_ppm })
     }
 
     fn take(
@@ -186,8 +213,9 @@
         if let Some(region) = &choice.link {
             self.links.spend(region, request.request_bytes, request.answer_bytes);
         }
-        let Choice { owner, incarnation, link, reason } = choice;
-        Target { failure_domain: domain.clone(), owner, incarnation, link, reason }
+        let Choice { owner, incarnation, link, reason, lost_ppm } = choice;
+        let (failure_domain, share_ppm) = (domain.clone(), ramp.share_ppm(domain));
+        Target { failure_domain, owner, incarnation, link, reason, share_ppm, lost_ppm }
     }
 
     fn distance(
--- a/crates/coordination/src/shift/position.rs
+++ b/crates/coordination/src/shift/position.rs
@@ -1,6 +1,6 @@
 //! Shares of traffic per failure domain, and moving from one set of shares to another.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, fmt};
 
 use pollenshed_state::ids::FailureDomainName;
 
@@ -13,6 +13,21 @@
     away: BTreeMap<FailureDomainName, u32>,
 }
 
+/// Writes the shares that leave the home failure domain as `NAME:PPM` with commas between, or `home`
+/// if everything stays.
+impl fmt::Display for Shares {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.away.is_empty() {
+            return f.write_str("home");
+        }
+        for (number, (domain, share)) in self.away.iter().enumerate() {
+            let comma = if number == 0 { "" } else { "," };
+            write!(f, "{comma}{domain}:{share}")?;
+        }
+        Ok(())
+    }
+}
+
 impl Shares {
     /// Everything stays in the home failure domain.
     pub fn home() -> Shares {
--- a/crates/pollenshed/src/entry/admission.rs
+++ b/crates/pollenshed/src/entry/admission.rs
@@ -28,7 +28,13 @@
         match lock(&shared.admission).admit(rank, held, now, fastrand::u64(..)) {
             Ok(()) => Ok(Admitted { shared: shared.clone(), rank, held }),
             Err(refused) => {
-                log::info!("entry: a request of rank {rank} refused ({})", refused.reason);
+                log::info!(
+                    rank:%,
+                    reason:% = refused.reason,
+                    held_bytes = held.0,
+                    retry_after_ms = refused.retry_after_ms;
+                    "entry: a request is refused"
+                );
                 let detail = "the entry holds as many requests of this rank as it may";
                 let status = StatusCode::SERVICE_UNAVAILABLE;
                 let mut answer = refusal(status, Outcome::NotRun, "entry-full", detail);
--- a/crates/pollenshed/src/entry/claims.rs
+++ b/crates/pollenshed/src/entry/claims.rs
@@ -123,7 +123,7 @@
     match put.await {
         Ok(Ok(claimed)) => Ok(claimed),
         Ok(Err(e)) => {
-            log::info!("entry: a claim failed: {e}");
+            log::info!(error:% = e; "entry: a claim failed");
             Err(wire::not_run_retry(NotRunReason::StoreUnavailable, 1_000, e.to_string()))
         }
         Err(e) => Err(wire::not_run(NotRunReason::StoreUnavailable, e.to_string())),
--- a/crates/pollenshed/src/entry/dispatch.rs
+++ b/crates/pollenshed/src/entry/dispatch.rs
@@ -6,6 +6,7 @@
 use pollenshed_coordination::{
     ownership::live_entries,
     routing::{NoCapacity, RouteRequest, RouteView, Target},
+    shift::Shares,
 };
 use pollenshed_protocol::peer::{
     AnswerReply, DispatchRequest, NotRunReason, UnknownReason, answer_reply,
@@ -118,11 +119,7 @@
             Err(reason) => reason,
         };
         if reason != Some(NoCapacity::NoBackendServer) || shared.clock.now() >= until {
-            log::info!(
-                "route: {} {} refused ({reason:?})",
-                work.request.service,
-                work.operation.rank
-            );
+            log_no_target(shared, work, reason, first_try);
             return Err(refusal(shared, reason));
         }
         // An owner that refused a moment ago may be ready now.
@@ -163,13 +160,39 @@
 
 fn log_target(work: &Classified, target: &Target) {
     log::info!(
-        "route: {} {} {} to {} of {} ({:?})",
-        work.request.service,
-        work.operation.rank,
-        work.request.method,
-        target.owner,
-        target.failure_domain,
-        target.reason
+        service = work.request.service,
+        rank:% = work.operation.rank,
+        method = work.request.method,
+        reason:% = target.reason,
+        owner:% = target.owner,
+        failure_domain:% = target.failure_domain,
+        share_ppm = target.share_ppm,
+        lost_ppm = target.lost_ppm;
+        "route: sent to an owner"
+    );
+}
+
+fn log_no_target(
+    shared: &Shared,
+    work: &Classified,
+    reason: Option<NoCapacity>,
+    first_try: Instant,
+) {
+    let position = match work.service() {
+        Some(service) => lock(&shared.routing).position_of(&service.name),
+        None => Shares::home(),
+    };
+    let now = shared.clock.now();
+    log::info!(
+        service = work.request.service,
+        rank:% = work.operation.rank,
+        method = work.request.method,
+        reason:% = reason.map_or("service-removed".to_owned(), |reason| reason.to_string()),
+        home:% = shared.settings.failure_domain,
+        position_ppm:% = position,
+        waited_us = now.since_us(first_try),
+        deadline_left_us = work.deadline.since_us(now);
+        "route: refused"
     );
 }
 
@@ -185,7 +208,7 @@
         Some(other) => wire::not_run_retry(
             NotRunReason::Overloaded,
             retry_after_ms,
-            format!("no capacity: {other:?}"),
+            format!("no capacity: {other}"),
         ),
     }
 }
--- a/crates/pollenshed/src/entry/heirs.rs
+++ b/crates/pollenshed/src/entry/heirs.rs
@@ -33,9 +33,10 @@
     for (heir, address) in heirs_of(shared, &shared.settings.instance) {
         let is_complete = send_all(shared, address, &recorded).await;
         log::info!(
-            "stop: {} tickets handed over to {heir}: {}",
-            recorded.len(),
-            if is_complete { "complete" } else { "failed" }
+            heir:%,
+            tickets = recorded.len(),
+            outcome = if is_complete { "complete" } else { "failed" };
+            "stop: ticket outcomes are handed over"
         );
     }
 }
--- a/crates/pollenshed/src/entry/routing.rs
+++ b/crates/pollenshed/src/entry/routing.rs
@@ -8,7 +8,7 @@
         Advertisement, Advertisements, LinkBudget, NoCapacity, RouteRequest, RouteView, Router,
         Target,
     },
-    shift::{ONE_PPM, Ramp},
+    shift::{ONE_PPM, Ramp, Shares},
 };
 use pollenshed_state::{
     config::{Config, Network, Rank, Service},
@@ -105,6 +105,11 @@
         self.router.choose(request, view, ramp, now)
     }
 
+    /// Returns where the traffic of a service may go, for log lines.
+    pub fn position_of(&self, service: &ServiceName) -> Shares {
+        self.ramps.get(service).map_or_else(Shares::home, |ramp| ramp.position().clone())
+    }
+
     /// Returns the advertisements that a peer was not sent yet.
     pub fn headroom_news(&mut self, peer: &InstanceName, now: Instant) -> Vec<Advertisement> {
         let sent = self.sent_to.entry(peer.clone()).or_default();
--- a/crates/pollenshed/src/entry/ticketed.rs
+++ b/crates/pollenshed/src/entry/ticketed.rs
@@ -121,10 +121,13 @@
         only_inherited: false,
     };
     log::info!(
-        "route: {} {} relayed to {}, which its ticket names",
-        work.request.service,
-        work.request.method,
-        ticket.binding.instance
+        service = work.request.service,
+        rank:% = work.operation.rank,
+        method = work.request.method,
+        reason = "ticket",
+        entry:% = ticket.binding.instance,
+        deadline_left_us = left_us;
+        "route: relayed to the entry that the ticket names"
     );
     let timeout = Duration::from_micros(left_us) + Duration::from_millis(WAIT_GRACE_MS);
     let mut client = shared.work_peers.work(address);
--- a/crates/pollenshed/src/entry/uploads/complete.rs
+++ b/crates/pollenshed/src/entry/uploads/complete.rs
@@ -170,7 +170,7 @@
         });
         let (holder, revision) = match claim.await? {
             Claim::Own => {
-                log::info!("upload: {id} is handed over under {ticket}");
+                log::info!(upload:% = id, ticket:%; "upload: handed over");
                 return Ok(from_reply(ticketed::run(shared, ticket, work).await));
             }
             Claim::Other { ticket, revision } => (ticket, revision),
--- a/crates/pollenshed/src/entry/uploads/open.rs
+++ b/crates/pollenshed/src/entry/uploads/open.rs
@@ -55,7 +55,7 @@
         let outcome = Outcome::NotRun;
         return Err(Box::new(refusal(StatusCode::CONFLICT, outcome, "ticket-conflict", detail)));
     }
-    log::info!("upload: {id} for {name} opened");
+    log::info!(service:% = name, upload:% = id; "upload: opened");
     let body = UploadOpened {
         upload: id.to_string(),
         max_part_bytes: MAX_PART_BYTES,
--- a/crates/pollenshed/src/gossip/config_fetch.rs
+++ b/crates/pollenshed/src/gossip/config_fetch.rs
@@ -27,13 +27,22 @@
     let version = ConfigVersion(fetched.version);
     match shared.config.offer(version, digest, fetched.document) {
         Ok(current) => {
-            log::info!("config: version {version} in force, from peer {}", sender.instance);
+            log::info!(
+                version:%,
+                digest:%,
+                source = "peer",
+                peer:% = sender.instance;
+                "config: a version is in force"
+            );
             super::update(shared, &current, shared.clock.now());
         }
         Err(rejected) if rejected.is_news() => {
             log::warn!(
-                "config: version {version} of peer {} not taken: {rejected}",
-                sender.instance
+                version:%,
+                source = "peer",
+                peer:% = sender.instance,
+                reason:% = rejected;
+                "config: a version of a peer is not taken"
             );
         }
         Err(_) => {}
--- a/crates/pollenshed/src/gossip/message.rs
+++ b/crates/pollenshed/src/gossip/message.rs
@@ -1,7 +1,10 @@
 //! Builds and takes in gossip messages.
 
 use pollenshed_coordination::{
-    limits::QuarantineEntry, membership::Exchange, ownership::live_entries, shift::Shares,
+    limits::QuarantineEntry,
+    membership::{Change, Exchange},
+    ownership::live_entries,
+    shift::Shares,
 };
 use pollenshed_protocol::peer::{ExchangeMessage, LeavingBackendServer, Quarantine, RampPosition};
 use pollenshed_state::{
@@ -64,13 +67,16 @@
 /// Takes over what a peer sent.
 pub fn merge(shared: &Shared, message: &ExchangeMessage) {
     let Some(exchange) = wire::exchange_from_wire(message) else {
-        log::warn!("gossip: dropped a message without a readable sender");
+        log::warn!(
+            sender = sender_name(message);
+            "gossip: dropped a message without a readable sender"
+        );
         return;
     };
     let now = shared.clock.now();
     let changes = lock(&shared.membership).merge(&exchange, now);
     for change in &changes {
-        log::info!("membership: {change:?}");
+        log_change(change);
     }
     if !changes.is_empty()
         && let Some(current) = shared.config.get()
@@ -94,6 +100,25 @@
     }
 }
 
+fn sender_name(message: &ExchangeMessage) -> &str {
+    message.sender.as_ref().map_or("", |sender| &sender.instance)
+}
+
+fn log_change(change: &Change) {
+    match change {
+        Change::Joined(instance) => log::info!(instance:%; "membership: a member joined"),
+        Change::Restarted(instance) => log::info!(instance:%; "membership: a member restarted"),
+        Change::Leaving(instance) => log::info!(instance:%; "membership: a member is leaving"),
+        Change::Revived(instance) => log::info!(instance:%; "membership: a member runs again"),
+        Change::OwnGenerationRaised(generation) => {
+            log::info!(generation; "membership: another process has the name of this instance");
+        }
+        Change::Superseded => {
+            log::info!("membership: another process with the name of this instance started later");
+        }
+    }
+}
+
 fn merge_headroom(shared: &Shared, message: &ExchangeMessage, now: Instant) {
     let adverts: Vec<_> = message.headroom.iter().filter_map(wire::headroom_from_wire).collect();
     let (entries, incarnations) = {
@@ -128,7 +153,14 @@
             && position != *ramp.position()
             && ramp.adopt(position, now)
         {
-            log::info!("shift: {service} takes the position of a peer: {:?}", ramp.position());
+            log::info!(
+                service:%,
+                home:% = ramp.home(),
+                at_us = now.as_us(),
+                position_ppm:% = ramp.position(),
+                peer = sender_name(message);
+                "shift: takes the position of a peer"
+            );
         }
     }
 }
--- a/crates/pollenshed/src/gossip/mod.rs
+++ b/crates/pollenshed/src/gossip/mod.rs
@@ -11,7 +11,11 @@
     ownership::{LiveEntry, live_entries},
 };
 use pollenshed_protocol::peer::ExchangeMessage;
-use pollenshed_state::{config::Config, ids::FailureDomainName, time::Instant};
+use pollenshed_state::{
+    config::Config,
+    ids::{BackendServerName, FailureDomainName},
+    time::Instant,
+};
 use tokio::time::MissedTickBehavior;
 
 pub use message::{answer, merge};
@@ -81,11 +85,19 @@
         fence.take_long_pause()
     };
     if was_long_pause {
-        log::warn!("placement: paused for so long that peers may have taken over; waits again");
+        log::warn!(
+            fence_after_ms = shared.settings.timing.fence_after_ms,
+            dead_after_ms = shared.settings.timing.dead_after_ms;
+            "placement: paused for so long that peers may have taken over; waits again"
+        );
         lock(&shared.ownership).wait_again(now);
     }
     if lock(&shared.membership).is_superseded() && !shared.is_leaving() {
-        log::error!("membership: a later process has the name of this instance; it stops");
+        log::error!(
+            instance:% = shared.settings.instance,
+            incarnation:% = shared.incarnation;
+            "membership: a later process has the name of this instance; it stops"
+        );
         shared.stop_requested.notify_one();
     }
     if let Some(current) = shared.config.get() {
@@ -129,17 +141,28 @@
     };
     for takeover in &change.gained {
         log::info!(
-            "placement: takes over {} from {}, dispatches from {}",
-            takeover.server,
-            takeover.previous.as_ref().map_or("nobody", |p| p.as_str()),
-            takeover.usable_at
+            backend_server:% = takeover.server,
+            previous_owner = takeover.previous.as_ref().map_or("none", |p| p.as_str()),
+            wait_us = takeover.usable_at.since_us(now),
+            live_entries = entries.len();
+            "placement: takes over a backend server"
         );
     }
     for server in &change.lost {
-        log::info!("placement: gives up {server}");
+        log::info!(
+            backend_server:% = server,
+            new_owner:% = owner_name(shared, server),
+            live_entries = entries.len();
+            "placement: gives up a backend server"
+        );
     }
 }
 
+fn owner_name(shared: &Shared, server: &BackendServerName) -> String {
+    let ownership = lock(&shared.ownership);
+    ownership.owner(server).map_or("none".to_owned(), |owner| owner.instance.to_string())
+}
+
 /// Counts the live entries that share the links of this region.
 fn entries_in_region(config: &Config, entries: &[LiveEntry], own: &FailureDomainName) -> u64 {
     let region = config.regions.iter().find(|r| r.failure_domains.contains(own));
--- a/crates/pollenshed/src/gossip/steering.rs
+++ b/crates/pollenshed/src/gossip/steering.rs
@@ -20,19 +20,29 @@
         let home = ramp.home().clone();
         let target = target_shares(config, service, &home, &health, home_ppm);
         if target != *ramp.target() {
-            log::debug!("shift: {} of {home} has target {target:?}", service.name);
+            log::debug!(
+                service:% = service.name,
+                home:%,
+                home_ppm,
+                target_ppm:% = target;
+                "shift: the target changes"
+            );
         }
         let is_cold = target.iter().any(|(domain, _)| is_cold(&health, domain));
         ramp.set_target(target);
         let step = ramp.step(is_cold, now);
         if step.moved_ppm > 0 {
             log::info!(
-                "shift: {} of {home} moves {} ppm at {now} to {:?}, {} ppm left, receivers {}",
-                service.name,
-                step.moved_ppm,
-                ramp.position(),
-                step.left_ppm,
-                if is_cold { "cold" } else { "warm" }
+                service:% = service.name,
+                home:%,
+                at_us = now.as_us(),
+                moved_ppm = step.moved_ppm,
+                left_ppm = step.left_ppm,
+                position_ppm:% = ramp.position(),
+                target_ppm:% = ramp.target(),
+                home_ppm,
+                receivers = if is_cold { "cold" } else { "warm" };
+                "shift: traffic moves"
             );
         }
     }
--- a/crates/pollenshed/src/instance/mod.rs
+++ b/crates/pollenshed/src/instance/mod.rs
@@ -70,14 +70,14 @@
         let edge = callers.block_on(entry::bind(shared.clone(), edge_listener))?;
         let operator_address = operators::serve(shared.clone())?;
         log::info!(
-            "instance: {} of {} runs as {}, callers {}, peers {}, relay {}, operators {}",
-            shared.settings.instance,
-            shared.settings.failure_domain,
-            shared.incarnation,
-            shared.settings.caller_address,
-            shared.settings.peer_address,
-            shared.settings.relay_address,
-            operator_address
+            instance:% = shared.settings.instance,
+            failure_domain:% = shared.settings.failure_domain,
+            incarnation:% = shared.incarnation,
+            caller_address:% = shared.settings.caller_address,
+            peer_address:% = shared.settings.peer_address,
+            relay_address:% = shared.settings.relay_address,
+            operator_address:%;
+            "instance: runs"
         );
         Ok(Instance { shared, edge, operator_address, callers, work, control })
     }
@@ -120,7 +120,9 @@
         let drained =
             self.callers.block_on(async { tokio::time::timeout(timeout, self.edge.drain()).await });
         if drained.is_err() {
-            log::warn!("stop: gives up on {} connections", self.edge.open_connections());
+            let stop_timeout_ms = self.shared.settings.timing.stop_timeout_ms;
+            let connections = self.edge.open_connections();
+            log::warn!(connections, stop_timeout_ms; "stop: gives up on callers' connections");
         }
         self.control.block_on(stop::finish(&self.shared, began));
         self.kill();
--- a/crates/pollenshed/src/instance/operators.rs
+++ b/crates/pollenshed/src/instance/operators.rs
@@ -35,7 +35,7 @@
         ("GET", "/v1/config") => config(shared),
         ("GET", "/v1/explain") => explain_service(shared, request),
         ("POST", "/v1/drain") => {
-            log::info!("stop: asked for by an operator");
+            log::info!(source = "operator"; "stop: a stop was asked for");
             shared.stop_requested.notify_one();
             Response::json(&status(shared))
         }
--- a/crates/pollenshed/src/instance/servers.rs
+++ b/crates/pollenshed/src/instance/servers.rs
@@ -32,7 +32,7 @@
     let incoming = TcpListenerStream::new(listener);
     let served = Server::builder().tcp_nodelay(true).add_service(service);
     if let Err(e) = served.serve_with_incoming(incoming).await {
-        log::error!("instance: work port failed: {e}");
+        log::error!(port = "work", error:% = e; "instance: a port failed");
     }
 }
 
@@ -44,7 +44,7 @@
     let incoming = TcpListenerStream::new(listener);
     let served = Server::builder().tcp_nodelay(true).add_service(service);
     if let Err(e) = served.serve_with_incoming(incoming).await {
-        log::error!("instance: control port failed: {e}");
+        log::error!(port = "control", error:% = e; "instance: a port failed");
     }
 }
 
--- a/crates/pollenshed/src/instance/shared.rs
+++ b/crates/pollenshed/src/instance/shared.rs
@@ -144,7 +144,7 @@
             leaving_backend_servers: Mutex::default(),
             stop_requested: Notify::new(),
             metrics: metrics::open(settings.metrics_address).unwrap_or_else(|e| {
-                log::warn!("instance: metrics are not sent: {e}");
+                log::warn!(error:% = e; "instance: metrics are not sent");
                 Metrics::default()
             }),
             admission: Mutex::new(EntryAdmission::new(
--- a/crates/pollenshed/src/instance/stop.rs
+++ b/crates/pollenshed/src/instance/stop.rs
@@ -15,7 +15,7 @@
 /// The owner stops before peers hear of it, so that no backend server has two owners.
 pub async fn leave(shared: &Arc<Shared>) {
     let began = shared.clock.now();
-    log::info!("stop: begins with {} requests at backend servers", shared.owner.running(began));
+    log::info!(running = shared.owner.running(began); "stop: begins");
     shared.owner.stop(began);
     shared.set_leaving();
     gossip::tell(shared, gossip::MAX_URGENT_PEERS).await;
@@ -34,11 +34,12 @@
             break;
         }
         if now >= until {
-            log::warn!("stop: gives up on {running} requests at backend servers");
+            let stop_timeout_ms = shared.settings.timing.stop_timeout_ms;
+            log::warn!(running, stop_timeout_ms; "stop: gives up on requests at backend servers");
             break;
         }
         tokio::time::sleep(LOOK_PERIOD).await;
     }
     entry::hand_over(shared).await;
-    log::info!("stop: ends after {} ms", shared.clock.now().since_ms(began));
+    log::info!(took_ms = shared.clock.now().since_ms(began); "stop: ends");
 }
--- a/crates/pollenshed/src/lookup/mod.rs
+++ b/crates/pollenshed/src/lookup/mod.rs
@@ -5,6 +5,7 @@
 use pollenshed_coordination::{
     ownership::live_entries,
     routing::{lookup_domain, rank_entries},
+    shift::ONE_PPM,
 };
 use pollenshed_protocol::caller::{LookupAnswer, LookupEntry};
 use pollenshed_state::{
@@ -41,7 +42,7 @@
         return Err(NoAnswer::UnknownService);
     }
     let now = shared.clock.now();
-    let first_domain = first_domain(shared, &current.config, service, now);
+    let (first_domain, share_ppm) = first_domain(shared, &current.config, service, now);
     let client_key = client.to_string();
     let ranked = {
         let membership = lock(&shared.membership);
@@ -56,10 +57,15 @@
     };
     shared.metrics.count(Counter::Lookups, 1);
     log::info!(
-        "lookup: {service} for {client}: {} of {}, first of {}",
-        first.instance,
-        first.failure_domain,
-        ranked.len()
+        service:%,
+        client:%,
+        home:% = shared.settings.failure_domain,
+        failure_domain:% = first_domain,
+        share_ppm,
+        first_instance:% = first.instance,
+        first_failure_domain:% = first.failure_domain,
+        entries = ranked.len();
+        "lookup: entries are named"
     );
     let entries = ranked
         .iter()
@@ -77,7 +83,8 @@
     })
 }
 
-/// Returns the failure domain whose entries come first, as the ramp of the service allows.
+/// Returns the failure domain whose entries come first, as the ramp of the service allows, and its
+/// share of the traffic in parts per million.
 ///
 /// Callers cache the answer, so it moves traffic and counts against the cap of a shift. If no share
 /// is left, the entry's own failure domain comes first; that refuses nobody a lookup.
@@ -86,13 +93,17 @@
     config: &Config,
     service: &ServiceName,
     now: Instant,
-) -> FailureDomainName {
+) -> (FailureDomainName, u32) {
     let home = shared.settings.failure_domain.clone();
     let with_entries: BTreeSet<_> = {
         let membership = lock(&shared.membership);
         live_entries(&membership, now).into_iter().map(|e| e.failure_domain).collect()
     };
     let mut routing = lock(&shared.routing);
-    let Some(ramp) = routing.ramps.get_mut(service) else { return home };
-    lookup_domain(config, ramp, |d| with_entries.contains(d), now).unwrap_or(home)
+    let Some(ramp) = routing.ramps.get_mut(service) else {
+        return (home, ONE_PPM);
+    };
+    let domain = lookup_domain(config, ramp, |d| with_entries.contains(d), now).unwrap_or(home);
+    let share_ppm = ramp.share_ppm(&domain);
+    (domain, share_ppm)
 }
--- a/crates/pollenshed/src/owner/dispatch.rs
+++ b/crates/pollenshed/src/owner/dispatch.rs
@@ -30,6 +30,7 @@
 pub(super) struct Attempt {
     pub(super) id: String,
     pub(super) idempotent: bool,
+    pub(super) arrived: Instant,
     pub(super) deadline: Instant,
     pub(super) max_answer_bytes: u64,
     pub(super) content: Digest,
@@ -37,6 +38,13 @@
     pub(super) request: DispatchRequest,
 }
 
+impl Attempt {
+    /// Returns the name of the service, for log lines.
+    pub(super) fn service(&self) -> &str {
+        self.request.request.as_ref().map_or("", |request| &request.service)
+    }
+}
+
 /// Runs one attempt at a backend server that this instance owns.
 pub async fn dispatch(shared: &Arc<Shared>, request: DispatchRequest) -> AnswerReply {
     let (attempt, work) = match read(shared, request) {
@@ -120,6 +128,7 @@
     let attempt = Attempt {
         id: request.attempt_id.clone(),
         idempotent: operation.idempotent,
+        arrived: now,
         deadline,
         max_answer_bytes: service.max_answer_bytes.0,
         content,
@@ -181,7 +190,7 @@
             return wire::not_run(NotRunReason::Stopping, "the owner is stopping");
         }
         if let Submitted::Refused(refusal) = state.scheduler.submit(work, now, fastrand::u64(..)) {
-            log::info!("dispatch: {id} refused at once ({})", refusal.reason);
+            log_refusal("dispatch: refused at once", shared, &attempt, &refusal);
             if refusal.reason == RefusalReason::Quarantined {
                 shared.metrics.count(Counter::Quarantined, 1);
             }
@@ -193,7 +202,7 @@
     take_turn(shared, now);
     match ticket.wait().await {
         Some(Grant::Refused(refusal)) => {
-            log::info!("dispatch: {id} refused in the queue ({})", refusal.reason);
+            log_refusal("dispatch: refused in the queue", shared, &attempt, &refusal);
             refused(&refusal)
         }
         Some(Grant::Server(server)) => {
@@ -205,6 +214,20 @@
     }
 }
 
+fn log_refusal(text: &str, shared: &Shared, attempt: &Attempt, refusal: &Refusal) {
+    let now = shared.clock.now();
+    log::info!(
+        service = attempt.service(),
+        rank:% = attempt.rank,
+        attempt = attempt.id,
+        reason:% = refusal.reason,
+        waited_us = now.since_us(attempt.arrived),
+        deadline_left_us = attempt.deadline.since_us(now),
+        retry_after_ms = refusal.retry_after_ms;
+        "{text}"
+    );
+}
+
 /// A request in the queue. Dropping it, as when the caller goes away, removes it from there.
 struct Queued<'a> {
     shared: &'a Shared,
--- a/crates/pollenshed/src/owner/probe.rs
+++ b/crates/pollenshed/src/owner/probe.rs
@@ -68,7 +68,11 @@
     let now = shared.clock.now();
     if is_ok {
         if *count >= MAX_FAILED_PROBES {
-            log::info!("health: {} answers again", server.name);
+            log::info!(
+                backend_server:% = server.name,
+                failed_probes = *count;
+                "health: the backend server answers again"
+            );
         }
         *count = 0;
         let mut state = lock(&shared.owner.state);
@@ -79,7 +83,11 @@
     }
     *count = count.saturating_add(1);
     if *count == MAX_FAILED_PROBES {
-        log::warn!("health: {} failed {MAX_FAILED_PROBES} probes and gets no work", server.name);
+        log::warn!(
+            backend_server:% = server.name,
+            failed_probes = *count;
+            "health: the backend server fails probes and gets no work"
+        );
         let mut state = lock(&shared.owner.state);
         state.scheduler.set_down(&server.name);
         // The drain has ended with the process.
--- a/crates/pollenshed/src/owner/send.rs
+++ b/crates/pollenshed/src/owner/send.rs
@@ -7,6 +7,7 @@
 use pollenshed_state::{
     config::BackendServer,
     ids::{BackendServerName, Digest},
+    time::Instant,
 };
 use pollenshed_transport::{
     backend::{BackendOutcome, BackendRequest},
@@ -56,7 +57,7 @@
     let Some(request) = &attempt.request.request else {
         return BackendOutcome::ConnectFailed("the dispatch carries no request".to_owned());
     };
-    log::info!("dispatch: {} {} ({id}) to {}", request.service, attempt.id, server.name);
+    log_start(attempt, id, server, began);
     let send = BackendRequest {
         address: server.address,
         request,
@@ -71,6 +72,19 @@
     outcome
 }
 
+fn log_start(attempt: &Attempt, id: WorkId, server: &BackendServer, began: Instant) {
+    log::info!(
+        service = attempt.service(),
+        rank:% = attempt.rank,
+        attempt = attempt.id,
+        work_id = id.0,
+        backend_server:% = server.name,
+        waited_us = began.since_us(attempt.arrived),
+        deadline_left_us = attempt.deadline.since_us(began);
+        "dispatch: sent to a backend server"
+    );
+}
+
 fn report(
     shared: &Shared,
     attempt: &Attempt,
@@ -131,22 +145,42 @@
     outcome: &BackendOutcome,
     latency_us: u64,
 ) {
+    let (id, backend_server) = (&attempt.id, &server.name);
     match outcome {
         BackendOutcome::Answered { answer, .. } => {
-            log::debug!("dispatch: {} answered {} in {latency_us} us", attempt.id, answer.status);
+            let status = answer.status;
+            log::debug!(attempt = id, backend_server:%, status, latency_us; "dispatch: answered");
         }
-        BackendOutcome::Shed { .. } => log::info!("dispatch: {} shed {}", server.name, attempt.id),
-        BackendOutcome::ConnectionLost(e) => {
-            log::warn!("dispatch: {} lost {} with content {content}: {e}", server.name, attempt.id);
+        BackendOutcome::Shed { draining } => {
+            log::info!(attempt = id, backend_server:%, draining, latency_us; "dispatch: shed");
+        }
+        BackendOutcome::ConnectionLost(error) => log::warn!(
+            attempt = id, backend_server:%, content:%, latency_us, error;
+            "dispatch: the connection to the backend server was lost"
+        ),
+        BackendOutcome::ConnectFailed(error) => log::warn!(
+            attempt = id, backend_server:%, latency_us, error;
+            "dispatch: no connection to the backend server"
+        ),
+        BackendOutcome::BodyUnavailable(error) => log::warn!(
+            attempt = id, backend_server:%, latency_us, error;
+            "dispatch: the body of the request could not be read"
+        ),
+        BackendOutcome::TimedOut => {
+            log::warn!(attempt = id, backend_server:%, latency_us; "dispatch: timed out");
         }
-        other => log::warn!("dispatch: {} at {}: {other:?}", attempt.id, server.name),
+        BackendOutcome::AnswerTooLarge => log::warn!(
+            attempt = id, backend_server:%, latency_us, max_answer_bytes = attempt.max_answer_bytes;
+            "dispatch: the answer is too large"
+        ),
     }
 }
 
 /// Tells the server that nobody waits any more. A failure changes nothing: the slot stays counted.
 fn cancel(shared: &Shared, server: &BackendServer, request_id: &str) {
     if let Err(e) = shared.backend.cancel(server.address, request_id) {
-        log::debug!("dispatch: cancel of {request_id} at {} failed: {e}", server.name);
+        let backend_server = &server.name;
+        log::debug!(attempt = request_id, backend_server:%, error:% = e; "dispatch: cancel failed");
     }
 }
 
--- a/crates/pollenshed/src/reader/mod.rs
+++ b/crates/pollenshed/src/reader/mod.rs
@@ -31,7 +31,7 @@
         tokio::time::sleep(Duration::from_millis(gap_ms)).await;
         let now = shared.clock.now();
         let plan = poll_plan(&lock(&shared.membership), now, fastrand::u64(..));
-        log_plan(&mut last_plan, plan);
+        log_plan(&shared, &mut last_plan, plan);
         if plan.polls() {
             // A drawn member of a large fleet leaves the long list to the chosen readers.
             let is_list_short = list_gap_ms <= period_ms;
@@ -55,11 +55,12 @@
     }
 }
 
-fn log_plan(last: &mut PollPlan, plan: PollPlan) {
+fn log_plan(shared: &Shared, last: &mut PollPlan, plan: PollPlan) {
     let is_reader = plan == PollPlan::Reader;
     if is_reader != (*last == PollPlan::Reader) {
+        let failure_domain = &shared.settings.failure_domain;
         let word = if is_reader { "polls" } else { "no longer polls" };
-        log::info!("reader: {word} the platform for its failure domain");
+        log::info!(failure_domain:%; "reader: {word} the platform");
     }
     *last = plan;
 }
@@ -67,7 +68,12 @@
 fn log_failure(shared: &Shared, failures: u32, error: &PlatformError) {
     if failures.is_multiple_of(FAILURES_PER_LOG_LINE) {
         let version = shared.config.version();
-        log::warn!("reader: {error}; goes on with configuration {version}");
+        log::warn!(
+            version:%,
+            failures,
+            error:%;
+            "reader: a poll of the platform failed; the version stays in force"
+        );
     }
 }
 
@@ -98,7 +104,7 @@
     };
     match shared.config.offer(version, digest, Bytes::from(document)) {
         Ok(current) => {
-            log::info!("config: version {version} in force, from the store");
+            log::info!(version:%, digest:%, source = "store"; "config: a version is in force");
             gossip::update(shared, &current, shared.clock.now());
         }
         Err(rejected) => log_rejected(version, &rejected),
@@ -108,6 +114,11 @@
 
 fn log_rejected(version: pollenshed_state::ids::ConfigVersion, rejected: &Rejected) {
     if rejected.is_news() {
-        log::warn!("config: version {version} of the store is not obeyed: {rejected}");
+        log::warn!(
+            version:%,
+            source = "store",
+            reason:% = rejected;
+            "config: a version of the store is not obeyed"
+        );
     }
 }
--- a/crates/pollenshed/tests/sessions.rs
+++ b/crates/pollenshed/tests/sessions.rs
@@ -119,12 +119,12 @@
         writeln!(self.text, "{line}").unwrap();
     }
 
-    /// Waits for a log line of an instance that has all `parts`.
-    fn wait_for_log(&self, instance: &str, parts: &[&str]) -> String {
+    /// Waits for a log line of an instance.
+    fn wait_for_log(&self, instance: &str, is_wanted: impl Fn(&str) -> bool) -> String {
         let path = self.fleet.workdir.path.join(format!("{instance}.log"));
         wait_for("a log line", || {
             let text = fs::read_to_string(&path).unwrap();
-            text.lines().find(|line| parts.iter().all(|p| line.contains(p))).map(str::to_owned)
+            text.lines().find(|line| is_wanted(line)).map(str::to_owned)
         })
     }
 }
@@ -235,11 +235,17 @@
     let at = format!("{}-1", plan.domain);
     let (service, path) = plan.reads[1];
     session.send("read right after the drain", &at, get(&format!("/v1/run/{service}{path}")));
-    let moves = format!("shift: {service} of {} moves ", plan.domain);
     // On a busy machine headroom can lapse for a moment, and the first step goes farther away.
     let neighbour = plan.domain.replace("-a", "-b");
-    session.wait_for_log(&at, &["INFO", &moves, &format!("FailureDomainName(\"{neighbour}\")")]);
-    session.note(&format!("log of {at}: {moves}[part] to {neighbour}"));
+    let line = session.wait_for_log(&at, |line| {
+        line.contains("INFO")
+            && deployment::is_step_to(line, service, &neighbour)
+            && deployment::log_field(line, "home") == Some(plan.domain)
+    });
+    let service = deployment::log_field(&line, "service").unwrap();
+    let home = deployment::log_field(&line, "home").unwrap();
+    let step = deployment::SHIFT_STEP;
+    session.note(&format!("log of {at}: {step} service={service} home={home} to {neighbour}"));
 }
 
 fn run(plan: &Plan) -> String {
--- a/crates/pollenshed/tests/steering.rs
+++ b/crates/pollenshed/tests/steering.rs
@@ -220,10 +220,9 @@
 
 /// Waits until an entry has moved a part of its traffic to another failure domain.
 fn wait_for_shift(fleet: &Fleet, instance: &str, to: &str) {
-    let part = format!("FailureDomainName(\"{to}\")");
     wait_for("a step of the shift", || {
         let log = log_of(fleet, instance);
-        log.lines().any(|l| l.contains("shift: ledger") && l.contains(&part)).then_some(())
+        log.lines().any(|l| deployment::is_step_to(l, "ledger", to)).then_some(())
     });
 }
 
--- a/crates/pollenshed/tests/store_outage.rs
+++ b/crates/pollenshed/tests/store_outage.rs
@@ -87,7 +87,7 @@
     let outcome = fleet.submit_with_floor(&config, 0);
     expect_that!(outcome, eq(&Outcome::Accepted { version: ConfigVersion(2) }));
     fleet.wait_for_versions(&[2, 2]);
-    expect_that!(fleet.log_lines("north-a-1", "reader: platform is not available"), le(2));
+    expect_that!(fleet.log_lines("north-a-1", "reader: a poll of the platform failed"), le(2));
 }
 
 /// Guards against a head that names a missing document and stops the instances, or is obeyed.
--- a/crates/pollenshed/tests/support/deployment.rs
+++ b/crates/pollenshed/tests/support/deployment.rs
@@ -129,6 +129,9 @@
     Some(answer.headers().get(BACKEND_SERVER_HEADER)?.to_str().ok()?.to_owned())
 }
 
+/// Text of the log line of a ramp's step.
+pub const SHIFT_STEP: &str = "shift: traffic moves";
+
 /// Returns the largest sum of steps that a ramp took in any interval, in parts per million, from an
 /// instance's log.
 ///
@@ -145,12 +148,27 @@
     (0..steps.len()).map(sum_from).max().unwrap_or(0)
 }
 
-/// Reads the time in microseconds and the size of a step from a log line.
+/// Reads the time in microseconds and the size of a step from a log line. A line of a step without
+/// these fields panics, because it would pass for no step.
 fn logged_step(line: &str, service: &str) -> Option<(u64, u64)> {
-    let (_, rest) = line.split_once(&format!("shift: {service} of "))?;
-    let (_, rest) = rest.split_once(" moves ")?;
-    let (ppm, rest) = rest.split_once(" ppm at ")?;
-    let (seconds, us) = rest.split_once('s')?.0.split_once('.')?;
-    let (seconds, us): (u64, u64) = (seconds.parse().ok()?, us.parse().ok()?);
-    Some((seconds * 1_000_000 + us, ppm.parse().ok()?))
+    if !line.contains(SHIFT_STEP) || log_field(line, "service") != Some(service) {
+        return None;
+    }
+    let number = |key| log_field(line, key).and_then(|value| value.parse().ok());
+    let step = number("at_us").zip(number("moved_ppm"));
+    Some(step.unwrap_or_else(|| panic!("a step without its fields: {line}")))
+}
+
+/// Returns the value of a key-value field of a log line. It must be one without spaces.
+pub fn log_field<'a>(line: &'a str, key: &str) -> Option<&'a str> {
+    line.split_whitespace().find_map(|word| word.strip_prefix(key)?.strip_prefix('='))
+}
+
+/// Tells whether a log line is that of a step of a ramp to shares among which is one of `domain`.
+pub fn is_step_to(line: &str, service: &str, domain: &str) -> bool {
+    let position = log_field(line, "position_ppm").unwrap_or_default();
+    let mut parts = position.split(',').filter_map(|part| part.split_once(':'));
+    line.contains(SHIFT_STEP)
+        && log_field(line, "service") == Some(service)
+        && parts.any(|(name, _)| name == domain)
 }
--- a/crates/pollenshedctl/src/submission.rs
+++ b/crates/pollenshedctl/src/submission.rs
@@ -120,7 +120,9 @@
         let mut report = Report::new("lost_race", winner.as_ref().map_or(0, |w| w.version.0));
         match winner.map(|w| self.read_config(&w)) {
             Some(Ok(theirs)) => report.changes = theirs.diff(ours),
-            Some(Err(e)) => log::warn!("cannot compare with the winning configuration: {e:#}"),
+            Some(Err(e)) => {
+                log::warn!(error:% = format!("{e:#}"); "submit: cannot compare with the winner");
+            }
             None => {}
         }
         report
--- a/crates/transport/src/logs/mod.rs
+++ b/crates/transport/src/logs/mod.rs
@@ -5,8 +5,9 @@
 //! that log go on. The count is logged as soon as writing goes on.
 //!
 //! `RUST_LOG` sets the levels; without it, the level is `info`. Key-value fields of a record follow
-//! its text.
+//! its text as `key=value`; a value with spaces or quotes is quoted.
 
+mod fields;
 mod queue;
 
 use std::{
@@ -46,6 +47,7 @@
 pub fn logger(queue: &LineQueue) -> Logger {
     Builder::from_env(Env::default().default_filter_or(DEFAULT_LEVEL))
         .format_timestamp_millis()
+        .format_key_values(|formatter, fields| fields::write(formatter, fields))
         .target(Target::Pipe(Box::new(queue.clone())))
         .build()
 }
--- a/crates/transport/src/platform/submit.rs
+++ b/crates/transport/src/platform/submit.rs
@@ -59,7 +59,7 @@
                 .map(|written| if written { Reply::HeadWritten } else { Reply::HeadRefused }),
         };
         let reply = reply.unwrap_or_else(|e| {
-            log::info!("submit: {e}");
+            log::info!(error:% = e; "submit: a step failed and is tried again");
             thread::sleep(RETRY_PAUSE);
             Reply::Failed
         });
--- a/crates/transport/tests/logs.rs
+++ b/crates/transport/tests/logs.rs
@@ -41,13 +41,15 @@
     expect_that!(reported, eq(dropped));
 }
 
-/// Guards against fields of a record that are left out of its line.
+/// Guards against fields of a record that are left out of its line, and against values that look
+/// like other fields.
 #[gtest]
 fn key_value_fields_are_written() {
     let (sink, reader) = UnixStream::pair().unwrap();
     reader.set_read_timeout(Some(PATIENCE)).unwrap();
     let queue = LineQueue::spawn(sink, 16).unwrap();
-    let fields = [("service", "tavole"), ("rank", "urgent")];
+    let fields =
+        [("service", "tavole"), ("rank", "urgent"), ("error", "no \"rank=x\""), ("peer", "")];
     let record = Record::builder()
         .args(format_args!("route: chosen"))
         .level(Level::Error)
@@ -59,7 +61,8 @@
     BufReader::new(reader).read_line(&mut line).unwrap();
     expect_that!(line, contains_substring("route: chosen"));
     expect_that!(line, contains_substring("service=tavole"));
-    expect_that!(line, contains_substring("rank=urgent"));
+    expect_that!(line, contains_substring(" rank=urgent "));
+    expect_that!(line, contains_substring(r#" error="no \"rank=x\"" peer="""#));
     expect_that!(line, ends_with("\n"));
 }
 
