Print findings of `pollenshed check` as JSON

Ruled out: a second form with `line` and `column` next to `path`. Two forms for the same findings would need two readers.

Both serialize `pollenshed_state::check::Reports`, so the forms can't drift apart. Lines go through the writer that bears a closed output, so that a reader that stops early does not change the exit code.

Before and after: the output without `--json` and the exit codes 0 to 3 are the same; a test runs each code with and without `--json` and with nobody reading.

--- a/crates/pollenshed/src/cmd/check.rs
+++ b/crates/pollenshed/src/cmd/check.rs
@@ -1,13 +1,18 @@
 use std::{fs, process::ExitCode};
 
-use clap::{Arg, ArgMatches, Command};
-use pollenshed_state::check;
+use clap::{Arg, ArgAction, ArgMatches, Command};
+use pollenshed_state::check::{self, Reports};
 
-use super::{EXIT_FAILED, EXIT_REFUSED, fail};
+use super::{EXIT_FAILED, EXIT_REFUSED, fail, say};
 
 const EXAMPLE: &str = "\
 Example:
     pollenshed check /etc/pollenshed/palermo-a-1.jsonc cali.json
+    pollenshed check --json cali.json
+
+With --json the output is one object, as that of pollenshedctl check --json:
+    {\"files\": [{\"file\", \"kind\", \"digest\", \"findings\": [{\"file\",
+      \"position\": {\"line\", \"column\"}, \"path\", \"message\", \"expected\"}]}]}
 
 Exit codes:
     0  all files are accepted
@@ -24,6 +29,12 @@
              each line, as file:line:column: field: what is wrong; expected what is accepted.",
         )
         .after_help(EXAMPLE)
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .action(ArgAction::SetTrue)
+                .help("Prints one JSON object for scripts instead of lines"),
+        )
         .arg(Arg::new("FILE").required(true).num_args(1..).help("Settings or configuration"))
 }
 
@@ -38,13 +49,20 @@
             Err(e) => return fail(EXIT_FAILED, format!("cannot read {name}: {e}")),
         }
     }
-    let reports = check::files(&files);
-    for report in &reports {
-        println!("{report}");
+    let reports = Reports { files: check::files(&files) };
+    if let Err(e) = print(&reports, args.get_flag("json")) {
+        return fail(EXIT_FAILED, format!("cannot print the findings: {e}"));
     }
-    if reports.iter().all(|report| report.findings.is_empty()) {
-        ExitCode::SUCCESS
+    if reports.are_accepted() { ExitCode::SUCCESS } else { ExitCode::from(EXIT_REFUSED) }
+}
+
+fn print(reports: &Reports, as_json: bool) -> serde_json::Result<()> {
+    if as_json {
+        say(format_args!("{}", serde_json::to_string_pretty(reports)?));
     } else {
-        ExitCode::from(EXIT_REFUSED)
+        for report in &reports.files {
+            say(format_args!("{report}"));
+        }
     }
+    Ok(())
 }
--- a/crates/pollenshed/src/cmd/mod.rs
+++ b/crates/pollenshed/src/cmd/mod.rs
@@ -23,8 +23,8 @@
     ExitCode::from(code)
 }
 
-/// Prints a line to standard output. A reader that has closed it must not end the daemon, as
-/// `println!` would.
+/// Prints a line to standard output. A reader that has closed it must not end the daemon or change
+/// an exit code, as `println!` would.
 fn say(line: fmt::Arguments<'_>) {
     let _ = writeln!(io::stdout().lock(), "{line}");
 }
--- a/crates/pollenshed/tests/commands.rs
+++ b/crates/pollenshed/tests/commands.rs
@@ -11,7 +11,8 @@
 
 mod support;
 
-use support::Workdir;
+use serde_json::json;
+use support::{Workdir, deployment};
 
 const SETTINGS: &str = r#"{
   // An unknown unit and a missing field.
@@ -48,6 +49,74 @@
     }
 }
 
+fn check_as_json(dir: &Workdir, files: &[&str]) -> (Option<i32>, serde_json::Value) {
+    let output = Command::new(env!("CARGO_BIN_EXE_pollenshed"))
+        .args(["check", "--json"])
+        .args(files)
+        .current_dir(&dir.path)
+        .output()
+        .unwrap();
+    (output.status.code(), serde_json::from_slice(&output.stdout).unwrap())
+}
+
+/// Guards against findings that a script can't follow to their place, and against another form than
+/// that of `pollenshedctl check --json`.
+#[gtest]
+fn findings_are_printed_as_json() {
+    let dir = Workdir::create();
+    std::fs::write(dir.path.join("entry.jsonc"), SETTINGS).unwrap();
+    let good = deployment::golden_config("cali").to_string();
+    std::fs::write(dir.path.join("cali.json"), &good).unwrap();
+    let (code, reports) = check_as_json(&dir, &["entry.jsonc", "cali.json"]);
+    expect_that!(code, some(eq(3)));
+    let digest = reports["files"][1]["digest"].as_str().unwrap();
+    expect_that!(digest, starts_with("sha256:"));
+    let expected = json!({ "files": [
+        { "file": "entry.jsonc", "kind": "settings", "digest": null, "findings": [
+            { "file": "entry.jsonc", "position": { "line": 1, "column": 1 },
+              "path": "platform_address", "message": "missing field",
+              "expected": "a value for `platform_address`" },
+            { "file": "entry.jsonc", "position": { "line": 9, "column": 15 },
+              "path": "timing.lookup_ttl_s", "message": "wrong unit in the field's name",
+              "expected": "`lookup_ttl_ms` in milliseconds" },
+        ] },
+        { "file": "cali.json", "kind": "configuration", "digest": digest, "findings": [] },
+    ] });
+    expect_that!(reports, eq(&expected));
+}
+
+/// Guards against exit codes that depend on the form of the output or on who reads it.
+#[gtest]
+fn exit_codes_are_the_same_with_json() {
+    let dir = Workdir::create();
+    std::fs::write(dir.path.join("entry.jsonc"), SETTINGS).unwrap();
+    let good = deployment::golden_config("cali").to_string();
+    std::fs::write(dir.path.join("cali.json"), good).unwrap();
+    for (file, expected) in
+        [("cali.json", 0), ("missing.json", 1), ("--none", 2), ("entry.jsonc", 3)]
+    {
+        for args in [vec!["check", file], vec!["check", "--json", file]] {
+            expect_that!(pollenshed(&args, &dir).0, some(eq(expected)), "{args:?}");
+            expect_that!(code_without_reader(&args, &dir), some(eq(expected)), "{args:?}");
+        }
+    }
+}
+
+/// Runs a command whose standard output nobody reads.
+fn code_without_reader(args: &[&str], dir: &Workdir) -> Option<i32> {
+    let (reader, writer) = std::io::pipe().unwrap();
+    drop(reader);
+    Command::new(env!("CARGO_BIN_EXE_pollenshed"))
+        .args(args)
+        .current_dir(&dir.path)
+        .stdin(Stdio::null())
+        .stdout(writer)
+        .stderr(Stdio::null())
+        .status()
+        .unwrap()
+        .code()
+}
+
 /// Guards against exit codes that a script can't tell apart.
 #[gtest]
 fn exit_codes_tell_usage_from_unreadable_files() {
--- a/crates/pollenshedctl/src/cmd/check.rs
+++ b/crates/pollenshedctl/src/cmd/check.rs
@@ -1,8 +1,7 @@
 use std::path::PathBuf;
 
 use clap::{Arg, ArgMatches, Command, value_parser};
-use pollenshed_state::check::{self, FileReport};
-use serde::Serialize;
+use pollenshed_state::check::{self, Reports};
 
 use crate::{
     options::Options,
@@ -43,16 +42,11 @@
         )
 }
 
-#[derive(Serialize)]
-struct Output {
-    files: Vec<FileReport>,
-}
-
 pub fn run(args: &ArgMatches, options: &Options) -> eyre::Result<Exit> {
     let paths = args.get_many::<PathBuf>("FILE").into_iter().flatten();
     let files = paths.map(|path| options.read(path)).collect::<eyre::Result<Vec<_>>>()?;
-    let reports = check::files(&files);
-    let accepted = reports.iter().all(|report| report.findings.is_empty());
-    options.print(reports, |files| Output { files })?;
+    let reports = Reports { files: check::files(&files) };
+    let accepted = reports.are_accepted();
+    options.print(reports.files, |files| Reports { files })?;
     Ok(if accepted { Exit::Success } else { Exit::Negative })
 }
--- a/crates/state/src/check/mod.rs
+++ b/crates/state/src/check/mod.rs
@@ -36,6 +36,21 @@
     pub findings: Vec<Finding>,
 }
 
+/// The results of all files, as both binaries print them with `check --json`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
+pub struct Reports {
+    /// One result for each file, in the order in which the files were given.
+    pub files: Vec<FileReport>,
+}
+
+impl Reports {
+    /// Returns whether no file has a finding.
+    pub fn are_accepted(&self) -> bool {
+        self.files.iter().all(|report| report.findings.is_empty())
+    }
+}
+
 fn digest_as_text<S: serde::Serializer>(
     digest: &Option<Digest>,
     serializer: S,
