--- a/crates/pollenshed/src/owner/cancel.rs
+++ b/crates/pollenshed/src/owner/cancel.rs
@@ -56,9 +56,9 @@
         .work
         .spawn_blocking(move || caller.backend.cancel(target.server.address, &target.request_id));
     let outcome = task.await.unwrap_or_else(|e| CancelOutcome::Unknown(e.to_string()));
-    if let CancelOutcome::Unknown(e) = &outcome {
-        let (id, server) = (&abandoned.request_id, &abandoned.server.name);
-        log::debug!("dispatch: cancel of {id} at {server} failed: {e}");
+    if let CancelOutcome::Unknown(error) = &outcome {
+        let (attempt, backend_server) = (&abandoned.request_id, &abandoned.server.name);
+        log::debug!(attempt, backend_server:%, error; "dispatch: cancel failed");
     }
     outcome
 }
