Run a filing with an idempotency key once after its entry restarted

Cause: after the entry that claimed a key was killed and restarted at the same address, another entry relayed the next copy to the new process. Until a configuration had reached it, that process refused every relayed request as not run (invalid). The relaying entry took this for the outcome of the claimed ticket, bound the key to a new ticket and ran the filing a second time. Ruled out: the claim row itself (one run with racing entries, with lost and with late replies), the budget of claims and a store outage. Change: a key is bound anew only after a refusal that speaks of the ticket, as uploads do. A claim can time out on a starved machine; the tests allow no refusal for it.

--- a/crates/pollenshed/src/entry/claims.rs
+++ b/crates/pollenshed/src/entry/claims.rs
@@ -77,8 +77,7 @@
         return wire::conflict();
     }
     let reply = run_claimed(shared, &claimed, &work).await;
-    let is_not_run = matches!(reply.outcome, Some(answer_reply::Outcome::NotRun(_)));
-    if claimed.is_ours || !is_not_run {
+    if claimed.is_ours || !never_runs(&reply) {
         return reply;
     }
     // The earlier ticket will never run, so the key can be bound to a new one.
@@ -88,6 +87,19 @@
     }
 }
 
+/// Tells whether the reply says that the claimed ticket will never run.
+///
+/// The other refusals are given before the ledger of the named entry is looked at, so an earlier copy
+/// may have run under the ticket.
+fn never_runs(reply: &AnswerReply) -> bool {
+    match &reply.outcome {
+        Some(answer_reply::Outcome::NotRun(not_run)) => {
+            !matches!(not_run.reason(), NotRunReason::Invalid | NotRunReason::StoreUnavailable)
+        }
+        _ => false,
+    }
+}
+
 async fn run_claimed(shared: &Arc<Shared>, claimed: &Claimed, work: &Classified) -> AnswerReply {
     match claimed.claim.ticket.parse() {
         Ok(ticket) => ticketed::run(shared, ticket, work.clone()).await,
--- a/crates/pollenshed/src/entry/mod.rs
+++ b/crates/pollenshed/src/entry/mod.rs
@@ -43,9 +43,14 @@
     let Ok(ticket) = relayed.ticket.parse::<Ticket>() else {
         return invalid("the relayed ticket can't be read");
     };
-    let (Some(request), Some(current)) = (relayed.request, shared.config.get()) else {
+    let Some(request) = relayed.request else {
         return invalid("the relayed request can't be read");
     };
+    // An entry restarted at the same address knows nothing of what its former incarnation ran.
+    let Some(current) = shared.config.get() else {
+        let detail = "no configuration has reached the named entry yet";
+        return wire::unknown(UnknownReason::EntryGone, detail);
+    };
     let service = current.config.services.iter().find(|s| s.name.as_str() == request.service);
     let operation = service.and_then(|s| s.operation(&request.method, &request.path)).cloned();
     let Some(operation) = operation else {
--- /dev/null
+++ b/crates/pollenshed/tests/idempotency_keys.rs
@@ -0,0 +1,334 @@
+//! A filing with an idempotency key runs at most once, whatever fails.
+
+mod support;
+
+use std::{
+    sync::{
+        Mutex,
+        atomic::{AtomicU32, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use fastrand::Rng;
+use googletest::prelude::*;
+use pollenshed_protocol::platform::CLAIM_TABLE;
+use pollenshed_standins::platform::Faults;
+use pollenshed_state::ids::Digest;
+use support::{
+    callers::{Reply, post_keyed},
+    faults::{ProxiedFleet, THREE_ENTRIES, answer_to, hold},
+    wait_for,
+};
+
+/// Time that one filing takes at a backend server.
+const SERVICE_TIME: Duration = Duration::from_millis(150);
+
+/// Time that callers give a filing.
+const DEADLINE_MS: u64 = 4_000;
+
+/// Filings of one round.
+const FILINGS: u32 = 4;
+
+/// Filings of one burst, more than the 16 claims per second of each of three entries in two seconds.
+const BURST: u32 = 40;
+
+/// Longest time from the first sending of a key to the last of the same round.
+const MAX_SPREAD_MS: u64 = 200;
+
+/// Longer than `platform_timeout_ms` of the fleet, so that claims take effect after the entry has
+/// given up on them.
+const LATE_CLAIM: Duration = Duration::from_millis(900);
+
+static NEXT_KEY: AtomicU32 = AtomicU32::new(0);
+
+/// A filing with an idempotency key and all replies to its sendings.
+struct Keyed {
+    key: String,
+    body: String,
+    replies: Mutex<Vec<Reply>>,
+}
+
+impl Keyed {
+    fn new(seed: u64) -> Keyed {
+        let number = NEXT_KEY.fetch_add(1, Ordering::SeqCst);
+        Keyed {
+            key: format!("key-{number}-{seed}"),
+            body: format!("filing {number} seed {seed}"),
+            replies: Mutex::default(),
+        }
+    }
+
+    fn send_once(&self, fleet: &ProxiedFleet, entry: usize) -> Reply {
+        let address = fleet.fleet.daemons[entry].callers;
+        post_keyed(address, &self.key, &self.body, DEADLINE_MS)
+    }
+
+    /// Sends the filing, and again while the entry is over its budget of claims, and notes the first
+    /// reply of another kind.
+    fn send(&self, fleet: &ProxiedFleet, entry: usize) -> Reply {
+        let over_budget = Reply::NotRun("overloaded".to_owned());
+        let reply = wait_for("a claim within the budget", || {
+            Some(self.send_once(fleet, entry)).filter(|reply| *reply != over_budget)
+        });
+        self.replies.lock().unwrap().push(reply.clone());
+        reply
+    }
+
+    fn runs(&self, fleet: &ProxiedFleet) -> usize {
+        fleet.fleet.runs_of(self.body.as_bytes())
+    }
+
+    fn answer(&self) -> Reply {
+        Reply::Done(answer_to("POST", "/filings", &self.body))
+    }
+
+    /// Returns the ticket in the key's claim row.
+    fn claimed_ticket(&self, fleet: &ProxiedFleet) -> Option<String> {
+        let store = pollenshed_transport::platform::Platform::open(
+            fleet.fleet.platform.address(),
+            support::PATIENCE,
+        );
+        let row_key = Digest::of(format!("ledger\n{}", self.key).as_bytes()).hex();
+        let row = store.get_row(CLAIM_TABLE, &row_key).unwrap()?;
+        Some(row.value["ticket"].as_str()?.to_owned())
+    }
+
+    /// Checks the runs and that every answer is the filing's own.
+    fn check(&self, fleet: &ProxiedFleet, seed: u64) {
+        let (runs, replies) = (self.runs(fleet), self.replies.lock().unwrap().clone());
+        let ran = format!("seed {seed}: {} ran {runs} times: {replies:?}", self.key);
+        assert!(runs <= 1, "{ran}");
+        for reply in replies.iter().filter(|r| matches!(r, Reply::Done(_))) {
+            assert!(runs == 1 && *reply == self.answer(), "{ran}");
+        }
+    }
+}
+
+fn rounds(
+    seeds: impl IntoIterator<Item = u64>,
+    mut one: impl FnMut(&mut ProxiedFleet, u64, &mut Rng),
+) {
+    let mut fleet = ProxiedFleet::start(&THREE_ENTRIES, SERVICE_TIME);
+    for seed in seeds {
+        println!("seed {seed}");
+        one(&mut fleet, seed, &mut Rng::with_seed(seed));
+    }
+}
+
+fn prepare(seed: u64) -> Vec<Keyed> {
+    (0..FILINGS).map(|_| Keyed::new(seed)).collect()
+}
+
+/// Sends each filing twice to every entry, all within [`MAX_SPREAD_MS`], and returns when all
+/// replies are there.
+fn send_everywhere(fleet: &ProxiedFleet, filings: &[Keyed], rng: &mut Rng) {
+    let entries = fleet.places.len();
+    thread::scope(|scope| {
+        for filing in filings {
+            for entry in (0..entries).chain(0..entries) {
+                let pause = Duration::from_millis(rng.u64(..MAX_SPREAD_MS));
+                scope.spawn(move || {
+                    hold(pause);
+                    filing.send(fleet, entry)
+                });
+            }
+        }
+    });
+}
+
+/// Sends each filing once more to every entry and checks that each gets the answer of the one run.
+fn check_all_answered(fleet: &ProxiedFleet, filings: &[Keyed], seed: u64) {
+    for filing in filings {
+        for entry in 0..fleet.places.len() {
+            let reply = filing.send(fleet, entry);
+            expect_that!(reply, eq(&filing.answer()), "seed {seed}: {}", filing.key);
+        }
+        filing.check(fleet, seed);
+    }
+}
+
+/// Guards against a second run when entries race for a key, and when it is sent again later.
+#[gtest]
+fn key_sent_to_all_entries_at_once_runs_once() {
+    rounds(401..=403, |fleet, seed, rng| {
+        let filings = prepare(seed);
+        send_everywhere(fleet, &filings, rng);
+        for filing in &filings {
+            let replies = filing.replies.lock().unwrap().clone();
+            // Nothing fails, so every copy is answered.
+            expect_that!(replies, each(eq(&filing.answer())), "seed {seed}: {}", filing.key);
+        }
+        check_all_answered(fleet, &filings, seed);
+    });
+}
+
+/// Guards against a run of a filing that was refused because the entry was over its budget of claims,
+/// and against a second run when it is sent again.
+#[gtest]
+fn keys_over_the_budget_are_refused_and_run_once_later() {
+    rounds([404], |fleet, seed, _| {
+        let filings: Vec<_> = (0..BURST).map(|_| Keyed::new(seed)).collect();
+        let entry = fleet.any_owner();
+        let replies: Vec<Reply> = thread::scope(|scope| {
+            let fleet = &*fleet;
+            let sent = filings.iter().map(|f| scope.spawn(move || f.send_once(fleet, entry)));
+            let sent: Vec<_> = sent.collect();
+            sent.into_iter().map(|thread| thread.join().unwrap()).collect()
+        });
+        let refusal = Reply::NotRun("overloaded".to_owned());
+        let refused: Vec<_> =
+            filings.iter().zip(&replies).filter(|(_, reply)| **reply == refusal).collect();
+        println!("seed {seed}: {} of {BURST} refused", refused.len());
+        expect_that!(refused.len(), gt(0));
+        for (filing, _) in refused {
+            expect_that!(filing.runs(fleet), eq(0), "seed {seed}: {}", filing.key);
+        }
+        for filing in &filings {
+            let reply = filing.send(fleet, (entry + 1) % fleet.places.len());
+            expect_that!(reply, eq(&filing.answer()), "seed {seed}: {}", filing.key);
+            filing.check(fleet, seed);
+        }
+    });
+}
+
+/// How far a filing has come when its claiming entry is killed.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Claimed,
+    Running,
+    Answered,
+}
+
+/// Sends a filing to one entry and kills the entry when the filing has reached the step.
+fn kill_at(fleet: &mut ProxiedFleet, filing: &Keyed, victim: usize, step: Step) {
+    let address = fleet.fleet.daemons[victim].callers;
+    thread::scope(|scope| {
+        let sent = scope.spawn(|| post_keyed(address, &filing.key, &filing.body, DEADLINE_MS));
+        match step {
+            Step::Claimed => {
+                wait_for("the claim", || filing.claimed_ticket(fleet));
+            }
+            Step::Running => {
+                wait_for("the run", || (filing.runs(fleet) > 0).then_some(()));
+            }
+            Step::Answered => {
+                wait_for("the answer", || sent.is_finished().then_some(()));
+            }
+        }
+        fleet.fleet.daemons[victim].kill();
+        filing.replies.lock().unwrap().push(sent.join().unwrap());
+    });
+}
+
+/// Guards against an entry that runs a filing again because the entry that claimed its key is gone.
+#[gtest]
+fn claiming_entry_killed() {
+    rounds(411..=416, |fleet, seed, rng| {
+        let step = [Step::Claimed, Step::Running, Step::Answered][seed as usize % 3];
+        let filing = Keyed::new(seed);
+        let victim = rng.usize(..fleet.places.len());
+        kill_at(fleet, &filing, victim, step);
+        let others: Vec<_> = (0..fleet.places.len()).filter(|at| *at != victim).collect();
+        thread::scope(|scope| {
+            for entry in others {
+                let (filing, fleet) = (&filing, &*fleet);
+                scope.spawn(move || filing.send(fleet, entry));
+            }
+        });
+        fleet.restart(victim);
+        filing.send(fleet, (victim + 1) % fleet.places.len());
+        fleet.wait_until_ready();
+        for entry in 0..fleet.places.len() {
+            filing.send(fleet, entry);
+        }
+        fleet.fleet.wait_until_served();
+        filing.check(fleet, seed);
+        let replies = filing.replies.lock().unwrap().clone();
+        println!("seed {seed}: {step:?}, {} runs", filing.runs(fleet));
+        // Nobody knows what the killed entry did, so nobody may say that the filing did not run.
+        let refused = replies.iter().any(|r| matches!(r, Reply::NotRun(_)));
+        expect_that!(refused, eq(false), "seed {seed}: {replies:?}");
+    });
+}
+
+/// Guards against a second run after the claiming entry restarted at the same address and refuses
+/// the relayed filing, because no configuration has reached it.
+#[gtest]
+fn claiming_entry_restarted_without_configuration() {
+    rounds([421], |fleet, seed, rng| {
+        let filing = Keyed::new(seed);
+        let victim = rng.usize(..fleet.places.len());
+        expect_that!(filing.send(fleet, victim), eq(&filing.answer()));
+        fleet.fleet.platform.set_faults(Faults { hide_objects: true, ..Faults::default() });
+        let own = fleet.fleet.daemons[victim].peers.ip();
+        for (at, peer) in fleet.peers.iter().enumerate() {
+            if at == victim {
+                peer.control.cut();
+            } else {
+                peer.control.cut_source(own);
+            }
+        }
+        fleet.restart(victim);
+        let reply = filing.send(fleet, (victim + 1) % fleet.places.len());
+        expect_that!(reply, eq(&Reply::Unknown("entry-gone".to_owned())), "seed {seed}");
+        filing.check(fleet, seed);
+        fleet.fleet.platform.set_faults(Faults::default());
+        fleet.heal();
+        fleet.wait_until_ready();
+        for entry in 0..fleet.places.len() {
+            filing.send(fleet, entry);
+        }
+        filing.check(fleet, seed);
+    });
+}
+
+/// Guards against a run without a claim while the store is down, and against a second run of a
+/// filing that was claimed before.
+#[gtest]
+fn store_down() {
+    rounds(431..=432, |fleet, seed, rng| {
+        let (known, new) = (prepare(seed), prepare(seed));
+        send_everywhere(fleet, &known, rng);
+        fleet.fleet.platform.set_faults(Faults { down: true, ..Faults::default() });
+        let refusal = Reply::NotRun("store-unavailable".to_owned());
+        for filing in known.iter().chain(&new) {
+            let reply = filing.send(fleet, rng.usize(..fleet.places.len()));
+            expect_that!(reply, eq(&refusal), "seed {seed}: {}", filing.key);
+        }
+        for (filing, runs) in known.iter().map(|f| (f, 1)).chain(new.iter().map(|f| (f, 0))) {
+            expect_that!(filing.runs(fleet), eq(runs), "seed {seed}: {}", filing.key);
+        }
+        fleet.fleet.platform.set_faults(Faults::default());
+        check_all_answered(fleet, &known, seed);
+        check_all_answered(fleet, &new, seed);
+    });
+}
+
+/// Guards against a second run when the store keeps a claim and its reply is lost or late.
+#[gtest]
+fn replies_to_claims_are_lost() {
+    rounds(441..=446, |fleet, seed, rng| {
+        let filings = prepare(seed);
+        let refusal = Reply::NotRun("store-unavailable".to_owned());
+        let lost = Faults { lose_write_replies: true, ..Faults::default() };
+        let faults = match seed % 3 {
+            0 => lost,
+            1 => Faults { lose_read_replies: true, ..lost },
+            _ => Faults { delay: LATE_CLAIM, ..Faults::default() },
+        };
+        fleet.fleet.platform.set_faults(faults);
+        send_everywhere(fleet, &filings, rng);
+        fleet.fleet.platform.set_faults(Faults::default());
+        for filing in &filings {
+            let claimed = filing.claimed_ticket(fleet).is_some();
+            let replies = filing.replies.lock().unwrap().clone();
+            println!("seed {seed}: claimed {claimed}, {} runs", filing.runs(fleet));
+            // The row can be read back only while reads are answered in time.
+            let expected = if seed % 3 == 0 { filing.answer() } else { refusal.clone() };
+            expect_that!(replies, each(eq(&expected)), "seed {seed}: {}", filing.key);
+        }
+        check_all_answered(fleet, &filings, seed);
+    });
+}
--- a/crates/pollenshed/tests/support/callers.rs
+++ b/crates/pollenshed/tests/support/callers.rs
@@ -7,7 +7,8 @@
 };
 
 use pollenshed_protocol::caller::{
-    DEADLINE_HEADER, LookupAnswer, OUTCOME_HEADER, REASON_HEADER, TICKET_HEADER,
+    DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, LookupAnswer, OUTCOME_HEADER, REASON_HEADER,
+    TICKET_HEADER,
 };
 use ureq::Agent;
 
@@ -59,9 +60,18 @@
 
 /// Sends a non-idempotent request with a ticket over a connection of its own.
 pub fn post(entry: SocketAddr, ticket: &str, body: &str, deadline_ms: u64) -> Reply {
+    post_with(entry, (TICKET_HEADER, ticket), body, deadline_ms)
+}
+
+/// Sends a non-idempotent request with an idempotency key over a connection of its own.
+pub fn post_keyed(entry: SocketAddr, key: &str, body: &str, deadline_ms: u64) -> Reply {
+    post_with(entry, (IDEMPOTENCY_KEY_HEADER, key), body, deadline_ms)
+}
+
+fn post_with(entry: SocketAddr, id: (&str, &str), body: &str, deadline_ms: u64) -> Reply {
     let request = agent()
         .post(format!("http://{entry}/v1/run/ledger/filings"))
-        .header(TICKET_HEADER, ticket)
+        .header(id.0, id.1)
         .header(DEADLINE_HEADER, deadline_ms.to_string());
     reply_of(request.send(body))
 }
