Test filings while two things fail at the same time

Cause: at_most_once.rs injects one failure per round. Change: tests/two_failures.rs kills an owner while connections to backend servers fail, kills an owner while an entry is frozen, and kills an owner while the store is down, with two seeds each. Rounds and their checks moved from at_most_once.rs to tests/support/rounds.rs without a change, so both files use the same ones. With connections to all backend servers failing, any filing may be unknown, so that test shows no more than the count of runs and the truth of refusals.

--- a/crates/pollenshed/tests/at_most_once.rs
+++ b/crates/pollenshed/tests/at_most_once.rs
@@ -2,135 +2,17 @@
 
 mod support;
 
-use std::{sync::atomic::AtomicU32, thread, time::Duration};
+use std::time::Duration;
 
-use fastrand::Rng;
 use googletest::prelude::*;
 use pollenshed_standins::{platform::Faults, proxy::Direction};
 use support::{
-    callers::{Filing, Reply},
-    faults::{ProxiedFleet, THREE_ENTRIES, hold, signal},
+    callers::Reply,
+    faults::{hold, signal},
+    rounds::{DEADLINE_MS, Round, Victim, rounds},
     wait_for,
 };
 
-/// Time that one filing takes at a backend server.
-const SERVICE_TIME: Duration = Duration::from_millis(150);
-
-/// Time that callers give a filing.
-const DEADLINE_MS: u64 = 1_200;
-
-/// Filings of one round.
-const FILINGS: u32 = 6;
-
-/// Longest time from the first sending to the fault, so that faults hit filings before they are
-/// accepted, in the queue, at the backend server and after the answer.
-const MAX_MOMENT_MS: u64 = 300;
-
-static NEXT_BODY: AtomicU32 = AtomicU32::new(0);
-
-/// Filings of one round, first sent to the named entry and then again to any entry.
-struct Round {
-    filings: Vec<Filing>,
-}
-
-impl Round {
-    fn prepare(fleet: &ProxiedFleet, seed: u64, rng: &mut Rng) -> Round {
-        let daemons = &fleet.fleet.daemons;
-        let filings = (0..FILINGS).map(|_| {
-            let number = NEXT_BODY.fetch_add(1, std::sync::atomic::Ordering::SeqCst);
-            let entry = daemons[rng.usize(..daemons.len())].callers;
-            Filing::prepare(entry, rng.u8(1..), format!("filing {number} seed {seed}"))
-        });
-        Round { filings: filings.collect() }
-    }
-
-    /// Sends all filings twice and causes a fault meanwhile. Returns when all replies are there.
-    fn run(&self, fleet: &mut ProxiedFleet, rng: &mut Rng, fault: impl FnOnce(&mut ProxiedFleet)) {
-        let entries: Vec<_> = fleet.fleet.daemons.iter().map(|d| d.callers).collect();
-        let moment = Duration::from_millis(rng.u64(..MAX_MOMENT_MS));
-        thread::scope(|scope| {
-            for filing in &self.filings {
-                let again = entries[rng.usize(..entries.len())];
-                let first = Duration::from_millis(rng.u64(..MAX_MOMENT_MS / 2));
-                let pause = Duration::from_millis(rng.u64(..MAX_MOMENT_MS));
-                scope.spawn(move || {
-                    hold(first);
-                    filing.send(filing.address, DEADLINE_MS)
-                });
-                scope.spawn(move || {
-                    hold(first + pause);
-                    filing.send(again, DEADLINE_MS)
-                });
-            }
-            hold(moment);
-            fault(fleet);
-        });
-    }
-
-    /// Sends all filings once more after the fault and checks every reply so far. `may_be_unknown`
-    /// tells whether the failure allows that nobody knows what became of a filing.
-    ///
-    /// The fleet serves new requests at every entry before, so late copies had their chance to run.
-    fn check(&self, fleet: &ProxiedFleet, seed: u64, may_be_unknown: impl Fn(&Filing) -> bool) {
-        fleet.wait_until_ready();
-        for filing in &self.filings {
-            for daemon in &fleet.fleet.daemons {
-                filing.send(daemon.callers, DEADLINE_MS);
-            }
-        }
-        fleet.fleet.wait_until_served();
-        let faults: Vec<_> =
-            self.filings.iter().filter_map(|f| f.find_fault(&fleet.fleet)).collect();
-        assert!(faults.is_empty(), "seed {seed}: {faults:#?}");
-        let unknown: Vec<_> = self.filings.iter().filter(|f| f.is_unknown()).collect();
-        let allowed = self.filings.iter().filter(|f| may_be_unknown(f)).count();
-        let refused = self.filings.iter().filter(|f| f.was_refused()).count();
-        println!(
-            "seed {seed}: {} of {FILINGS} unknown, {allowed} may be, {refused} refused",
-            unknown.len()
-        );
-        for filing in unknown {
-            let replies = filing.replies();
-            assert!(may_be_unknown(filing), "seed {seed}: {} unknown: {replies:?}", filing.ticket);
-        }
-    }
-}
-
-/// What depended on the instance that a fault hits, as it was before the fault.
-struct Victim {
-    name: &'static str,
-    backend_servers: Vec<String>,
-}
-
-impl Victim {
-    fn note(fleet: &ProxiedFleet, at: usize) -> Victim {
-        Victim { name: fleet.places[at].0, backend_servers: fleet.owned_by(at) }
-    }
-
-    fn is_named_by(&self, filing: &Filing) -> bool {
-        filing.named == self.name
-    }
-
-    /// Tells whether the victim was the filing's owner. A filing that did not run may have been on
-    /// its way to any owner.
-    fn may_own(&self, filing: &Filing, fleet: &ProxiedFleet) -> bool {
-        match fleet.fleet.backend_that_ran(filing.body.as_bytes()) {
-            Some(name) => self.backend_servers.contains(&name),
-            None => true,
-        }
-    }
-}
-
-fn rounds(
-    seeds: impl IntoIterator<Item = u64>,
-    mut one: impl FnMut(&mut ProxiedFleet, u64, &mut Rng),
-) {
-    let mut fleet = ProxiedFleet::start(&THREE_ENTRIES, SERVICE_TIME);
-    for seed in seeds {
-        one(&mut fleet, seed, &mut Rng::with_seed(seed));
-    }
-}
-
 /// Guards against a second run when a filing is sent again and nothing fails.
 #[gtest]
 fn filing_sent_to_all_entries_at_once_runs_once() {
--- /dev/null
+++ b/crates/pollenshed/tests/two_failures.rs
@@ -0,0 +1,133 @@
+//! A non-idempotent request runs at most once, and every `not-run` is true, when two things fail at
+//! the same time.
+
+mod support;
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use pollenshed_standins::{platform::Faults, proxy::Direction};
+use support::{
+    faults::{ProxiedFleet, hold, signal},
+    rounds::{Round, Victim, rounds},
+    wait_for,
+};
+
+/// Fails the connections to all backend servers in one of five ways.
+fn fail_backends(fleet: &ProxiedFleet, kind: usize, bytes: u64) {
+    for backend in &fleet.backends {
+        match kind {
+            0 => backend.cut(),
+            1 => backend.cut_one_way(Direction::ToTarget),
+            2 => backend.cut_one_way(Direction::ToCaller),
+            3 => backend.reset_connections(),
+            _ => backend.cut_after(Direction::ToCaller, Some(bytes)),
+        }
+    }
+}
+
+/// Guards against a second run or a false refusal by a successor that dispatches while nobody hears
+/// what the killed owner's backend servers ran.
+#[gtest]
+fn owner_killed_while_backend_connections_fail() {
+    rounds(501..=502, |fleet, seed, rng| {
+        let round = Round::prepare(fleet, seed, rng);
+        let victim = fleet.any_owner();
+        let (kind, bytes) = (rng.usize(..5), rng.u64(20..400));
+        let time = Duration::from_millis(rng.u64(100..600));
+        let is_killed_first = rng.bool();
+        println!("seed {seed}: kind {kind}, held {time:?}, killed first {is_killed_first}");
+        round.run(fleet, rng, |fleet| {
+            if is_killed_first {
+                fleet.fleet.daemons[victim].kill();
+            }
+            fail_backends(fleet, kind, bytes);
+            hold(time);
+            if !is_killed_first {
+                fleet.fleet.daemons[victim].kill();
+            }
+            fleet.heal();
+        });
+        fleet.restart(victim);
+        // Each filing that is at a backend server may be lost, and all may be there.
+        round.check(fleet, seed, |_| true);
+    });
+}
+
+/// Guards against a second run by an entry that goes on after its pause, when the owner of its
+/// filings was killed meanwhile.
+#[gtest]
+fn entry_frozen_while_its_peer_is_killed() {
+    rounds(512..=513, |fleet, seed, rng| {
+        let round = Round::prepare(fleet, seed, rng);
+        let killed = fleet.any_owner();
+        let mut named = round.filings.iter().map(|f| f.named.as_str());
+        let name = named.find(|n| *n != fleet.places[killed].0);
+        let position = |n| fleet.places.iter().position(|p| p.0 == n);
+        let frozen = name.and_then(position).unwrap_or((killed + 1) % fleet.places.len());
+        let third = (0..fleet.places.len()).find(|at| ![frozen, killed].contains(at)).unwrap();
+        let lost = [Victim::note(fleet, frozen), Victim::note(fleet, killed)];
+        let before = Duration::from_millis(rng.u64(..200));
+        // After a short pause the entry goes on within the deadline of its filings, after a long one
+        // its peers have taken it for dead.
+        let is_long = seed % 2 == 0;
+        let after = Duration::from_millis(rng.u64(..400));
+        println!("seed {seed}: killed after {before:?}, long pause {is_long}, else {after:?}");
+        round.run(fleet, rng, |fleet| {
+            signal(&fleet.fleet.daemons[frozen], "-STOP");
+            hold(before);
+            fleet.fleet.daemons[killed].kill();
+            if is_long {
+                wait_until_both_dead(fleet, third, [frozen, killed]);
+            } else {
+                hold(after);
+            }
+            signal(&fleet.fleet.daemons[frozen], "-CONT");
+        });
+        fleet.restart(killed);
+        round.check(fleet, seed, |f| {
+            lost.iter().any(|victim| victim.is_named_by(f) || victim.may_own(f, fleet))
+        });
+    });
+}
+
+/// Waits until the third entry takes two others for dead.
+fn wait_until_both_dead(fleet: &ProxiedFleet, third: usize, others: [usize; 2]) {
+    wait_for("the third entry to take both for dead", || {
+        let status = fleet.fleet.daemons[third].status()?;
+        let is_dead = |at: usize| {
+            let member = status.members.iter().find(|m| m.instance.as_str() == fleet.places[at].0);
+            member.is_none_or(|m| m.state == "dead")
+        };
+        others.into_iter().all(is_dead).then_some(())
+    });
+}
+
+/// Guards against an effect of the store on what happens to the filings of a killed owner, and against
+/// a successor that needs the store.
+#[gtest]
+fn store_down_while_owner_is_killed() {
+    rounds(521..=522, |fleet, seed, rng| {
+        let round = Round::prepare(fleet, seed, rng);
+        let victim = fleet.any_owner();
+        let lost = Victim::note(fleet, victim);
+        let faults = if rng.bool() {
+            Faults { down: true, ..Faults::default() }
+        } else {
+            Faults { lose_write_replies: true, lose_read_replies: true, ..Faults::default() }
+        };
+        let began = fleet.fleet.platform.counts();
+        fleet.fleet.platform.set_faults(faults);
+        wait_for("calls that the store fails", || {
+            (fleet.fleet.platform.counts().since(began).reads > 0).then_some(())
+        });
+        round.run(fleet, rng, |fleet| fleet.fleet.daemons[victim].kill());
+        for server in &lost.backend_servers {
+            wait_for("a successor while the store is down", || fleet.owner_of(server));
+        }
+        // The restarted instance finds its peers by the store alone.
+        fleet.fleet.platform.set_faults(Faults::default());
+        fleet.restart(victim);
+        round.check(fleet, seed, |f| lost.is_named_by(f) || lost.may_own(f, fleet));
+    });
+}
