Test an upload in parts while its entry makes a planned stop

Cause: planned stops were proved for requests in flight, not for uploads. Ruled out: no part was lost and no upload was handed over twice. Change: one test stops the entry that takes the parts, waits for its end in the middle of the upload and checks the one run at the backend server. The other stops the entry while it hands a complete upload over, and completes the upload again at both entries and under another ticket, during and after the stop. Conclusion: an upload goes on at another entry and is handed over once.

--- a/crates/pollenshed/tests/uploads.rs
+++ b/crates/pollenshed/tests/uploads.rs
@@ -5,6 +5,7 @@
 use std::{
     io::{self, Read},
     net::SocketAddr,
+    thread,
     time::Duration,
 };
 
@@ -17,10 +18,13 @@
 use pollenshed_standins::backend::{Behaviour, Run};
 use pollenshed_state::ids::Digest;
 use serde_json::json;
-use support::Fleet;
+use support::{Daemon, Fleet};
 
 const MIB: u64 = 1024 * 1024;
 
+/// Time that a backend server takes for an upload that is handed over during a planned stop.
+const HAND_OVER_TIME: Duration = Duration::from_secs(2);
+
 fn fleet() -> Fleet {
     let behaviour =
         Behaviour { name: String::new(), slots: 3, service_time: Duration::from_millis(5) };
@@ -234,3 +238,80 @@
     expect_that!(runs.len(), eq(1));
     expect_that!(runs[0].body_digest, eq(pattern_digest(length)));
 }
+
+/// Sends a signal for a planned stop.
+fn stop(daemon: &Daemon) {
+    support::faults::signal(daemon, "-TERM");
+}
+
+/// Guards against an upload that is lost, damaged or run twice when the entry that takes its parts
+/// makes a planned stop.
+#[gtest]
+fn upload_goes_on_while_its_entry_stops() {
+    const LENGTH: u64 = 24 * MIB;
+    let mut fleet = fleet();
+    let seeds: Vec<_> = fleet.daemons.iter().map(|d| d.callers).collect();
+    let first = lookup(&fleet, 0).entries[0].address;
+    let at = seeds.iter().position(|seed| *seed == first).unwrap();
+    let (mut was_stopped, mut has_ended) = (false, false);
+    let daemon = &mut fleet.daemons[at];
+    let reader = Pattern {
+        at: 0,
+        on_read: |read| {
+            if read >= LENGTH / 3 && !was_stopped {
+                stop(daemon);
+                was_stopped = true;
+            }
+            // Parts before this one are sent during the stop, the others after it.
+            if read >= LENGTH * 2 / 3 && !has_ended {
+                has_ended = daemon.wait_for_end();
+            }
+        },
+    };
+    let outcome = caller(&seeds[..1]).upload("ledger", "/scans/5", reader, LENGTH);
+    assert!(matches!(&outcome, Outcome::Done(answer) if answer.status == 200), "{outcome:?}");
+    expect_that!(has_ended, eq(true), "the entry ended during the upload");
+    let runs = posts(&fleet);
+    expect_that!(runs.len(), eq(1));
+    expect_that!(runs[0].body_bytes, eq(LENGTH));
+    expect_that!(runs[0].body_digest, eq(pattern_digest(LENGTH)));
+    expect_that!(incomplete(&fleet), eq(0));
+}
+
+/// Guards against a second hand-over when an upload is completed again, at another entry and under
+/// another ticket, while the entry that hands it over makes a planned stop.
+#[gtest]
+fn upload_is_completed_once_while_its_entry_stops() {
+    let mut fleet = fleet();
+    let sent = send_three_parts(&fleet);
+    let names = |binding: &str, daemon: &Daemon| binding.starts_with(&format!("{}.", daemon.name));
+    let binding = lookup(&fleet, 0).binding;
+    let at = fleet.daemons.iter().position(|d| names(&binding, d)).unwrap();
+    let (one, two) = (format!("{binding}/one"), format!("{binding}/two"));
+    // The hand-over still runs when the entry has left the lookups and peers ask its heirs.
+    for (_, backend) in &fleet.backends {
+        backend.set_service_time(HAND_OVER_TIME);
+    }
+    thread::scope(|scope| {
+        let fleet = &fleet;
+        let handed_over = scope.spawn(|| complete(fleet, at, &sent, &one));
+        support::wait_for("the hand-over", || (posts(fleet).len() == 1).then_some(()));
+        stop(&fleet.daemons[at]);
+        let again = [(at, &one), (1 - at, &one), (1 - at, &two)];
+        let again = again.map(|(at, ticket)| {
+            let sent = &sent;
+            scope.spawn(move || complete(fleet, at, sent, ticket))
+        });
+        expect_that!(handed_over.join().unwrap(), eq("200 done"));
+        for copy in again {
+            expect_that!(copy.join().unwrap(), eq("200 done"));
+        }
+    });
+    expect_that!(fleet.daemons[at].wait_for_end(), eq(true));
+    for ticket in [&one, &two] {
+        expect_that!(complete(&fleet, 1 - at, &sent, ticket), eq("200 done"), "{ticket}");
+    }
+    let runs = posts(&fleet);
+    expect_that!(runs.len(), eq(1));
+    expect_that!(runs[0].body_digest, eq(sent.complete.digest));
+}
