--- a/crates/coordination/tests/ownership_assignment.rs
+++ b/crates/coordination/tests/ownership_assignment.rs
@@ -5,7 +5,7 @@
 use googletest::prelude::*;
 use pollenshed_coordination::{
     membership::MemberState,
-    ownership::{Assignment, OwnershipMap, live_entries, owner_of},
+    ownership::{Assignment, OwnershipChange, OwnershipMap, live_entries, owner_of},
 };
 use pollenshed_state::settings::Timing;
 use proptest::{collection::vec, prelude::*};
@@ -102,6 +102,44 @@
     }
 }
 
+/// Guards against an owner that dispatches after a long pause while requests of those that owned its
+/// servers meanwhile still run.
+#[gtest]
+fn owner_waits_again_after_a_long_pause() {
+    let config = config(2);
+    let own = entry(0, "north-a");
+    let mut map = OwnershipMap::new(own.instance.clone(), &Timing::default());
+    map.update(&config, std::slice::from_ref(&own), |_| None, ms(0));
+    let owned: Vec<_> = map.owned().cloned().collect();
+    expect_that!(owned, not(is_empty()));
+    let usable = |map: &OwnershipMap, at| owned.iter().filter(|s| map.is_usable(s, ms(at))).count();
+    expect_that!(usable(&map, 3_000), eq(owned.len()));
+    map.wait_again(ms(10_000));
+    expect_that!(usable(&map, 10_000), eq(0));
+    expect_that!(usable(&map, 12_999), eq(0));
+    expect_that!(usable(&map, 13_000), eq(owned.len()));
+    // An update in between gains and loses nothing, and does not end the wait.
+    map.wait_again(ms(20_000));
+    let change = map.update(&config, std::slice::from_ref(&own), |_| None, ms(21_000));
+    expect_that!(change, eq(&OwnershipChange::default()));
+    expect_that!(usable(&map, 22_999), eq(0));
+    expect_that!(usable(&map, 23_000), eq(owned.len()));
+}
+
+/// Guards against a second pause that shortens the wait for the first one.
+#[gtest]
+fn second_long_pause_starts_the_wait_anew() {
+    let config = config(1);
+    let own = entry(0, "north-a");
+    let mut map = OwnershipMap::new(own.instance.clone(), &Timing::default());
+    map.update(&config, std::slice::from_ref(&own), |_| None, ms(0));
+    let server = map.owned().next().unwrap().clone();
+    map.wait_again(ms(10_000));
+    map.wait_again(ms(12_000));
+    expect_false!(map.is_usable(&server, ms(13_000)));
+    expect_true!(map.is_usable(&server, ms(15_000)));
+}
+
 /// Guards against ownership by an entry that is stopping.
 #[gtest]
 fn leaving_entry_is_not_live() {
--- a/crates/coordination/tests/ownership_fence.rs
+++ b/crates/coordination/tests/ownership_fence.rs
@@ -4,7 +4,7 @@
 
 use googletest::prelude::*;
 use pollenshed_coordination::ownership::Fence;
-use pollenshed_state::settings::Timing;
+use pollenshed_state::{settings::Timing, time::Instant};
 use proptest::{collection::vec, prelude::*};
 use routing_support::{ms, proptest_config};
 
@@ -88,3 +88,43 @@
     fence.exchanged(ms(30_001), true, false, ms(30_020));
     expect_true!(fence.may_dispatch(ms(30_020)));
 }
+
+/// Guards against an owner that takes a long pause for a short one and dispatches beside a successor,
+/// whichever call notices the pause.
+#[gtest]
+fn a_pause_of_dead_after_is_long() {
+    type Notice = fn(&mut Fence, Instant);
+    let notices: [Notice; 3] = [
+        |fence, now| fence.ran(now),
+        |fence, now| fence.exchanged(now, true, false, now),
+        |fence, now| {
+            fence.may_dispatch(now);
+        },
+    ];
+    for notice in notices {
+        for (pause_ms, is_long) in [(999, false), (1_000, false), (2_999, false), (3_000, true)] {
+            let mut fence = Fence::new(&Timing::default(), ms(0));
+            fence.ran(ms(250));
+            notice(&mut fence, ms(250 + pause_ms));
+            expect_that!(fence.take_long_pause(), eq(is_long), "{pause_ms} ms");
+        }
+    }
+}
+
+/// Guards against a long pause that is lost behind a later short one or an exchange, or reported
+/// again and again, so that an owner never dispatches.
+#[gtest]
+fn a_long_pause_is_reported_once() {
+    let mut fence = Fence::new(&Timing::default(), ms(0));
+    expect_false!(fence.take_long_pause());
+    expect_false!(fence.may_dispatch(ms(3_000)));
+    fence.exchanged(ms(3_001), true, false, ms(3_010));
+    expect_true!(fence.may_dispatch(ms(3_010)));
+    fence.ran(ms(4_500));
+    expect_true!(fence.take_long_pause());
+    expect_false!(fence.take_long_pause());
+    fence.ran(ms(6_000));
+    expect_false!(fence.take_long_pause(), "a short pause after a long one");
+    fence.ran(ms(9_000));
+    expect_true!(fence.take_long_pause(), "a second long pause");
+}
