Test a failure domain that is cut off from all others and the platform

The proxies told processes apart by their source address. Instances connect to backend servers and to the platform from 127.0.0.1 all alike, so the sides of a partition could not be cut apart. Looking ports up in /proc/net/tcp was ruled out: with 55,000 lines one look took 100 ms. The proxies now ask sock_diag for the socket's inode and find the process that has it open. A process that is not found counts as cut, and a connection made during a cut never reaches its target, so that probes of a long cut do not pile up.

--- a/crates/pollenshed/tests/support/faults.rs
+++ b/crates/pollenshed/tests/support/faults.rs
@@ -14,7 +14,7 @@
 };
 use serde_json::{Value, json};
 
-use super::{Daemon, Fleet, Workdir, config_value, wait_for};
+use super::{Daemon, Fleet, Workdir, config_value, sources, wait_for};
 
 /// Silence after which peers take an instance for dead, in milliseconds.
 pub const DEAD_AFTER_MS: u64 = 1_600;
@@ -83,11 +83,13 @@
         domains.dedup();
         let platform = Platform::bind(local()).unwrap();
         let backends = bind_backends(&domains, service_time);
-        let backend_proxies: Vec<_> =
-            backends.iter().map(|(_, b)| Proxy::bind(b.address()).unwrap()).collect();
-        let config = proxied_config(&domains, &backends, &backend_proxies);
-        let platform_proxy = Proxy::bind(platform.address()).unwrap();
         let workdir = Workdir::create();
+        // Instances connect to backend servers and to the platform from the same address.
+        let identify = sources::identify(&workdir.path);
+        let bind = |target| Proxy::bind_identifying(target, identify.clone()).unwrap();
+        let backend_proxies: Vec<_> = backends.iter().map(|(_, b)| bind(b.address())).collect();
+        let config = proxied_config(&domains, &backends, &backend_proxies);
+        let platform_proxy = bind(platform.address());
         let fleet =
             Fleet { workdir, platform, backends, daemons: Vec::new(), config: config.clone() };
         let mut proxied = ProxiedFleet {
@@ -116,14 +118,41 @@
         };
         self.places.push(place);
         self.peers.push(proxies);
-        let daemon = self.spawn(self.places.len() - 1);
+        let daemon = self.spawn(self.places.len() - 1, &[]);
         self.fleet.daemons.push(daemon);
     }
 
     /// Starts a killed instance again.
     pub fn restart(&mut self, at: usize) {
         self.fleet.daemons[at].kill();
-        self.fleet.daemons[at] = self.spawn(at);
+        self.fleet.daemons[at] = self.spawn(at, &[]);
+    }
+
+    /// Starts a killed instance again, with all others as seed peers in its settings.
+    pub fn restart_with_seeds(&mut self, at: usize) {
+        self.fleet.daemons[at].kill();
+        let others = self.peers.iter().enumerate().filter(|(other, _)| *other != at);
+        let seeds: Vec<_> = others.map(|(_, proxies)| proxies.control.address()).collect();
+        self.fleet.daemons[at] = self.spawn(at, &seeds);
+    }
+
+    /// Cuts a failure domain off from all other failure domains and from the platform: instances
+    /// of one side reach neither instances nor backend servers of the other.
+    pub fn cut_off(&self, domain: &str) {
+        let is_inside = |at: &usize| self.places[*at].1 == domain;
+        let (inside, outside): (Vec<_>, Vec<_>) = (0..self.places.len()).partition(is_inside);
+        let cut_all = |proxy: &Proxy, sources: &[usize]| {
+            sources.iter().for_each(|at| proxy.cut_source(own_address(*at)));
+        };
+        for (at, peer) in self.peers.iter().enumerate() {
+            let others = if is_inside(&at) { &outside } else { &inside };
+            cut_all(&peer.control, others);
+            cut_all(&peer.relay, others);
+        }
+        for ((name, _), proxy) in self.fleet.backends.iter().zip(&self.backends) {
+            cut_all(proxy, if name.contains(domain) { &outside } else { &inside });
+        }
+        cut_all(&self.platform, &inside);
     }
 
     /// Ends an instance and takes it off the platform's list.
@@ -134,8 +163,10 @@
         self.list();
     }
 
-    fn spawn(&self, at: usize) -> Daemon {
-        let daemon = Daemon::spawn(&self.fleet.workdir, &self.settings(at));
+    fn spawn(&self, at: usize, seeds: &[SocketAddr]) -> Daemon {
+        let mut settings = self.settings(at);
+        settings["seed_peers"] = json!(seeds);
+        let daemon = Daemon::spawn(&self.fleet.workdir, &settings);
         self.peers[at].control.set_target(daemon.peers);
         self.peers[at].relay.set_target(daemon.relay);
         daemon
@@ -143,8 +174,7 @@
 
     fn settings(&self, at: usize) -> Value {
         let (name, domain) = self.places[at];
-        let number = u8::try_from(at + 1).unwrap();
-        let own = SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, 0, 1, number)), 0).to_string();
+        let own = SocketAddr::new(own_address(at), 0).to_string();
         json!({
             "instance": name,
             "failure_domain": domain,
@@ -242,6 +272,11 @@
     wait_for("the end of the fault", || (Instant::now() >= until).then_some(()));
 }
 
+/// Address from which an instance connects to peers.
+fn own_address(at: usize) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(127, 0, 1, u8::try_from(at + 1).unwrap()))
+}
+
 fn local() -> SocketAddr {
     (Ipv4Addr::LOCALHOST, 0).into()
 }
--- a/crates/pollenshed/tests/support/mod.rs
+++ b/crates/pollenshed/tests/support/mod.rs
@@ -8,6 +8,7 @@
 pub mod faults;
 pub mod load;
 pub mod raw;
+pub mod sources;
 
 use std::{
     fs,
--- a/crates/standins/src/proxy/connection.rs
+++ b/crates/standins/src/proxy/connection.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io::{self, ErrorKind, Read, Write},
-    net::{Shutdown, TcpStream},
+    net::{IpAddr, Shutdown, TcpStream},
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -26,6 +26,7 @@
 pub(super) struct Connection {
     caller: TcpStream,
     target: TcpStream,
+    source: Option<IpAddr>,
     closed: AtomicBool,
 }
 
@@ -36,12 +37,18 @@
 }
 
 impl Connection {
-    pub fn spawn(shared: &Arc<Shared>, caller: TcpStream, target: TcpStream) -> io::Result<()> {
+    pub fn spawn(
+        shared: &Arc<Shared>,
+        caller: TcpStream,
+        target: TcpStream,
+        source: Option<IpAddr>,
+    ) -> io::Result<()> {
         for stream in [&caller, &target] {
             stream.set_nodelay(true)?;
             stream.set_write_timeout(Some(WRITE_TIMEOUT))?;
         }
-        let connection = Arc::new(Connection { caller, target, closed: AtomicBool::new(false) });
+        let closed = AtomicBool::new(false);
+        let connection = Arc::new(Connection { caller, target, source, closed });
         shared.register(&connection);
         for direction in [Direction::ToTarget, Direction::ToCaller] {
             let (sender, receiver) = sync_channel(MAX_WAITING_PIECES);
@@ -115,11 +122,10 @@
     pieces: &Receiver<Piece>,
 ) {
     let (_, to) = connection.ends(direction);
-    let source = connection.caller.peer_addr().ok().map(|address| address.ip());
     let mut forwarded = 0;
     for piece in pieces {
-        let turn =
-            shared.wait_for_turn(direction, source, piece.arrived, || connection.is_closed());
+        let turn = shared
+            .wait_for_turn(direction, connection.source, piece.arrived, || connection.is_closed());
         let Some(way) = turn else { return };
         if way.cut {
             continue;
--- a/crates/standins/src/proxy/faults.rs
+++ b/crates/standins/src/proxy/faults.rs
@@ -2,12 +2,15 @@
 
 use std::{
     collections::HashSet,
-    net::{IpAddr, SocketAddr},
+    net::{IpAddr, SocketAddr, TcpStream},
     sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError, Weak, atomic::AtomicU64},
     time::{Duration, Instant},
 };
 
-use super::{Direction, connection::Connection};
+use super::{Direction, Identify, connection::Connection};
+
+/// Attempts at finding the process of a connection, which may open and close files meanwhile.
+const IDENTIFY_ATTEMPTS: u32 = 3;
 
 /// Faults of one direction.
 #[derive(Debug, Clone, Copy, Default)]
@@ -34,6 +37,12 @@
         }
     }
 
+    /// Tells whether a source is cut. One that can't be identified is cut with any other, so that
+    /// no byte passes a cut by chance.
+    pub fn cuts(&self, source: Option<IpAddr>) -> bool {
+        source.map_or(!self.cut_sources.is_empty(), |source| self.cut_sources.contains(&source))
+    }
+
     pub fn each(&mut self, change: impl Fn(&mut Way)) {
         change(&mut self.to_target);
         change(&mut self.to_caller);
@@ -47,6 +56,7 @@
 }
 
 pub(super) struct Shared {
+    identify: Option<Identify>,
     faults: Mutex<Faults>,
     changed: Condvar,
     connections: Mutex<Vec<Weak<Connection>>>,
@@ -55,7 +65,7 @@
 }
 
 impl Shared {
-    pub fn new(target: SocketAddr) -> Shared {
+    pub fn new(target: SocketAddr, identify: Option<Identify>) -> Shared {
         let faults = Faults {
             target,
             frozen: false,
@@ -64,6 +74,7 @@
             to_caller: Way::default(),
         };
         Shared {
+            identify,
             faults: Mutex::new(faults),
             changed: Condvar::new(),
             connections: Mutex::new(Vec::new()),
@@ -87,6 +98,18 @@
         self.changed.notify_all();
     }
 
+    /// Returns the address under which the caller of a connection can be cut off.
+    pub fn source_of(&self, caller: &TcpStream) -> Option<IpAddr> {
+        match &self.identify {
+            Some(identify) => (0..IDENTIFY_ATTEMPTS).find_map(|_| identify(caller)),
+            None => Some(caller.peer_addr().ok()?.ip()),
+        }
+    }
+
+    pub fn is_cut_source(&self, source: Option<IpAddr>) -> bool {
+        self.lock().cuts(source)
+    }
+
     pub fn target(&self) -> SocketAddr {
         self.lock().target
     }
@@ -124,7 +147,7 @@
                 return None;
             }
             let mut way = *faults.way(direction);
-            way.cut |= source.is_some_and(|source| faults.cut_sources.contains(&source));
+            way.cut |= faults.cuts(source);
             let left = (arrived + way.delay).saturating_duration_since(Instant::now());
             if !faults.frozen && left.is_zero() {
                 return Some(way);
--- a/crates/standins/src/proxy/mod.rs
+++ b/crates/standins/src/proxy/mod.rs
@@ -4,9 +4,11 @@
 //! direction one that reads and one that writes, so that a delay does not limit the throughput.
 
 mod connection;
+mod diag;
 mod faults;
 
 use std::{
+    io::{ErrorKind, Read},
     net::{IpAddr, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc,
@@ -18,12 +20,17 @@
 
 use eyre::{Result, WrapErr};
 
+pub use diag::peer_inode;
+
 use connection::Connection;
 use faults::Shared;
 
 /// Timeout of connecting to the target, and of the connection that wakes the accepting thread.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Period in which a swallowed connection looks whether the cut has ended.
+const SWALLOW_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Which way bytes flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Direction {
@@ -33,6 +40,9 @@
     ToCaller,
 }
 
+/// Tells which process a connection comes from, as the address that [`Proxy::cut_source`] names.
+pub type Identify = Arc<dyn Fn(&TcpStream) -> Option<IpAddr> + Send + Sync>;
+
 /// A running proxy. It closes its connections and stops when dropped.
 pub struct Proxy {
     address: SocketAddr,
@@ -53,7 +63,17 @@
 
     /// Forwards `address` to `target`.
     pub fn bind_at(address: SocketAddr, target: SocketAddr) -> Result<Proxy> {
-        let shared = Arc::new(Shared::new(target));
+        Proxy::open(address, Shared::new(target, None))
+    }
+
+    /// Forwards a port of the system's choice on 127.0.0.1 to `target`, and tells processes apart
+    /// that connect from the same address.
+    pub fn bind_identifying(target: SocketAddr, identify: Identify) -> Result<Proxy> {
+        Proxy::open(([127, 0, 0, 1], 0).into(), Shared::new(target, Some(identify)))
+    }
+
+    fn open(address: SocketAddr, shared: Shared) -> Result<Proxy> {
+        let shared = Arc::new(shared);
         let listener = TcpListener::bind(address)
             .wrap_err_with(|| format!("proxy cannot listen on {address}"))?;
         let address = listener.local_addr()?;
@@ -183,6 +203,22 @@
     }
 }
 
+/// Drops what a caller sends whose source is cut, until the caller closes the connection or the cut
+/// ends. The target sees no such connection, so that a long cut does not pile up open ones.
+fn swallow(shared: &Shared, mut caller: TcpStream, source: Option<IpAddr>) {
+    let mut buffer = [0; 4096];
+    let _ = caller.set_read_timeout(Some(SWALLOW_TIMEOUT));
+    while shared.is_cut_source(source) {
+        match caller.read(&mut buffer) {
+            Ok(0) => return,
+            Err(e) if !matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => return,
+            _ => {}
+        }
+    }
+    // What was sent is lost, so the caller has to connect again.
+    let _ = socket2::SockRef::from(&caller).set_linger(Some(Duration::ZERO));
+}
+
 fn accept(listener: &TcpListener, shared: &Arc<Shared>, stop: &AtomicBool) {
     for stream in listener.incoming() {
         if stop.load(Ordering::SeqCst) {
@@ -192,10 +228,14 @@
         let shared = shared.clone();
         let builder = thread::Builder::new().name("proxy-connect".to_owned());
         let _ = builder.spawn(move || {
+            let source = shared.source_of(&stream);
+            if shared.is_cut_source(source) {
+                return swallow(&shared, stream, source);
+            }
             let target = shared.target();
             // A caller whose target can't be reached sees its connection end.
             if let Ok(target) = TcpStream::connect_timeout(&target, CONNECT_TIMEOUT) {
-                let _ = Connection::spawn(&shared, stream, target);
+                let _ = Connection::spawn(&shared, stream, target, source);
             }
         });
     }
--- a/crates/standins/tests/proxy.rs
+++ b/crates/standins/tests/proxy.rs
@@ -4,12 +4,13 @@
 
 use std::{
     io::{ErrorKind, Read, Write},
-    net::{TcpListener, TcpStream},
+    net::{IpAddr, Ipv4Addr, TcpListener, TcpStream},
+    sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
 
 use googletest::prelude::*;
-use pollenshed_standins::proxy::{Direction, Proxy};
+use pollenshed_standins::proxy::{Direction, Proxy, peer_inode};
 use support::PATIENCE;
 
 /// A proxy with one open connection: the caller's end and the target's end.
@@ -128,3 +129,49 @@
     other_target.set_read_timeout(Some(PATIENCE)).unwrap();
     pass(&mut other, &mut other_target, "later");
 }
+
+/// Guards against a process behind a shared address that is taken for another one, and against a
+/// connection that passes a cut because it is new or its process is not found.
+#[gtest]
+fn processes_that_share_an_address_are_cut_apart() {
+    const CUT: IpAddr = IpAddr::V4(Ipv4Addr::new(127, 0, 1, 1));
+    const OTHER: IpAddr = IpAddr::V4(Ipv4Addr::new(127, 0, 1, 2));
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    // The test is one process, so it tells its connections apart by the number of the socket.
+    let inodes = Arc::new(Mutex::new(Vec::new()));
+    let seen = inodes.clone();
+    let identify = Arc::new(move |caller: &TcpStream| {
+        let (mut seen, inode) = (seen.lock().unwrap(), peer_inode(caller)?);
+        if !seen.contains(&inode) {
+            seen.push(inode);
+        }
+        [Some(OTHER), Some(CUT), None][seen.iter().position(|i| *i == inode)?]
+    });
+    let mut proxy = Proxy::bind_identifying(listener.local_addr().unwrap(), identify).unwrap();
+    let mut first = TcpStream::connect(proxy.address()).unwrap();
+    let (mut target, _) = listener.accept().unwrap();
+    target.set_read_timeout(Some(PATIENCE)).unwrap();
+    proxy.cut_source(CUT);
+    let others: Vec<_> = (0..2).map(|_| swallowed(&proxy)).collect();
+    pass(&mut first, &mut target, "question");
+    listener.set_nonblocking(true).unwrap();
+    expect_that!(listener.accept().map(drop), err(anything()));
+    expect_that!(inodes.lock().unwrap().len(), eq(3));
+    proxy.heal().unwrap();
+    for mut other in others {
+        expect_that!(
+            other.read(&mut [0]).map_err(|e| e.kind()),
+            err(eq(ErrorKind::ConnectionReset))
+        );
+    }
+}
+
+/// Connects and sends bytes that must not arrive.
+fn swallowed(proxy: &Proxy) -> TcpStream {
+    let mut caller = TcpStream::connect(proxy.address()).unwrap();
+    caller.set_read_timeout(Some(Duration::from_millis(100))).unwrap();
+    caller.write_all(b"lost").unwrap();
+    expect_that!(caller.read(&mut [0]).map(drop), err(anything()));
+    caller.set_read_timeout(Some(PATIENCE)).unwrap();
+    caller
+}
