Send configuration changes between instances by number

ReplicatedMap was ruled out: it needs keys for every part of the document, while byte ranges of the canonical document need none and the digest of the result is the one that the store names. The `similar` crate was ruled out, because the time of its search grows with the product of length and difference unless a clock ends it, and this layer has no clock.

An instance keeps up to 64 changes and 1 MiB of the ones that led to its version. FetchConfig names version and digest; a peer that knows a chain from there, smaller than the document, sends it, otherwise the whole. The receiver applies it, checks the digest, and fetches the whole if it is wrong. Only higher versions are taken, as before. An instance without the new fields sends no digest and gets the whole.

Tests: difference and history with random documents, ConfigSlot with wrong, falling and too many changes, and two process tests: changes before and the whole document after a restart of the peer, and a peer whose changes are wrong.

--- a/crates/coordination/examples/config_size.rs
+++ b/crates/coordination/examples/config_size.rs
@@ -1,16 +1,20 @@
-//! Measures a configuration against its number of backend servers: bytes, time to read it and time to
-//! find all owners.
+//! Measures a configuration against its number of backend servers: bytes, time to read it, time to
+//! find all owners, and bytes and time of one change as a delta.
 //!
 //! `cargo run --release -p pollenshed-coordination --example config_size`
 
 use std::time::Instant;
 
-use pollenshed_coordination::ownership::{Assignment, LiveEntry};
+use pollenshed_coordination::{
+    ownership::{Assignment, LiveEntry},
+    replication::{Change, apply, diff},
+};
 use pollenshed_state::{
     config::{
-        BackendServer, Config, Network, Operation, Rank, RankPolicy, Region, Service, ShiftPolicy,
+        BackendServer, Config, Drain, Network, Operation, Rank, RankPolicy, Region, Service,
+        ShiftPolicy,
     },
-    ids::{Digest, Incarnation},
+    ids::{ConfigVersion, Digest, Incarnation},
     units::{BitRate, ByteSize, Percent, Slots},
 };
 
@@ -19,6 +23,7 @@
 /// Live entries in the table of one instance: 167 of its failure domain and 4 of each other one.
 const ENTRIES: usize = 323;
 const REPEATS: u32 = 20;
+const SERVERS: [usize; 5] = [48, 480, 500, 1_700, 6_800];
 
 fn name<T: std::str::FromStr<Err: std::fmt::Debug>>(text: String) -> T {
     text.parse().expect("a valid name")
@@ -84,6 +89,69 @@
     start.elapsed().as_secs_f64() * 1e3 / f64::from(REPEATS)
 }
 
+/// Changes that operators make, by name.
+fn changes(config: &Config) -> Vec<(&'static str, Config)> {
+    let changed = |change: &dyn Fn(&mut Config)| {
+        let mut config = config.clone();
+        change(&mut config);
+        config
+    };
+    let servers = |config: &mut Config| std::mem::take(&mut config.services[1].backend_servers);
+    let drained = config.services[2].backend_servers[3].name.clone();
+    vec![
+        ("slots", changed(&|c| c.services[1].backend_servers[5].slots = Slots(3))),
+        ("drain", changed(&|c| c.drains.push(Drain::BackendServer(drained.clone())))),
+        (
+            "slots_and_drain",
+            changed(&|c| {
+                c.services[1].backend_servers[5].slots = Slots(3);
+                c.drains.push(Drain::BackendServer(drained.clone()));
+            }),
+        ),
+        (
+            "replaced_server",
+            changed(&|c| {
+                let server = &mut c.services[1].backend_servers[5];
+                server.name = name("service-1-replacement".to_owned());
+                server.address.set_port(9_001);
+            }),
+        ),
+        (
+            "removed_server",
+            changed(&|c| {
+                c.services[1].backend_servers.remove(5);
+            }),
+        ),
+        (
+            "slots_of_a_service",
+            changed(&|c| {
+                let all = servers(c).into_iter();
+                let halved = all.map(|s| BackendServer { slots: Slots(2), ..s });
+                c.services[1].backend_servers = halved.collect();
+            }),
+        ),
+    ]
+}
+
+fn measure_deltas(servers: usize, config: &Config) {
+    let old = config.canonical_json();
+    for (what, changed) in changes(config) {
+        let new = changed.canonical_json();
+        let splices = diff(old.as_bytes(), new.as_bytes());
+        assert_eq!(apply(old.as_bytes(), &splices).as_deref(), Ok(new.as_bytes()));
+        let diff_ms = time_ms(|| {
+            std::hint::black_box(diff(old.as_bytes(), new.as_bytes()));
+        });
+        let apply_ms = time_ms(|| {
+            let new = apply(old.as_bytes(), &splices);
+            std::hint::black_box(Digest::of(&new.unwrap_or_default()));
+        });
+        let stamp = (ConfigVersion(1), Digest::of(old.as_bytes()));
+        let delta_bytes = Change { from: stamp, to: stamp, splices }.size_bytes();
+        println!("{servers} {what} {} {delta_bytes} {diff_ms:.2} {apply_ms:.2}", new.len());
+    }
+}
+
 fn main() {
     println!("backend_servers document_B read_and_digest_ms owners_ms");
     let entries: Vec<_> = (0..ENTRIES)
@@ -93,7 +161,7 @@
             failure_domain: name(format!("region-a-{}", if n < 167 { 0 } else { n % DOMAINS })),
         })
         .collect();
-    for servers in [48, 480, 1_700, 6_800] {
+    for servers in SERVERS {
         let config = config(servers);
         let text = config.canonical_json();
         let read_ms = time_ms(|| {
@@ -106,4 +174,8 @@
         });
         println!("{servers} {} {read_ms:.2} {owners_ms:.2}", text.len());
     }
+    println!("backend_servers change document_B delta_B diff_ms apply_and_digest_ms");
+    for servers in SERVERS {
+        measure_deltas(servers, &config(servers));
+    }
 }
--- a/crates/coordination/src/replication/mod.rs
+++ b/crates/coordination/src/replication/mod.rs
@@ -3,16 +3,21 @@
 //! The platform's table service decides the order of configurations; nothing here is a log of its
 //! own. [`Submission`] moves the head row by one conditional write, [`Replica`] decides what an
 //! instance does with an offered version, and [`poll_plan`] decides who reads the store.
-//! [`ReplicatedMap`] sends changes of the client-block map as deltas; the `block_delta` example has
+//! [`History`] keeps the latest changes of the configuration for peers; the `config_size` example has
+//! the figures. [`ReplicatedMap`] sends changes of the client-block map as deltas; the `block_delta` example has
 //! the figures.
 
+mod delta;
 mod head;
+mod history;
 mod log;
 mod readers;
 mod replica;
 mod submission;
 
+pub use delta::{Splice, WrongDocument, apply, diff};
 pub use head::{HeadState, MAX_PAST_SUBMISSIONS, PastSubmission, StoredHead, SubmissionId};
+pub use history::{Change, History, MAX_CHANGES, MAX_HISTORY_BYTES, Stamp};
 pub use log::{Point, ReplicatedMap, Update, WrongPoint};
 pub use readers::{PollPlan, READERS_PER_DOMAIN, poll_gap_ms, poll_plan};
 pub use replica::{Offer, Replica, Report, Source};
--- a/crates/pollenshed/src/config.rs
+++ b/crates/pollenshed/src/config.rs
@@ -6,7 +6,9 @@
 };
 
 use bytes::Bytes;
-use pollenshed_coordination::replication::{Offer, Replica, Report};
+use pollenshed_coordination::replication::{
+    Change, History, MAX_CHANGES, Offer, Replica, Report, Splice, Stamp, apply, diff,
+};
 use pollenshed_state::{
     config::Config,
     ids::{ConfigVersion, Digest},
@@ -27,6 +29,16 @@
     pub config: Config,
 }
 
+impl InForce {
+    /// Returns version and digest.
+    pub fn stamp(&self) -> Stamp {
+        (self.version, self.digest)
+    }
+}
+
+/// Splices with the version that they lead to.
+pub type NumberedSplices = (ConfigVersion, Vec<Splice>);
+
 /// Why an offered configuration was not taken.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Rejected {
@@ -88,6 +100,7 @@
 pub struct ConfigSlot {
     current: RwLock<Option<Arc<InForce>>>,
     replica: Mutex<Replica>,
+    history: Mutex<History>,
 }
 
 impl ConfigSlot {
@@ -112,9 +125,44 @@
         if Digest::of(&document) != digest {
             return Err(Rejected::WrongDigest);
         }
-        let config =
-            serde_json::from_slice(&document).map_err(|e| Rejected::Malformed(e.to_string()))?;
-        let offered = Arc::new(InForce { version, digest, document, config });
+        let change = self.get().map(|base| Change {
+            from: base.stamp(),
+            to: (version, digest),
+            splices: diff(&base.document, &document),
+        });
+        self.take(parse(version, digest, document)?, change.into_iter().collect())
+    }
+
+    /// Takes the document that changes make of `base` if its version is higher and its digest is
+    /// right. The changes are kept for peers.
+    pub fn offer_changes(
+        &self,
+        base: &InForce,
+        version: ConfigVersion,
+        digest: Digest,
+        changes: Vec<NumberedSplices>,
+    ) -> Result<Arc<InForce>, Rejected> {
+        self.check_version(version, Some(digest))?;
+        let (document, changes) =
+            chain(base.stamp(), &base.document, changes).ok_or(Rejected::WrongDigest)?;
+        if changes.last().map(|change| change.to) != Some((version, digest)) {
+            return Err(Rejected::WrongDigest);
+        }
+        self.take(parse(version, digest, document)?, changes)
+    }
+
+    /// Returns the changes after a version, if they are kept and smaller than the whole document.
+    pub fn changes_since(&self, have: Stamp) -> Option<Vec<Change>> {
+        let current = self.get()?;
+        let changes = lock(&self.history).since(have, current.document.len())?;
+        // A change that came into force since then is left for the next call.
+        (changes.last()?.to == current.stamp()).then_some(changes)
+    }
+
+    /// Puts a checked document in force with the changes that led to it.
+    fn take(&self, offered: InForce, changes: Vec<Change>) -> Result<Arc<InForce>, Rejected> {
+        let (version, digest) = offered.stamp();
+        let offered = Arc::new(offered);
         let mut current = self.current.write().unwrap_or_else(PoisonError::into_inner);
         // Another thread may have taken a higher version while the document was parsed.
         if !lock(&self.replica).accept(version, digest) {
@@ -122,6 +170,8 @@
             return Err(Rejected::Same);
         }
         *current = Some(offered.clone());
+        let mut history = lock(&self.history);
+        changes.into_iter().for_each(|change| history.push(change));
         Ok(offered)
     }
 
@@ -139,3 +189,34 @@
         }
     }
 }
+
+/// Reads a document whose digest was checked.
+fn parse(version: ConfigVersion, digest: Digest, document: Bytes) -> Result<InForce, Rejected> {
+    let config =
+        serde_json::from_slice(&document).map_err(|e| Rejected::Malformed(e.to_string()))?;
+    Ok(InForce { version, digest, document, config })
+}
+
+/// Applies changes one after the other. Returns the last document and the changes with the digests
+/// between them, or nothing if there are too many, versions do not rise or one does not fit.
+fn chain(
+    mut from: Stamp,
+    base: &Bytes,
+    changes: Vec<NumberedSplices>,
+) -> Option<(Bytes, Vec<Change>)> {
+    if changes.len() > MAX_CHANGES {
+        return None;
+    }
+    let mut document = base.clone();
+    let mut chain = Vec::with_capacity(changes.len());
+    for (version, splices) in changes {
+        document = apply(&document, &splices).ok()?.into();
+        let to = (version, Digest::of(&document));
+        if version <= from.0 {
+            return None;
+        }
+        chain.push(Change { from, to, splices });
+        from = to;
+    }
+    Some((document, chain))
+}
--- a/crates/pollenshed/src/gossip/config_fetch.rs
+++ b/crates/pollenshed/src/gossip/config_fetch.rs
@@ -1,41 +1,145 @@
-//! Fetches a newer configuration from a peer that told of it.
+//! Fetches a newer configuration from a peer that told of it, as changes if the peer has them.
 
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use pollenshed_protocol::peer::{ExchangeMessage, FetchConfigRequest};
-use pollenshed_state::ids::ConfigVersion;
+use pollenshed_coordination::{
+    membership::MemberRecord,
+    replication::{Change, Splice},
+};
+use pollenshed_protocol::peer::{self, ExchangeMessage, FetchConfigReply, FetchConfigRequest};
+use pollenshed_state::ids::{ConfigVersion, Digest};
 
-use crate::{instance::Shared, wire};
+use crate::{
+    config::{InForce, NumberedSplices, Rejected},
+    instance::Shared,
+    wire,
+};
 
 /// Time within which a peer must send the configuration.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Answers a peer with the changes after its version, or with the whole document if they are not
+/// kept, if they are not smaller or if the peer has another document under its version.
+pub fn answer_fetch(shared: &Shared, request: &FetchConfigRequest) -> FetchConfigReply {
+    let have_version = ConfigVersion(request.have_version);
+    let Some(current) = shared.config.get().filter(|c| c.version > have_version) else {
+        return FetchConfigReply::default();
+    };
+    let have_digest = wire::digest_from_wire(&request.have_digest);
+    let changes = have_digest.and_then(|d| shared.config.changes_since((have_version, d)));
+    // A version that came into force meanwhile has its own digest, which goes with the changes.
+    let end = changes.as_ref().and_then(|changes| changes.last()).map_or(current.stamp(), |c| c.to);
+    FetchConfigReply {
+        version: end.0.0,
+        digest: end.1.as_bytes().to_vec().into(),
+        document: if changes.is_some() { Bytes::new() } else { current.document.clone() },
+        changes: changes.unwrap_or_default().into_iter().map(change_to_wire).collect(),
+    }
+}
+
 /// Fetches the sender's configuration if it is newer than the one in force here.
 pub async fn fetch_newer(shared: &Arc<Shared>, message: &ExchangeMessage) {
     let Some(sender) = message.sender.as_ref().and_then(wire::member_from_wire) else { return };
+    let base = shared.config.get();
     if sender.config_version <= shared.config.version() {
         return;
     }
-    let have_version = shared.config.version().0;
-    let request = FetchConfigRequest { have_version, have_digest: Bytes::new() };
-    let mut client = shared.control_peers.control(sender.peer_address);
+    let Some(reply) = fetch(shared, &sender, base.as_deref()).await else { return };
+    match &base {
+        Some(base) if !reply.changes.is_empty() => {
+            if take_changes(shared, &sender, base, reply) == Err(Rejected::WrongDigest)
+                && let Some(reply) = fetch(shared, &sender, None).await
+            {
+                take_whole(shared, &sender, reply);
+            }
+        }
+        _ => take_whole(shared, &sender, reply),
+    }
+}
+
+/// Asks a peer for what came after `base`, or for the whole document.
+async fn fetch(
+    shared: &Shared,
+    peer: &MemberRecord,
+    base: Option<&InForce>,
+) -> Option<FetchConfigReply> {
+    let request = FetchConfigRequest {
+        have_version: base.map_or_else(|| shared.config.version(), |b| b.version).0,
+        have_digest: base.map_or_else(Bytes::new, |b| b.digest.as_bytes().to_vec().into()),
+    };
+    let mut client = shared.control_peers.control(peer.peer_address);
     let call = client.fetch_config(request);
-    let Ok(Ok(fetched)) = tokio::time::timeout(FETCH_TIMEOUT, call).await else { return };
-    let fetched = fetched.into_inner();
-    let Some(digest) = wire::digest_from_wire(&fetched.digest) else { return };
-    let version = ConfigVersion(fetched.version);
-    match shared.config.offer(version, digest, fetched.document) {
+    let reply = tokio::time::timeout(FETCH_TIMEOUT, call).await.ok()?.ok()?;
+    Some(reply.into_inner())
+}
+
+fn take_changes(
+    shared: &Shared,
+    peer: &MemberRecord,
+    base: &InForce,
+    reply: FetchConfigReply,
+) -> Result<(), Rejected> {
+    let (version, digest) = stamp(&reply).ok_or(Rejected::WrongDigest)?;
+    let changes: Vec<_> = reply.changes.into_iter().map(change_from_wire).collect();
+    let result = shared.config.offer_changes(base, version, digest, changes);
+    let form = format!("by its changes after version {}", base.version);
+    note(shared, peer, version, &form, result)
+}
+
+fn take_whole(shared: &Shared, peer: &MemberRecord, reply: FetchConfigReply) {
+    let Some((version, digest)) = stamp(&reply) else { return };
+    let result = shared.config.offer(version, digest, reply.document);
+    let _ = note(shared, peer, version, "as a whole", result);
+}
+
+fn stamp(reply: &FetchConfigReply) -> Option<(ConfigVersion, Digest)> {
+    Some((ConfigVersion(reply.version), wire::digest_from_wire(&reply.digest)?))
+}
+
+/// Logs what became of an offer and puts an accepted configuration to use.
+fn note(
+    shared: &Shared,
+    peer: &MemberRecord,
+    version: ConfigVersion,
+    form: &str,
+    result: Result<Arc<InForce>, Rejected>,
+) -> Result<(), Rejected> {
+    let peer = &peer.instance;
+    match result {
         Ok(current) => {
-            log::info!("config: version {version} in force, from peer {}", sender.instance);
+            log::info!("config: version {version} in force, from peer {peer} {form}");
             super::update(shared, &current, shared.clock.now());
+            Ok(())
         }
-        Err(rejected) if rejected.is_news() => {
-            log::warn!(
-                "config: version {version} of peer {} not taken: {rejected}",
-                sender.instance
-            );
+        Err(rejected) => {
+            if rejected.is_news() {
+                log::warn!("config: version {version} of peer {peer} {form} not taken: {rejected}");
+            }
+            Err(rejected)
         }
-        Err(_) => {}
     }
 }
+
+fn change_to_wire(change: Change) -> peer::ConfigChange {
+    let splice = |splice: Splice| peer::Splice {
+        at: splice.at as u64,
+        removed: splice.removed as u64,
+        inserted: splice.inserted.into(),
+    };
+    peer::ConfigChange {
+        version: change.to.0.0,
+        splices: change.splices.into_iter().map(splice).collect(),
+    }
+}
+
+/// A place beyond what the machine can count is beyond any document as well.
+fn change_from_wire(change: peer::ConfigChange) -> NumberedSplices {
+    let number = |n: u64| usize::try_from(n).unwrap_or(usize::MAX);
+    let splice = |splice: peer::Splice| Splice {
+        at: number(splice.at),
+        removed: number(splice.removed),
+        inserted: splice.inserted.to_vec(),
+    };
+    (ConfigVersion(change.version), change.splices.into_iter().map(splice).collect())
+}
--- a/crates/pollenshed/src/gossip/mod.rs
+++ b/crates/pollenshed/src/gossip/mod.rs
@@ -14,6 +14,7 @@
 use pollenshed_state::{config::Config, ids::FailureDomainName, time::Instant};
 use tokio::time::MissedTickBehavior;
 
+pub use config_fetch::answer_fetch;
 pub use message::{answer, merge};
 
 use crate::{config::InForce, instance::Shared, owner, util::lock, wire};
--- a/crates/pollenshed/src/instance/servers.rs
+++ b/crates/pollenshed/src/instance/servers.rs
@@ -107,14 +107,7 @@
         &self,
         request: Request<FetchConfigRequest>,
     ) -> Result<Response<FetchConfigReply>, Status> {
-        let have = request.into_inner().have_version;
-        let newer = self.shared.config.get().filter(|c| c.version.0 > have);
-        let reply = newer.map_or_else(FetchConfigReply::default, |current| FetchConfigReply {
-            version: current.version.0,
-            digest: current.digest.as_bytes().to_vec().into(),
-            document: current.document.clone(),
-        });
-        Ok(Response::new(reply))
+        Ok(Response::new(gossip::answer_fetch(&self.shared, request.get_ref())))
     }
 
     async fn hand_over(
--- /dev/null
+++ b/crates/pollenshed/tests/config_delta.rs
@@ -0,0 +1,244 @@
+//! Configuration that peers send as changes, and as a whole where changes do not fit.
+
+#[path = "support/store.rs"]
+mod store;
+mod support;
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use googletest::prelude::*;
+use pollenshed::config::{ConfigSlot, NumberedSplices, Rejected};
+use pollenshed_coordination::replication::{Change, MAX_CHANGES, Splice};
+use pollenshed_protocol::{
+    peer::{
+        ConfigChange, ExchangeMessage, FetchConfigReply, FetchConfigRequest, HandOverReply,
+        HandOverRequest, Member, Splice as WireSplice,
+        control_server::{Control, ControlServer},
+    },
+    platform::{InstanceList, ListedInstance},
+};
+use pollenshed_standins::backend::Behaviour;
+use pollenshed_state::{
+    config::Config,
+    ids::{ConfigVersion, Digest},
+};
+use serde_json::json;
+use store::{Domain, signal};
+use support::{Daemon, Fleet, wait_for};
+use tokio::runtime::Runtime;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::{Request, Response, Status, transport::Server};
+
+const CALI: &str = include_str!("../../operators/tests/golden/cali.json");
+
+fn behaviour() -> Behaviour {
+    Behaviour { name: String::new(), slots: 3, service_time: Duration::from_millis(2) }
+}
+
+/// Returns the document that stands for a version in these tests, and its digest. The documents
+/// differ in length, so that a change fits the document only that it was made for.
+fn document(version: u64) -> (ConfigVersion, Digest, Bytes) {
+    let slots = version.to_string().repeat(usize::try_from(version).unwrap());
+    let text = CALI.replacen("\"slots\": 3", &format!("\"slots\": {slots}"), 1);
+    (ConfigVersion(version), Digest::of(text.as_bytes()), text.into())
+}
+
+fn slot(versions: &[u64]) -> ConfigSlot {
+    let slot = ConfigSlot::default();
+    for version in versions {
+        let (version, digest, document) = document(*version);
+        slot.offer(version, digest, document).unwrap();
+    }
+    slot
+}
+
+fn numbered(changes: Vec<Change>) -> Vec<NumberedSplices> {
+    changes.into_iter().map(|change| (change.to.0, change.splices)).collect()
+}
+
+/// Returns the changes after a version as they are sent to a peer.
+fn changes(slot: &ConfigSlot, after: u64) -> Option<Vec<NumberedSplices>> {
+    let (version, digest, _) = document(after);
+    slot.changes_since((version, digest)).map(numbered)
+}
+
+fn take(slot: &ConfigSlot, to: u64, changes: Vec<NumberedSplices>) -> Option<Rejected> {
+    let (version, digest, _) = document(to);
+    slot.offer_changes(&slot.get().unwrap(), version, digest, changes).err()
+}
+
+/// Guards against a change that is lost when it is passed on, or that makes another document.
+#[gtest]
+fn changes_are_passed_on_by_number() {
+    let source = slot(&[1, 2, 4, 5]);
+    let relay = slot(&[1]);
+    expect_that!(take(&relay, 5, changes(&source, 1).unwrap()), none());
+    expect_that!(relay.get().unwrap().document, eq(&document(5).2));
+    let last = slot(&[4]);
+    expect_that!(take(&last, 5, changes(&relay, 4).unwrap()), none());
+    expect_true!(last.get().unwrap().config == source.get().unwrap().config);
+    // Nobody had version 3, and a new instance has no history.
+    expect_true!(changes(&relay, 3).is_none());
+    expect_true!(changes(&slot(&[5]), 4).is_none());
+}
+
+/// Guards against a version that goes down, and against a document whose digest is wrong.
+#[gtest]
+fn wrong_changes_leave_the_version_in_force() {
+    let source = slot(&[1, 2, 4, 5]);
+    let after_2 = changes(&source, 2).unwrap();
+    let own = slot(&[1]);
+    expect_that!(take(&own, 5, after_2.clone()), some(eq(&Rejected::WrongDigest)));
+    let mut falling = changes(&source, 1).unwrap();
+    falling[1].0 = ConfigVersion(2);
+    expect_that!(take(&own, 5, falling), some(eq(&Rejected::WrongDigest)));
+    let mut cut = changes(&source, 1).unwrap();
+    cut.pop();
+    expect_that!(take(&own, 5, cut), some(eq(&Rejected::WrongDigest)));
+    let mut endless = changes(&source, 1).unwrap();
+    let steps = 6..6 + MAX_CHANGES as u64;
+    endless.extend(steps.map(|version| (ConfigVersion(version), Vec::new())));
+    let (last, (_, digest, _)) = (endless[endless.len() - 1].0, document(5));
+    let taken = own.offer_changes(&own.get().unwrap(), last, digest, endless);
+    expect_that!(taken.err(), some(eq(&Rejected::WrongDigest)));
+    let far = Splice { at: usize::MAX, removed: usize::MAX, inserted: Vec::new() };
+    let beyond = vec![(ConfigVersion(5), vec![far])];
+    expect_that!(take(&own, 5, beyond), some(eq(&Rejected::WrongDigest)));
+    expect_that!(own.version(), eq(ConfigVersion(1)));
+    let newer = slot(&[6]);
+    expect_that!(take(&newer, 5, after_2), some(pat!(Rejected::Older { .. })));
+    expect_that!(newer.get().unwrap().document, eq(&document(6).2));
+}
+
+/// Guards against whole documents where a change is enough, and against an instance that gets
+/// nothing from a peer whose history does not reach back to its version.
+#[gtest]
+fn peer_sends_changes_or_the_whole_after_a_restart() {
+    let mut domain = Domain::start(2, &behaviour());
+    domain.links[1].refuse_new();
+    domain.links[1].cut();
+    domain.links[1].reset_connections();
+    let submit = |domain: &Domain, server: &str| {
+        let config = domain.fleet.config_with_drain(json!({"backend_server": server}));
+        domain.fleet.submit_with_floor(&config, 0);
+    };
+    submit(&domain, "ledger-north-a-1");
+    domain.fleet.wait_for_versions(&[2, 2]);
+    let lines = |domain: &Domain, text: &str| domain.fleet.log_lines("north-a-2", text);
+    let by_changes =
+        "config: version 2 in force, from peer north-a-1 by its changes after version 1";
+    expect_that!(lines(&domain, by_changes), eq(1));
+
+    // The peer is a new process that took version 3 from the store and has no change that led to it.
+    signal(&domain.fleet.daemons[1], "-STOP");
+    submit(&domain, "ledger-north-a-2");
+    wait_for("version 3", || (domain.fleet.daemons[0].status()?.config_version == 3).then_some(()));
+    domain.fleet.daemons[0].kill();
+    let mut settings = domain.fleet.settings("north-a-1", "north-a");
+    settings["platform_address"] = json!(domain.links[0].address().to_string());
+    domain.fleet.daemons[0] = Daemon::spawn(&domain.fleet.workdir, &settings);
+    store::list(&domain.fleet, |_, daemon| daemon.peers);
+    wait_for("version 3", || (domain.fleet.daemons[0].status()?.config_version == 3).then_some(()));
+    signal(&domain.fleet.daemons[1], "-CONT");
+    domain.fleet.wait_for_versions(&[3, 3]);
+    let whole = "config: version 3 in force, from peer north-a-1 as a whole";
+    expect_that!(lines(&domain, whole), eq(1));
+}
+
+/// A peer whose changes belong to another document than the whole document that it has.
+struct WrongPeer {
+    address: SocketAddr,
+    document: Bytes,
+    counter: Mutex<u64>,
+    asked_with_digest: Arc<Mutex<Vec<bool>>>,
+}
+
+#[tonic::async_trait]
+impl Control for WrongPeer {
+    async fn exchange(
+        &self,
+        _: Request<ExchangeMessage>,
+    ) -> std::result::Result<Response<ExchangeMessage>, Status> {
+        let mut counter = self.counter.lock().unwrap();
+        *counter += 1;
+        let address = self.address.to_string();
+        let sender = Member {
+            instance: "north-a-9".to_owned(),
+            failure_domain: "north-a".to_owned(),
+            incarnation: 9,
+            counter: *counter,
+            generation: 1,
+            config_version: 2,
+            peer_address: address.clone(),
+            relay_address: address.clone(),
+            caller_address: address,
+            ..Member::default()
+        };
+        Ok(Response::new(ExchangeMessage { sender: Some(sender), ..ExchangeMessage::default() }))
+    }
+
+    async fn fetch_config(
+        &self,
+        request: Request<FetchConfigRequest>,
+    ) -> std::result::Result<Response<FetchConfigReply>, Status> {
+        let has_digest = !request.get_ref().have_digest.is_empty();
+        self.asked_with_digest.lock().unwrap().push(has_digest);
+        let mut reply = FetchConfigReply {
+            version: 2,
+            digest: Digest::of(&self.document).as_bytes().to_vec().into(),
+            ..FetchConfigReply::default()
+        };
+        if has_digest {
+            let splice = WireSplice { at: 1, removed: 1, inserted: Bytes::from_static(b"?") };
+            reply.changes = vec![ConfigChange { version: 2, splices: vec![splice] }];
+        } else {
+            reply.document = self.document.clone();
+        }
+        Ok(Response::new(reply))
+    }
+
+    async fn hand_over(
+        &self,
+        _: Request<HandOverRequest>,
+    ) -> std::result::Result<Response<HandOverReply>, Status> {
+        Ok(Response::new(HandOverReply { accepted: false }))
+    }
+}
+
+/// Guards against changes that are taken without the digest of the whole document, and against an
+/// instance that stays behind after it refused them.
+#[gtest]
+fn whole_document_is_fetched_after_wrong_changes() {
+    let fleet = Fleet::start(&["north-a"], &behaviour());
+    let config = fleet.config_with_drain(json!({"backend_server": "ledger-north-a-1"}));
+    let config: Config = serde_json::from_value(config).unwrap();
+    let runtime = Runtime::new().unwrap();
+    let listener = runtime.block_on(tokio::net::TcpListener::bind("127.0.0.1:0")).unwrap();
+    let address = listener.local_addr().unwrap();
+    let asked_with_digest = Arc::default();
+    let peer = WrongPeer {
+        address,
+        document: config.canonical_json().into(),
+        counter: Mutex::default(),
+        asked_with_digest: Arc::clone(&asked_with_digest),
+    };
+    let server = Server::builder().add_service(ControlServer::new(peer));
+    runtime.spawn(server.serve_with_incoming(TcpListenerStream::new(listener)));
+    let listed = ListedInstance {
+        name: "north-a-9".parse().unwrap(),
+        failure_domain: "north-a".parse().unwrap(),
+        peer_address: address,
+        leaving: false,
+    };
+    fleet.platform.set_instances(InstanceList { instances: vec![listed], ..Default::default() });
+    fleet.wait_for_versions(&[2]);
+    let lines = |text: &str| fleet.log_lines("north-a-1", text);
+    expect_that!(lines("by its changes after version 1 not taken"), ge(1));
+    expect_that!(lines("config: version 2 in force, from peer north-a-9 as a whole"), eq(1));
+    expect_that!(asked_with_digest.lock().unwrap()[..2], eq(&[true, false]));
+}
