--- a/crates/pollenshed/src/gossip/mod.rs
+++ b/crates/pollenshed/src/gossip/mod.rs
@@ -18,6 +18,7 @@
 };
 use tokio::time::MissedTickBehavior;
 
+pub use config_fetch::answer_fetch;
 pub use message::{answer, merge};
 
 use crate::{config::InForce, instance::Shared, owner, util::lock, wire};
--- a/crates/pollenshed/tests/support/mod.rs
+++ b/crates/pollenshed/tests/support/mod.rs
@@ -9,6 +9,7 @@
 pub mod load;
 pub mod raw;
 pub mod rounds;
+pub mod sources;
 
 use std::{
     fs,
@@ -274,6 +275,16 @@
         }
     }
 
+    /// Counts the lines of an instance's log that say that a version is in force, or was not taken,
+    /// and have all these fields.
+    pub fn config_lines(&self, name: &str, text: &str, fields: &[(&str, &str)]) -> usize {
+        let log = fs::read_to_string(self.workdir.path.join(format!("{name}.log"))).unwrap();
+        let has = |line: &str| {
+            fields.iter().all(|(key, value)| deployment::log_field(line, key) == Some(value))
+        };
+        log.lines().filter(|line| line.contains(text) && has(line)).count()
+    }
+
     /// Returns the name of a backend server that ran a request with this body.
     pub fn backend_that_ran(&self, body: &[u8]) -> Option<String> {
         let ran = |b: &Backend| b.runs().iter().any(|run| run.body == body);
