Compare lookups with a bare rouille server

`rouille` is the library of the operators' port, so its rate is of interest.

Ruled out: 32 keep-alive connections. `tiny_http` has 4 threads at the start, gives one to each open connection, and counts a thread as idle until it has woken up.

Change: the mode `lookups` measures daemon and `hyper` with 32 and with 4 connections, and `rouille` with 4. Each connection has a client of its own instead of one pool behind a lock, and ends when an answer takes longer than 2 s, which is counted. Each row has the load average. The mode is a file of its own.

--- a/crates/pollenshed/benches/load/main.rs
+++ b/crates/pollenshed/benches/load/main.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod generator;
 mod levels;
+mod lookups;
 mod loss;
 mod report;
 #[path = "../../tests/support/mod.rs"]
@@ -46,7 +47,7 @@
         ["floods", scenario] => levels::floods(runtime, scenario),
         ["loss", scenario] => loss::loss(runtime, scenario),
         ["read"] => compare::read(runtime),
-        ["lookups"] => compare::lookups(runtime),
+        ["lookups"] => lookups::lookups(runtime),
         _ => println!("{USAGE}"),
     }
 }
