Test a key whose claiming entry dies before the run or stops as planned

Cause: claiming_entry_killed always kills the entry after the run has begun, and no test stopped a claiming entry as planned. Ruled out: no fault was found. Change: two tests. One loses the replies to the claim and kills the entry, so that the row names a ticket that never ran. The other stops the entry. Conclusion: such a key ends as unknown and never runs; after a planned stop it is answered by the heirs.

--- a/crates/pollenshed/tests/idempotency_keys.rs
+++ b/crates/pollenshed/tests/idempotency_keys.rs
@@ -18,7 +18,7 @@
 use pollenshed_state::ids::Digest;
 use support::{
     callers::{Reply, post_keyed},
-    faults::{ProxiedFleet, THREE_ENTRIES, answer_to, hold},
+    faults::{ProxiedFleet, THREE_ENTRIES, answer_to, hold, signal},
     wait_for,
 };
 
@@ -253,6 +253,49 @@
     });
 }
 
+/// Guards against a run under a claim whose entry was killed before it ran anything: nobody can tell
+/// this from a run that was lost.
+#[gtest]
+fn claiming_entry_killed_before_the_run() {
+    rounds([417], |fleet, seed, rng| {
+        let filing = Keyed::new(seed);
+        let victim = rng.usize(..fleet.places.len());
+        let lost = Faults { lose_write_replies: true, ..Faults::default() };
+        fleet.fleet.platform.set_faults(Faults { lose_read_replies: true, ..lost });
+        let refusal = Reply::NotRun("store-unavailable".to_owned());
+        expect_that!(filing.send(fleet, victim), eq(&refusal));
+        fleet.fleet.daemons[victim].kill();
+        fleet.fleet.platform.set_faults(Faults::default());
+        let ticket = filing.claimed_ticket(fleet).unwrap_or_default();
+        let prefix = format!("{}.", fleet.places[victim].0);
+        expect_that!(ticket, starts_with(prefix.as_str()));
+        let gone = Reply::Unknown("entry-gone".to_owned());
+        expect_that!(filing.send(fleet, (victim + 1) % fleet.places.len()), eq(&gone));
+        fleet.restart(victim);
+        fleet.wait_until_ready();
+        for entry in 0..fleet.places.len() {
+            expect_that!(filing.send(fleet, entry), eq(&gone));
+        }
+        expect_that!(filing.runs(fleet), eq(0));
+    });
+}
+
+/// Guards against a second run or a lost answer after a planned stop of the claiming entry.
+#[gtest]
+fn claiming_entry_stops() {
+    rounds([418], |fleet, seed, rng| {
+        let filing = Keyed::new(seed);
+        let victim = rng.usize(..fleet.places.len());
+        expect_that!(filing.send(fleet, victim), eq(&filing.answer()));
+        signal(&fleet.fleet.daemons[victim], "-TERM");
+        expect_that!(fleet.fleet.daemons[victim].wait_for_end(), eq(true));
+        for entry in (0..fleet.places.len()).filter(|at| *at != victim) {
+            expect_that!(filing.send(fleet, entry), eq(&filing.answer()));
+        }
+        filing.check(fleet, seed);
+    });
+}
+
 /// Guards against a second run after the claiming entry restarted at the same address and refuses
 /// the relayed filing, because no configuration has reached it.
 #[gtest]
