Hold back the second run of crashing content until peers were heard

Cause: copies sent at the same instant crash a server of each owner that gets one. Each owner then dispatched a second copy 4 to 27 ms later, before it had heard of the crash at the other owner, and lost its second server. Ruled out: more than one first copy at one owner at the same time on two servers. Change: content that crashed a server and had not completed runs a second time 500 ms (two gossip periods) after the last known crash. Content that had completed is not held back, so popular reads do not wait after a server is lost.

--- a/crates/coordination/src/limits/mod.rs
+++ b/crates/coordination/src/limits/mod.rs
@@ -21,7 +21,7 @@
 
 pub use entry::EntryAdmission;
 pub use policy::SchedulerPolicy;
-pub use quarantine::{Quarantine, QuarantineEntry, Trial};
+pub use quarantine::{Quarantine, QuarantineEntry, SECOND_RUN_AFTER_MS, Trial};
 pub use retry::RetryBudget;
 pub use scheduler::Scheduler;
 pub use work::{
--- a/crates/coordination/src/limits/quarantine.rs
+++ b/crates/coordination/src/limits/quarantine.rs
@@ -4,7 +4,8 @@
 //! owner within the retention time, however its copies arrive. Until its first completion, content
 //! runs on one server at a time. After its first crash it runs on one other server, in one copy, and
 //! alone. After crashes on two servers it is refused. Copies that other owners were already running
-//! when the first crash became known to them are outside this bound.
+//! when the first crash became known to them are outside this bound. So that each owner adds no more
+//! than one of these, the second run waits until crashes at other owners have become known.
 //!
 //! Several requests may run on a server that crashes. Those whose content completed lately are
 //! cleared if any other is a candidate; the rest are suspects. A suspect runs its second time alone,
@@ -21,6 +22,9 @@
 
 /// Crashes on different servers after which content is refused.
 const MAX_CRASHES: usize = 2;
+/// Time from the first known crash to the second run: two gossip periods, because copies that reach
+/// several owners at the same instant crash a server of each.
+pub const SECOND_RUN_AFTER_MS: u64 = 500;
 /// Suspected or refused contents that are remembered.
 const MAX_SUSPECTS: usize = 4_096;
 /// Completed contents that are remembered.
@@ -60,6 +64,7 @@
 struct Suspect {
     crashed: Vec<BackendServerName>,
     until: Instant,
+    last_crash: Instant,
     /// Whether the content had completed lately when it was first suspected.
     had_completed: bool,
 }
@@ -120,6 +125,7 @@
         }
         if !crashed.is_empty() {
             let may_start = running.is_empty() && !crashed.contains(server);
+            let may_start = may_start && !self.crashed_lately(content, now);
             return if may_start { Trial::Alone } else { Trial::Wait };
         }
         if self.has_completed(content, now) || running.contains(server) {
@@ -256,6 +262,7 @@
         let suspect = self.suspects.entry(content).or_insert(Suspect {
             crashed: Vec::new(),
             until: now,
+            last_crash: now,
             had_completed: false,
         });
         if suspect.until <= now {
@@ -264,6 +271,7 @@
         for server in servers {
             if suspect.crashed.len() < MAX_CRASHES && !suspect.crashed.contains(server) {
                 suspect.crashed.push(server.clone());
+                suspect.last_crash = now;
                 suspect.until = suspect.until.max(now.plus_ms(ttl_ms));
             }
         }
@@ -289,6 +297,13 @@
         }
     }
 
+    /// Returns whether crashes of the content at other owners may not be known yet. Content that had
+    /// completed is not held back, because it is an unlikely cause and many callers may wait for it.
+    fn crashed_lately(&self, content: &Digest, now: Instant) -> bool {
+        let suspect = self.suspects.get(content).filter(|s| !s.had_completed);
+        suspect.is_some_and(|s| now.since_ms(s.last_crash) < SECOND_RUN_AFTER_MS)
+    }
+
     /// Returns whether the content is suspected although it had completed, so that copies of it may
     /// have been on several servers at its first crash.
     fn ran_widely(&self, content: &Digest, now: Instant) -> bool {
