Keep the port of a crashed backend server stand-in

A crashed stand-in gave its port back, and a process of another test took it. Ruled out: connections in TIME_WAIT; the listener sets SO_REUSEADDR. Change: the stand-in keeps a bound socket that does not listen beside the listener, so connections are refused while it is down and nobody else gets the port.

--- a/crates/standins/src/backend/server.rs
+++ b/crates/standins/src/backend/server.rs
@@ -11,6 +11,7 @@
 };
 
 use pollenshed_protocol::backend::DRAINING_HEADER;
+use socket2::{Domain, Socket, Type};
 
 use super::{
     http::{self, Answer, Head},
@@ -19,16 +20,25 @@
     work,
 };
 
+/// Connections that wait to be accepted, as with the standard library.
+const BACKLOG: i32 = 128;
+
+/// A port with the thread that accepts connections on it.
 pub(super) struct Listening {
     address: SocketAddr,
+    /// Keeps the port while nobody listens, so that no other process gets it after a crash.
+    _port: Socket,
     stopping: Arc<AtomicBool>,
     thread: Option<JoinHandle<()>>,
 }
 
 impl Listening {
     pub fn bind(address: SocketAddr, shared: Arc<Shared>) -> io::Result<Listening> {
-        let listener = TcpListener::bind(address)?;
-        let address = listener.local_addr()?;
+        let port = bind_shared(address)?;
+        let address = port.local_addr()?.as_socket().unwrap_or(address);
+        let listener = bind_shared(address)?;
+        listener.listen(BACKLOG)?;
+        let listener = TcpListener::from(listener);
         let stopping = Arc::new(AtomicBool::new(false));
         let stop = stopping.clone();
         let epoch = {
@@ -40,7 +50,7 @@
         let thread = thread::Builder::new()
             .name("backend-accept".to_owned())
             .spawn(move || accept(&listener, &shared, &stop, epoch))?;
-        Ok(Listening { address, stopping, thread: Some(thread) })
+        Ok(Listening { address, _port: port, stopping, thread: Some(thread) })
     }
 
     pub fn address(&self) -> SocketAddr {
@@ -57,6 +67,16 @@
     }
 }
 
+/// Binds a socket that shares its port with others of this process. Only one that listens gets
+/// connections.
+fn bind_shared(address: SocketAddr) -> io::Result<Socket> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_port(true)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    Ok(socket)
+}
+
 fn accept(listener: &TcpListener, shared: &Arc<Shared>, stop: &AtomicBool, epoch: u64) {
     let mut number = epoch << 32;
     for stream in listener.incoming() {
