Split headroom among the failure domains that send

Cause of lost_region_is_served_elsewhere_under_the_cap: the log has 494 refusals with the reason no-headroom at a position that is complete. Ruled out: the cap (complete after 6 s) and the target. Change: an owner counts the failure domains that sent it requests of the service in the last 4 s. Its advertisement names the number of parts: the entries of these failure domains and one more, or all entries while nobody sends. The sum stays bounded by the owner's own intake, whatever entries believe.

--- a/crates/coordination/src/routing/advert.rs
+++ b/crates/coordination/src/routing/advert.rs
@@ -22,7 +22,7 @@
     pub failure_domain: FailureDomainName,
     /// Requests per second that the owner takes from other failure domains, from all entries.
     pub requests_per_s: u64,
-    /// Entries that the owner counted as able to send requests.
+    /// Equal parts into which entries split the rate, see [`super::Senders`].
     pub entries: u64,
     /// Raised by the owner with each advertisement.
     pub sequence: u64,
@@ -74,13 +74,11 @@
 
     /// Stores an advertisement.
     ///
-    /// `current` is the owner's incarnation in the own membership table, `entries` the number of
-    /// members that could spend it in the own view, this entry included.
+    /// `current` is the owner's incarnation in the own membership table.
     pub fn store(
         &mut self,
         advert: Advertisement,
         current: Option<Incarnation>,
-        entries: u64,
         now: Instant,
     ) -> Result<(), Ignored> {
         if current != Some(advert.incarnation) {
@@ -90,7 +88,7 @@
             return Err(Ignored::Expired);
         }
         let key = (advert.service.clone(), advert.failure_domain.clone(), advert.owner.clone());
-        let (rate, size) = entry_share(advert.requests_per_s, entries.max(advert.entries));
+        let (rate, size) = entry_share(advert.requests_per_s, advert.entries);
         let mut bucket = Bucket::new(rate, size, now);
         if let Some(known) = self.stored.remove(&key) {
             let is_same_run = known.advert.incarnation == advert.incarnation;
--- a/crates/coordination/src/routing/mod.rs
+++ b/crates/coordination/src/routing/mod.rs
@@ -2,21 +2,24 @@
 //!
 //! # Splitting headroom
 //!
-//! An owner advertises how many requests per second it takes from elsewhere, and how many entries it
-//! counted that could send them. Each entry spends at most the advertised rate divided by the larger
-//! of that number and its own count, from a token bucket that starts empty. With a share of 2
+//! An owner advertises how many requests per second it takes from elsewhere, and into how many parts
+//! entries split that. These are the entries of the failure domains that send requests, and one more
+//! (see [`Senders`]). Each entry spends at most one part, from a token bucket that starts empty. As
+//! long as no more entries send than there are parts, this holds: with a share of 2
 //! requests per second or more, bucket size and refill rate add up to the share, so in any second or
 //! longer all entries together stay within the advertised rate. A smaller share is spent in single
 //! requests, so that each entry may exceed it by one request in all.
 //!
-//! Views can differ in three ways:
+//! When failure domains begin to send at the same time, their entries together can send more than the
+//! advertised rate until the next advertisement. The owner's [`Intake`] bounds the sum exactly and
+//! refuses the rest as not run. Views can differ in three ways:
 //!
 //! - A new entry that the owner does not know yet spends nothing until it has run for
 //!   `dead_after_ms`, by which time gossip has spread it.
 //! - An entry that the owner does not hear is still counted for `dead_after_ms`, which is longer than
 //!   `headroom_ttl_ms`, so it has no usable advertisement left when its share goes to others.
 //! - A one-way cut can leave an entry with advertisements of an owner that does not count it. The
-//!   owner's [`Intake`] bounds the sum exactly and refuses the rest as not run.
+//!   owner's [`Intake`] refuses the rest.
 //!
 //! # Links
 //!
@@ -29,8 +32,10 @@
 mod link;
 mod lookup;
 mod router;
+mod senders;
 
 pub use advert::{Advertisement, Advertisements, Ignored, Intake};
 pub use link::LinkBudget;
 pub use lookup::{RankedEntry, lookup_domain, rank_entries};
 pub use router::{NoCapacity, RouteReason, RouteRequest, RouteView, Router, Target};
+pub use senders::Senders;
--- a/crates/pollenshed/src/gossip/message.rs
+++ b/crates/pollenshed/src/gossip/message.rs
@@ -3,7 +3,6 @@
 use pollenshed_coordination::{
     limits::QuarantineEntry,
     membership::{Change, Exchange},
-    ownership::live_entries,
     shift::Shares,
 };
 use pollenshed_protocol::peer::{ExchangeMessage, LeavingBackendServer, Quarantine, RampPosition};
@@ -121,17 +120,16 @@
 
 fn merge_headroom(shared: &Shared, message: &ExchangeMessage, now: Instant) {
     let adverts: Vec<_> = message.headroom.iter().filter_map(wire::headroom_from_wire).collect();
-    let (entries, incarnations) = {
+    let incarnations: Vec<_> = {
         let membership = lock(&shared.membership);
-        let entries = live_entries(&membership, now).len() as u64;
         let current = |name: &InstanceName| membership.record_of(name).map(|r| r.incarnation);
-        (entries, adverts.iter().map(|a| current(&a.owner)).collect::<Vec<_>>())
+        adverts.iter().map(|a| current(&a.owner)).collect()
     };
     let mut routing = lock(&shared.routing);
     routing.router.advertisements.expire(now);
     for (advert, incarnation) in adverts.into_iter().zip(incarnations) {
         // Old sequences come around many times and are of no interest.
-        let _ = routing.router.advertisements.store(advert, incarnation, entries, now);
+        let _ = routing.router.advertisements.store(advert, incarnation, now);
     }
 }
 
--- a/crates/pollenshed/src/gossip/mod.rs
+++ b/crates/pollenshed/src/gossip/mod.rs
@@ -112,24 +112,19 @@
     let entries = live_entries(&lock(&shared.membership), now);
     update_ownership(shared, &current.config, &entries, now);
     owner::update_servers(shared, current, now);
-    let adverts = owner::advertisements(shared, current, entries.len() as u64, now);
+    let adverts = owner::advertisements(shared, current, &entries, now);
     let in_region = entries_in_region(&current.config, &entries, &shared.settings.failure_domain);
     let mut routing = lock(&shared.routing);
     routing.apply(&current.config, in_region, now);
     lock(&shared.admission).set_ranks(&current.config.ranks);
     for advert in adverts {
-        let _ = routing.router.advertisements.store(
-            advert,
-            Some(shared.incarnation),
-            entries.len() as u64,
-            now,
-        );
+        let _ = routing.router.advertisements.store(advert, Some(shared.incarnation), now);
     }
     // Owners dispatch, and so advertise, only some time after a start. Without this wait an entry of
     // a fleet that starts would take its own failure domain for lost and move traffic away.
     let timing = &shared.settings.timing;
     if now.as_ms() >= timing.dead_after_ms + timing.headroom_ttl_ms {
-        steering::step(&mut routing, &current.config, entries.len() as u64, now);
+        steering::step(&mut routing, &current.config, now);
     }
 }
 
--- a/crates/pollenshed/src/gossip/steering.rs
+++ b/crates/pollenshed/src/gossip/steering.rs
@@ -12,11 +12,9 @@
 use crate::entry::Routing;
 
 /// Takes one step of every ramp.
-///
-/// `entries` is the number of live entries, which share what owners advertise.
-pub fn step(routing: &mut Routing, config: &Config, entries: u64, now: Instant) {
+pub fn step(routing: &mut Routing, config: &Config, now: Instant) {
     for service in &config.services {
-        let health = health_of(routing, service, entries, now);
+        let health = health_of(routing, service, now);
         let home_ppm = routing.home_ppm(&service.name);
         let Some(ramp) = routing.ramps.get_mut(&service.name) else { continue };
         let home = ramp.home().clone();
@@ -59,7 +57,6 @@
 fn health_of(
     routing: &Routing,
     service: &Service,
-    entries: u64,
     now: Instant,
 ) -> BTreeMap<FailureDomainName, DomainHealth> {
     let mut health: BTreeMap<FailureDomainName, DomainHealth> = BTreeMap::new();
@@ -67,7 +64,7 @@
         let domain = health.entry(advert.failure_domain.clone()).or_default();
         domain.usable_backend_servers += advert.usable_backend_servers;
         domain.cold_backend_servers += advert.cold_backend_servers;
-        domain.headroom_per_s += advert.requests_per_s / entries.max(advert.entries).max(1);
+        domain.headroom_per_s += advert.requests_per_s / advert.entries.max(1);
     }
     health
 }
--- a/crates/pollenshed/src/owner/headroom.rs
+++ b/crates/pollenshed/src/owner/headroom.rs
@@ -4,6 +4,7 @@
 
 use pollenshed_coordination::{
     limits::{ServerSnapshot, ServerState},
+    ownership::LiveEntry,
     routing::{Advertisement, Intake},
 };
 use pollenshed_state::{
@@ -24,11 +25,11 @@
 /// Builds the advertisements of this owner that are due, one for each service and failure domain of
 /// its servers: those that changed much, and all once in a quarter of their time to live.
 ///
-/// `entries` is the number of entries that can send requests here.
+/// `entries` are the live entries, which can send requests here.
 pub fn advertisements(
     shared: &Shared,
     current: &InForce,
-    entries: u64,
+    entries: &[LiveEntry],
     now: Instant,
 ) -> Vec<Advertisement> {
     let mut state = lock(&shared.owner.state);
@@ -43,6 +44,7 @@
         let domains = usable_by_domain(service, &snapshot);
         let usable: u32 = domains.values().map(|d| d.usable).sum();
         let rate = state.scheduler.headroom(&service.name, now).remote_requests_per_s;
+        let parts = state.senders.entry(service.name.clone()).or_default().parts(entries, now);
         for (domain, counts) in domains {
             let share = if usable == 0 || !may_dispatch {
                 0
@@ -56,17 +58,17 @@
                 .advertise(share, now);
             let key = (service.name.clone(), domain.clone());
             let said = state.said.get(&key);
-            if !is_due && said.is_some_and(|said| is_close(said, share, &counts)) {
+            if !is_due && said.is_some_and(|said| is_close(said, share, parts, &counts)) {
                 continue;
             }
-            state.said.insert(key, (share, counts.usable));
+            state.said.insert(key, Said { rate: share, parts, usable: counts.usable });
             adverts.push(Advertisement {
                 owner: shared.settings.instance.clone(),
                 incarnation: shared.incarnation,
                 service: service.name.clone(),
                 failure_domain: domain,
                 requests_per_s: share,
-                entries,
+                entries: parts,
                 sequence,
                 ttl_left_ms: shared.settings.timing.headroom_ttl_ms,
                 usable_backend_servers: counts.usable,
@@ -81,9 +83,17 @@
 }
 
 /// Tells whether an advertisement can wait for its refresh, because little has changed.
-fn is_close(said: &(u64, u32), share: u64, counts: &Counts) -> bool {
-    let (rate, usable) = *said;
-    usable == counts.usable && share.abs_diff(rate) <= rate / CLOSE_PART
+fn is_close(said: &Said, share: u64, parts: u64, counts: &Counts) -> bool {
+    said.usable == counts.usable
+        && said.parts == parts
+        && share.abs_diff(said.rate) <= said.rate / CLOSE_PART
+}
+
+/// What the last advertisement of a service and failure domain said.
+pub(super) struct Said {
+    rate: u64,
+    parts: u64,
+    usable: u32,
 }
 
 #[derive(Default)]
--- a/crates/pollenshed/src/owner/mod.rs
+++ b/crates/pollenshed/src/owner/mod.rs
@@ -22,7 +22,7 @@
 
 use pollenshed_coordination::{
     limits::{Assignment, Cancelled, Finished, Refusal, Scheduler, SchedulerPolicy, WorkId},
-    routing::Intake,
+    routing::{Intake, Senders},
 };
 use pollenshed_state::{
     ids::{BackendServerName, FailureDomainName, ServiceName},
@@ -34,6 +34,7 @@
 pub use headroom::advertisements;
 pub use servers::update_servers;
 
+use self::headroom::Said;
 use crate::{instance::Shared, util::lock};
 
 /// Longest time between two looks at the queues, for limits that rise with time.
@@ -68,8 +69,9 @@
     advertised: u64,
     /// When all advertisements were refreshed.
     advertised_at: Option<Instant>,
-    /// Rate and usable servers of the last advertisement.
-    said: HashMap<(ServiceName, FailureDomainName), (u64, u32)>,
+    said: HashMap<(ServiceName, FailureDomainName), Said>,
+    /// Failure domains that send requests, by service.
+    senders: HashMap<ServiceName, Senders>,
     /// When each server last failed. A probe that began earlier says nothing about it.
     failed_at: HashMap<BackendServerName, Instant>,
     /// Until when a server counts as draining because an answer of its said so.
@@ -88,6 +90,7 @@
                 advertised: 0,
                 advertised_at: None,
                 said: HashMap::new(),
+                senders: HashMap::new(),
                 failed_at: HashMap::new(),
                 answered_draining: HashMap::new(),
             }),
