Fill the slots of every failure domain in the partition test

Only the cut-off failure domain had more readers than slots, so a backend server outside that got work beyond its slots was less likely to be seen. Now each failure domain has eight readers on six slots.

--- a/crates/pollenshed/tests/partition.rs
+++ b/crates/pollenshed/tests/partition.rs
@@ -36,8 +36,8 @@
     ("north-b-1", "north-b"),
     ("south-a-1", "south-a"),
 ];
-/// Readers at each instance. The eight in the cut-off failure domain are more than its six slots.
-const READERS: usize = 4;
+/// Readers at each instance. The eight in each failure domain are more than its six slots.
+const READERS: [usize; 4] = [4, 4, 8, 8];
 /// Time of each request, so long that few callers fill the slots and the machine is not busy.
 const SERVICE_TIME: Duration = Duration::from_millis(300);
 /// Requests in a row that an entry must serve without a refusal.
@@ -236,9 +236,10 @@
     let filings = thread::scope(|scope| {
         let _end = SetAtEnd(&is_over);
         scope.spawn(|| note_versions(&current, &seen, &is_over));
-        for reader in 0..PLACES.len() * READERS {
+        let readers = READERS.iter().enumerate().flat_map(|(at, readers)| vec![at; *readers]);
+        for at in readers {
             let (current, is_over) = (&current, &is_over);
-            scope.spawn(move || read_always(current, reader % PLACES.len(), is_over));
+            scope.spawn(move || read_always(current, at, is_over));
         }
         run_partition(&mut fleet, &current)
     });
