Measure the bytes of configuration changes with real processes

control_cost counted gossip of idle instances and the time of changes, not their bytes. It takes a number of backend servers now, puts them in a region without instances, so that adverts and probes are not mixed in, and prints the bytes of a change above the idle rate. A change sets the slots of one server in place of adding a newline.

--- a/crates/pollenshed/examples/control_cost.rs
+++ b/crates/pollenshed/examples/control_cost.rs
@@ -2,11 +2,15 @@
 //! number of instances.
 //!
 //! `cargo build --release -p pollenshed && cargo run --release -p pollenshed --example control_cost
-//! target/release/pollenshed [without-config]`
+//! target/release/pollenshed [without-config | SERVERS]`
+//!
+//! With a number of backend servers the configuration has that many, all in a region without
+//! instances, so that the bytes of changes are not mixed with those of owners.
 //!
 //! All instances are of one failure domain and obey the configuration of one user, whose backend
 //! servers do not answer. Each announces a proxy as its peer address, which counts
-//! the bytes of gossip; headers of TCP and IP are not counted.
+//! the bytes of gossip; headers of TCP and IP are not counted. The bytes of a change are those above
+//! the idle rate while the changes are submitted.
 
 use std::{
     fs,
@@ -28,7 +32,11 @@
     platform::Platform,
     proxy::{Direction, Proxy},
 };
-use pollenshed_state::ids::ConfigVersion;
+use pollenshed_state::{
+    config::{BackendServer, Config},
+    ids::ConfigVersion,
+    units::Slots,
+};
 use pollenshed_transport::platform::{Platform as Client, SubmitRequest, submit};
 use serde_json::json;
 
@@ -65,7 +73,7 @@
     fs::create_dir_all(&folder)?;
     println!(
         "instances cpu%/instance rss_MB/instance control_B/s/instance platform_reads/s \
-         mean_change_ms max_change_ms"
+         mean_change_ms max_change_ms document_B B/change/instance"
     );
     for count in [3, 6, 10, 20] {
         measure(count, Path::new(&binary), &folder)?;
@@ -75,9 +83,11 @@
 
 fn measure(count: usize, binary: &Path, folder: &Path) -> Result<()> {
     let platform = Platform::bind(([127, 0, 0, 1], 0).into())?;
-    let with_config = std::env::args().nth(2).as_deref() != Some("without-config");
+    let choice = std::env::args().nth(2);
+    let with_config = choice.as_deref() != Some("without-config");
+    let servers = choice.and_then(|text| text.parse().ok());
     if with_config {
-        submit_config(&platform, 0)?;
+        submit_config(&platform, servers, 0)?;
     }
     let fleet: Vec<Process> = (0..count)
         .map(|number| spawn(number, platform.address(), binary, folder))
@@ -97,23 +107,50 @@
     thread::sleep(RUN);
     let after = (cpu_s(&fleet), bytes(&fleet), platform.counts().reads);
     let per_instance = |total: f64| total / count as f64 / RUN.as_secs_f64();
-    let changes = if with_config { change_ms(&fleet, &platform)? } else { Vec::new() };
+    let (start, start_bytes) = (Instant::now(), bytes(&fleet));
+    let changes = if with_config { change_ms(&fleet, &platform, servers)? } else { Vec::new() };
+    let idle_bytes =
+        (after.1 - before.1) as f64 * start.elapsed().as_secs_f64() / RUN.as_secs_f64();
+    let change_bytes = (bytes(&fleet) - start_bytes) as f64 - idle_bytes;
     println!(
-        "{count} {:.2} {:.1} {:.0} {:.1} {:.0} {:.0}",
+        "{count} {:.2} {:.1} {:.0} {:.1} {:.0} {:.0} {} {:.0}",
         per_instance((after.0 - before.0) * 100.0),
         rss_bytes(&fleet) / count as f64 / 1e6,
         // Each byte is sent by one instance and received by another.
         per_instance((after.1 - before.1) as f64 * 2.0),
         (after.2 - before.2) as f64 / RUN.as_secs_f64(),
         changes.iter().sum::<f64>() / changes.len().max(1) as f64,
-        changes.iter().copied().fold(0.0, f64::max)
+        changes.iter().copied().fold(0.0, f64::max),
+        document(servers, 0)?.len(),
+        change_bytes * 2.0 / (count * CHANGES) as f64
     );
     Ok(())
 }
 
-/// Submits the configuration with a number of newlines after it, so that each has another digest.
-fn submit_config(platform: &Platform, number: usize) -> Result<()> {
-    let document = CONFIG.to_owned() + &"\n".repeat(number);
+/// Returns the document of a change, which sets the slots of one backend server.
+fn document(servers: Option<usize>, number: usize) -> Result<String> {
+    let mut config: Config = serde_json::from_str(CONFIG)?;
+    if let Some(servers) = servers {
+        let per_service = servers / config.services.len();
+        for service in &mut config.services {
+            let first = service.backend_servers[0].clone();
+            let server = |n: usize| -> Result<BackendServer> {
+                Ok(BackendServer {
+                    name: format!("{}-server-{n}", service.name).parse()?,
+                    failure_domain: "siracusa-a".parse()?,
+                    ..first.clone()
+                })
+            };
+            service.backend_servers = (0..per_service).map(server).collect::<Result<_>>()?;
+        }
+    }
+    let server = config.services[1].backend_servers.last_mut();
+    server.ok_or_else(|| eyre!("no backend server"))?.slots = Slots(1 + number as u64);
+    Ok(config.canonical_json())
+}
+
+fn submit_config(platform: &Platform, servers: Option<usize>, number: usize) -> Result<()> {
+    let document = document(servers, number)?;
     let request = SubmitRequest {
         id: SubmissionId(format!("control-cost-{number}")),
         document: document.as_bytes(),
@@ -128,11 +165,11 @@
 }
 
 /// Submits changes and returns the time until each was in force at all instances.
-fn change_ms(fleet: &[Process], platform: &Platform) -> Result<Vec<f64>> {
+fn change_ms(fleet: &[Process], platform: &Platform, servers: Option<usize>) -> Result<Vec<f64>> {
     let mut times = Vec::new();
     for number in 1..=CHANGES {
         let start = Instant::now();
-        submit_config(platform, number)?;
+        submit_config(platform, servers, number)?;
         let version = number as u64 + 1;
         for process in fleet {
             let url = format!("{}/v1/status", process.operators);
