Let a joining owner start when the former owners released its servers

Cause: an instance that joined and became the owner of a backend server waited `dead_after_ms` before it dispatched, while the former owner stopped at once. Meanwhile the server had no dispatcher: its requests were refused, and requests in the former owner's queue waited there until their deadline.

Ruled out: asking the former owner alone. A joining instance has no view from before, so it can take a wrong one for the owner, or not know the owner yet. Counting the larger of load report and former requests: a report may miss a request that was sent and has not arrived, and 4 of 3 slots were in use.

Change: the service `Control` has a call `Release`. A new owner asks all members of its failure domain that are not dead, and all that these name. It starts if all of them answer in one try, take this incarnation for the owner, and one of them has run for `dead_after_ms`. Otherwise it waits as before. Answers carry the number of requests that still run and until when; they count as slots in use, in addition to the load report, and are asked for again in each period. The former owner holds a server for a new process for 250 ms at most, and its queue goes back to the entries when it has no server left. A leaving owner is asked, too: the new owner waits two gossip periods for its count, where it waited for nothing. A young instance, or the successor of a young one, waits `dead_after_ms` without a release even if the previous owner is leaving or dead. A load report from before a server was given up is dropped when the server comes back. Entries wait up to the known 1.5 s for an owner also if the shift cap refuses, and refusals of owners that are not ready don't use up the attempts, both only within 1.5 s of a change.

A member that does not answer makes new owners wait as before.

--- a/crates/coordination/src/limits/scheduler.rs
+++ b/crates/coordination/src/limits/scheduler.rs
@@ -130,13 +130,49 @@
     /// Stops using a server. Its running work stays counted until it ends.
     ///
     /// Work queued for the service stays queued until its deadline, because another server may be
-    /// added.
+    /// added; see [`Scheduler::stranded`].
     pub fn remove_server(&mut self, name: &BackendServerName) {
         let Some(server) = self.servers.get_mut(name) else { return };
         server.removed = true;
         self.forget_removed(name);
     }
 
+    /// Returns the queued requests of services whose last server was removed.
+    ///
+    /// Other owners may run them sooner than this one gets a server again.
+    pub fn stranded(&self) -> Vec<WorkId> {
+        let is_kept = |name| self.servers.get(name).is_some_and(|server| !server.removed);
+        let is_stranded = |work: &Work| {
+            let service = self.services.get(&work.service);
+            !service.is_some_and(|state| state.servers.iter().any(is_kept))
+        };
+        let waiting = self.services.values().filter(|state| state.queued() > 0);
+        if waiting.clone().all(|state| state.servers.iter().any(is_kept)) {
+            return Vec::new();
+        }
+        let stranded = self.queued.iter().filter(|(_, queued)| is_stranded(&queued.work));
+        stranded.map(|(id, _)| *id).collect()
+    }
+
+    /// Counts the given number of requests of former owners as slots in use until the given time.
+    ///
+    /// They count in addition to what load reports show.
+    pub fn set_inherited(&mut self, name: &BackendServerName, inherited: Option<(u64, Instant)>) {
+        if let Some(server) = self.servers.get_mut(name) {
+            server.inherited = inherited;
+        }
+    }
+
+    /// Returns the requests that may hold slots of the server, those of former owners included, and
+    /// when the slots of all of them count as free.
+    pub fn running_on(&self, name: &BackendServerName, now: Instant) -> (u64, Instant) {
+        let Some(server) = self.servers.get(name) else { return (0, now) };
+        let runs = self.running.values().filter(|run| run.server == *name);
+        let ends = runs.map(|run| run.deadline.plus_ms(ABANDONED_GRACE_MS));
+        let ends = ends.chain(server.inherited.map(|(_, until)| until));
+        (server.in_use + server.inherited_now(now), ends.max().unwrap_or(now).max(now))
+    }
+
     /// Sets whether an operator drains the server.
     pub fn set_draining(&mut self, name: &BackendServerName, draining: bool) {
         if let Some(server) = self.servers.get_mut(name) {
--- a/crates/coordination/src/limits/server.rs
+++ b/crates/coordination/src/limits/server.rs
@@ -43,6 +43,8 @@
     limit: f64,
     ramp_since: Option<Instant>,
     unknown_until: Option<Instant>,
+    /// Requests of former owners, and when their slots count as free.
+    pub(super) inherited: Option<(u64, Instant)>,
     report: Option<(LoadReport, Instant)>,
     full_since: Option<Instant>,
     peak_since_report: u64,
@@ -74,6 +76,7 @@
                 Occupancy::Empty => None,
                 Occupancy::UnknownUntil(until) => Some(until),
             },
+            inherited: None,
             report: None,
             full_since: None,
             peak_since_report: 0,
@@ -115,7 +118,15 @@
         if !self.is_usable() {
             return 0;
         }
-        self.own_limit(now, policy).min(self.unclaimed(now, policy))
+        // A report may show requests of former owners or not: they may not have arrived yet. So both
+        // count, though some of them twice.
+        let left = self.unclaimed(now, policy).saturating_sub(self.inherited_now(now));
+        self.own_limit(now, policy).min(left)
+    }
+
+    /// Returns how many requests of former owners may hold slots.
+    pub(super) fn inherited_now(&self, now: Instant) -> u64 {
+        self.inherited.filter(|(_, until)| *until > now).map_or(0, |(running, _)| running)
     }
 
     /// Returns the limit by own experience and ramp alone.
@@ -238,6 +249,8 @@
     pub(super) fn update(&mut self, spec: &ServerSpec, occupancy: Occupancy) {
         if self.removed {
             self.removed = false;
+            // It may be older than what others dispatched meanwhile.
+            self.report = None;
             if let Occupancy::UnknownUntil(until) = occupancy {
                 self.unknown_until = Some(until);
             }
--- a/crates/coordination/tests/limits_scheduler.rs
+++ b/crates/coordination/tests/limits_scheduler.rs
@@ -396,3 +396,59 @@
     expect_false!(scheduler.finish(second, Finished::Failed, at(1_700)), "it ended before");
     expect_that!(scheduler.next(at(1_700)), some(anything()));
 }
+
+/// Guards against slots that are used while requests of a former owner still hold them, whether a
+/// load report shows these requests or not.
+#[gtest]
+fn inherited_requests_hold_slots_until_they_end() {
+    let mut scheduler = scheduler(1, SLOTS, SchedulerPolicy::default());
+    for id in 0..4 {
+        queued(&mut scheduler, work(id, Rank::Urgent, 0, at(100_000)), at(0));
+    }
+    scheduler.set_inherited(&server(0), Some((2, at(5_000))));
+    expect_that!(scheduler.next(at(0)), some(anything()));
+    expect_that!(scheduler.next(at(0)), none());
+    expect_that!(scheduler.running_on(&server(0), at(0)), eq((3, at(100_500))));
+    // A request that the report shows may be one that was not counted.
+    scheduler.report(&server(0), LoadReport { in_use: 2, slots: SLOTS, draining: false }, at(10));
+    scheduler.set_inherited(&server(0), Some((1, at(5_000))));
+    expect_that!(scheduler.next(at(10)), none());
+    scheduler.report(&server(0), LoadReport { in_use: 1, slots: SLOTS, draining: false }, at(20));
+    expect_that!(scheduler.next(at(20)), some(anything()));
+    expect_that!(scheduler.next(at(20)), none());
+    expect_that!(scheduler.next(at(5_000)), some(anything()));
+}
+
+/// Guards against requests that wait until their deadline at an owner that gave its servers up.
+#[gtest]
+fn requests_without_a_server_are_stranded() {
+    let mut scheduler = scheduler(2, 1, SchedulerPolicy::default());
+    for id in 0..3 {
+        queued(&mut scheduler, work(id, Rank::Urgent, 0, at(100_000)), at(0));
+    }
+    let first = scheduler.next(at(0)).unwrap();
+    scheduler.remove_server(&server(0));
+    expect_that!(scheduler.stranded(), is_empty());
+    scheduler.remove_server(&server(1));
+    let stranded: BTreeSet<_> = scheduler.stranded().into_iter().collect();
+    let others = (0..3).map(WorkId).filter(|id| *id != first.id);
+    expect_that!(stranded, eq(&others.collect::<BTreeSet<_>>()));
+}
+
+/// Guards against a report from before a server was given up, which misses what others dispatched.
+#[gtest]
+fn returned_server_waits_for_a_new_report() {
+    let mut scheduler = scheduler(1, SLOTS, SchedulerPolicy::default());
+    queued(&mut scheduler, work(0, Rank::Urgent, 0, at(100_000)), at(0));
+    scheduler.next(at(0)).unwrap();
+    let empty = LoadReport { in_use: 0, slots: SLOTS, draining: false };
+    scheduler.report(&server(0), empty, at(0));
+    scheduler.remove_server(&server(0));
+    let spec = ServerSpec { name: server(0), service: service(), slots: Slots(SLOTS) };
+    let unknown = Occupancy::UnknownUntil(at(10_000));
+    scheduler.add_server(spec, unknown, Temperature::Warm, at(10));
+    queued(&mut scheduler, work(1, Rank::Urgent, 0, at(100_000)), at(10));
+    expect_that!(scheduler.next(at(10)), none());
+    scheduler.report(&server(0), empty, at(20));
+    expect_that!(scheduler.next(at(20)), some(anything()));
+}
--- a/crates/pollenshed/src/entry/dispatch.rs
+++ b/crates/pollenshed/src/entry/dispatch.rs
@@ -53,7 +53,8 @@
     let mut last = None;
     let first_try = shared.clock.now();
     record_first_try(shared, work, first_try);
-    for number in 0..MAX_ATTEMPTS {
+    let (mut number, mut counted) = (0, 0);
+    while counted < MAX_ATTEMPTS {
         let target = match find_target(shared, work, &mut tried, first_try).await {
             Ok(target) => target,
             Err(refused) => return tried.outcome(last.unwrap_or(refused)),
@@ -72,11 +73,26 @@
         if now >= work.deadline || !may_go_on(shared, work, next, now) {
             return tried.outcome(reply);
         }
+        number += 1;
+        // An owner that is about to be ready would use up the attempts within a few looks.
+        let is_not_ready = next == Next::AskAnother && is_changing_hands(shared, now);
+        counted += usize::from(!is_not_ready || now >= wait_until(work, first_try));
         last = Some(reply);
     }
     tried.outcome(last.unwrap_or_else(|| wire::not_run(NotRunReason::NoBackendServer, "no owner")))
 }
 
+/// Returns until when a request waits for an owner.
+fn wait_until(work: &Classified, first_try: Instant) -> Instant {
+    first_try.plus_ms(WAIT_FOR_OWNER_MS).min(work.deadline)
+}
+
+/// Tells whether ownership changed a moment ago, so that a new owner may not be ready yet.
+fn is_changing_hands(shared: &Shared, now: Instant) -> bool {
+    let changed_at = lock(&shared.ownership).view().changed_at;
+    now.since_ms(changed_at) < WAIT_FOR_OWNER_MS
+}
+
 fn record_first_try(shared: &Shared, work: &Classified, now: Instant) {
     if let Some(service) = work.service() {
         lock(&shared.routing).retry_budget(service).record_first_try(now);
@@ -103,7 +119,7 @@
     tried: &mut Tried,
     first_try: Instant,
 ) -> Result<Target, AnswerReply> {
-    let until = first_try.plus_ms(WAIT_FOR_OWNER_MS).min(work.deadline);
+    let until = wait_until(work, first_try);
     loop {
         let chosen = choose(shared, work, tried);
         tried.has_arrived = true;
@@ -114,7 +130,12 @@
             }
             Err(reason) => reason,
         };
-        if reason != Some(NoCapacity::NoBackendServer) || shared.clock.now() >= until {
+        let now = shared.clock.now();
+        // While its servers change hands, the home failure domain counts as lost, and the cap allows
+        // little elsewhere.
+        let may_wait = reason == Some(NoCapacity::NoBackendServer)
+            || reason.is_some() && is_changing_hands(shared, now);
+        if !may_wait || now >= until {
             log::info!(
                 "route: {} {} refused ({reason:?})",
                 work.request.service,
--- a/crates/pollenshed/src/gossip/message.rs
+++ b/crates/pollenshed/src/gossip/message.rs
@@ -1,7 +1,10 @@
 //! Builds and takes in gossip messages.
 
 use pollenshed_coordination::{
-    limits::QuarantineEntry, membership::Exchange, ownership::live_entries, shift::Shares,
+    limits::QuarantineEntry,
+    membership::{Exchange, MemberRecord},
+    ownership::live_entries,
+    shift::Shares,
 };
 use pollenshed_protocol::peer::{ExchangeMessage, LeavingBackendServer, Quarantine, RampPosition};
 use pollenshed_state::{
@@ -68,17 +71,7 @@
         return;
     };
     let now = shared.clock.now();
-    let changes = lock(&shared.membership).merge(&exchange, now);
-    for change in &changes {
-        log::info!("membership: {change:?}");
-    }
-    if !changes.is_empty()
-        && let Some(current) = shared.config.get()
-    {
-        // Ownership follows at once, so that a planned stop leaves no gap.
-        super::update(shared, &current, now);
-        shared.owner.probe_now();
-    }
+    merge_members(shared, &exchange, now);
     merge_headroom(shared, message, now);
     for server in &message.leaving_backend_servers {
         if let Ok(name) = server.name.parse() {
@@ -94,6 +87,32 @@
     }
 }
 
+/// Takes the record that a member sent of itself outside gossip, and brings ownership in line.
+///
+/// A member that was known by hearsay only becomes live without a change that merging tells of.
+pub fn hear(shared: &Shared, sender: MemberRecord, now: Instant) {
+    let exchange =
+        Exchange { sender, records: Vec::new(), heartbeats: Vec::new(), buckets: Vec::new() };
+    merge_members(shared, &exchange, now);
+    if let Some(current) = shared.config.get() {
+        super::update(shared, &current, now);
+    }
+}
+
+fn merge_members(shared: &Shared, exchange: &Exchange, now: Instant) {
+    let changes = lock(&shared.membership).merge(exchange, now);
+    for change in &changes {
+        log::info!("membership: {change:?}");
+    }
+    if !changes.is_empty()
+        && let Some(current) = shared.config.get()
+    {
+        // Ownership follows at once, so that a planned stop leaves no gap.
+        super::update(shared, &current, now);
+        shared.owner.probe_now();
+    }
+}
+
 fn merge_headroom(shared: &Shared, message: &ExchangeMessage, now: Instant) {
     let adverts: Vec<_> = message.headroom.iter().filter_map(wire::headroom_from_wire).collect();
     let (entries, incarnations) = {
--- a/crates/pollenshed/src/gossip/mod.rs
+++ b/crates/pollenshed/src/gossip/mod.rs
@@ -8,7 +8,7 @@
 
 use pollenshed_coordination::{
     membership::{MemberState, PeerTarget},
-    ownership::{LiveEntry, live_entries},
+    ownership::{LiveEntry, Standing, live_entries},
 };
 use pollenshed_protocol::peer::ExchangeMessage;
 use pollenshed_state::{
@@ -18,7 +18,7 @@
 };
 use tokio::time::MissedTickBehavior;
 
-pub use message::{answer, merge};
+pub use message::{answer, hear, merge};
 
 use crate::{config::InForce, instance::Shared, owner, util::lock, wire};
 
@@ -100,8 +100,7 @@
 
 /// Brings ownership, servers, headroom and ramps in line with members and configuration.
 pub fn update(shared: &Shared, current: &InForce, now: Instant) {
-    let entries = live_entries(&lock(&shared.membership), now);
-    update_ownership(shared, current, &entries, now);
+    let entries = update_ownership(shared, current, now);
     owner::update_servers(shared, current, now);
     let adverts = owner::advertisements(shared, current, entries.len() as u64, now);
     let in_region = entries_in_region(&current.config, &entries, &shared.settings.failure_domain);
@@ -124,14 +123,23 @@
     }
 }
 
-/// Recomputes which backend servers this instance owns, and logs what changed.
-fn update_ownership(shared: &Shared, current: &InForce, entries: &[LiveEntry], now: Instant) {
-    let change = {
+/// Recomputes which backend servers this instance owns, and logs what changed. Returns the live
+/// entries.
+fn update_ownership(shared: &Shared, current: &InForce, now: Instant) -> Vec<LiveEntry> {
+    let (entries, change) = {
         let membership = lock(&shared.membership);
+        let entries = live_entries(&membership, now);
+        let standing_of = |name: &InstanceName| {
+            let state = membership.state_of(name, now)?;
+            Some(Standing { state, age_ms: membership.record_of(name)?.stamp_ms })
+        };
         let mut ownership = lock(&shared.ownership);
-        let state_of = |name: &InstanceName| membership.state_of(name, now);
-        ownership.update(current.version, &current.config, entries, state_of, now)
+        let change = ownership.update(current.version, &current.config, &entries, standing_of, now);
+        (entries, change)
     };
+    if !change.gained.is_empty() {
+        shared.owner.ask_for_release();
+    }
     for takeover in &change.gained {
         log::info!(
             "placement: takes over {} from {}, dispatches from {}",
@@ -143,6 +151,7 @@
     for server in &change.lost {
         log::info!("placement: gives up {server}");
     }
+    entries
 }
 
 /// Counts the live entries that share the links of this region.
@@ -182,5 +191,10 @@
         })
     };
     let in_own_domain = sender.failure_domain == *own_domain;
-    lock(&shared.fence).exchanged(began, in_own_domain, alone, now);
+    let mut fence = lock(&shared.fence);
+    let was_closed = !fence.may_dispatch(now);
+    fence.exchanged(began, in_own_domain, alone, now);
+    if was_closed && fence.may_dispatch(now) {
+        shared.owner.ask_for_release();
+    }
 }
--- a/crates/pollenshed/src/instance/mod.rs
+++ b/crates/pollenshed/src/instance/mod.rs
@@ -65,6 +65,7 @@
         work.spawn(servers::serve_work(shared.clone(), relay));
         control.spawn(servers::serve_control(shared.clone(), peer));
         control.spawn(gossip::run(shared.clone()));
+        control.spawn(owner::run_releases(shared.clone()));
         control.spawn(reader::run(shared.clone()));
         work.spawn(owner::run(shared.clone()));
         let edge = callers.block_on(entry::bind(shared.clone(), edge_listener))?;
--- a/crates/pollenshed/src/instance/servers.rs
+++ b/crates/pollenshed/src/instance/servers.rs
@@ -6,7 +6,8 @@
 use pollenshed_coordination::ledger::Settlement;
 use pollenshed_protocol::peer::{
     AnswerReply, DispatchRequest, ExchangeMessage, FetchConfigReply, FetchConfigRequest,
-    HandOverReply, HandOverRequest, RelayRequest, SettleReply, SettleRequest,
+    HandOverReply, HandOverRequest, RelayRequest, ReleaseReply, ReleaseRequest, SettleReply,
+    SettleRequest,
     control_server::{Control, ControlServer},
     settle_reply,
     work_server::{Work, WorkServer},
@@ -124,4 +125,11 @@
         let accepted = entry::take_over(&self.shared, request.get_ref());
         Ok(Response::new(HandOverReply { accepted }))
     }
+
+    async fn release(
+        &self,
+        request: Request<ReleaseRequest>,
+    ) -> Result<Response<ReleaseReply>, Status> {
+        Ok(Response::new(owner::release(&self.shared, request.get_ref())))
+    }
 }
--- a/crates/pollenshed/src/instance/shared.rs
+++ b/crates/pollenshed/src/instance/shared.rs
@@ -46,8 +46,8 @@
 
 /// State that the roles of one instance share.
 ///
-/// No lock is held across an await or while another lock of this struct is taken, except that
-/// `membership` may be taken first.
+/// No lock is held across an await. Where several are held, they are taken in this order:
+/// `membership`, `ownership`, `leaving_backend_servers`, the state of `owner`.
 pub struct Shared {
     /// Settings with the addresses that were really opened.
     pub settings: Settings,
--- a/crates/pollenshed/src/instance/stop.rs
+++ b/crates/pollenshed/src/instance/stop.rs
@@ -18,6 +18,10 @@
     log::info!("stop: begins with {} requests at backend servers", shared.owner.running(began));
     shared.owner.stop(began);
     shared.set_leaving();
+    if let Some(current) = shared.config.get() {
+        // New owners ask at once, and the answer depends on who they are.
+        gossip::update(shared, &current, shared.clock.now());
+    }
     gossip::tell(shared, gossip::MAX_URGENT_PEERS).await;
     let ttl = Duration::from_millis(shared.settings.timing.lookup_ttl_ms);
     tokio::time::sleep(ttl).await;
--- a/crates/pollenshed/src/owner/dispatch.rs
+++ b/crates/pollenshed/src/owner/dispatch.rs
@@ -201,7 +201,7 @@
             shared.metrics.time(Timing::Queue, attempt.rank, waited);
             start(shared, attempt, id, server).await
         }
-        None => wire::not_run(NotRunReason::Stopping, "the owner is stopping"),
+        None => wire::not_run(NotRunReason::Stopping, "the owner gave its backend servers up"),
     }
 }
 
--- a/crates/pollenshed/src/owner/mod.rs
+++ b/crates/pollenshed/src/owner/mod.rs
@@ -6,6 +6,7 @@
 mod dispatch;
 mod headroom;
 mod probe;
+mod release;
 mod send;
 mod servers;
 mod uploads;
@@ -31,6 +32,7 @@
 
 pub use dispatch::dispatch;
 pub use headroom::advertisements;
+pub use release::{release, run as run_releases};
 pub use servers::update_servers;
 
 use crate::{instance::Shared, util::lock};
@@ -56,6 +58,7 @@
     state: Mutex<State>,
     turn: Notify,
     probe: Notify,
+    gained: Notify,
     next_id: AtomicU64,
 }
 
@@ -92,6 +95,7 @@
             }),
             turn: Notify::new(),
             probe: Notify::new(),
+            gained: Notify::new(),
             next_id: AtomicU64::new(1),
         }
     }
@@ -112,12 +116,7 @@
         let mut state = lock(&self.state);
         state.is_stopped = true;
         let waiting: Vec<WorkId> = state.waiting.keys().copied().collect();
-        for id in waiting {
-            if state.scheduler.cancel(id, now) == Cancelled::Removed {
-                // Dropping the sender tells the waiting request.
-                state.waiting.remove(&id);
-            }
-        }
+        send_back(&mut state, waiting, now);
     }
 
     /// Returns the number of requests at backend servers.
@@ -130,6 +129,11 @@
         self.probe.notify_one();
     }
 
+    /// Asks former owners to release gained servers soon.
+    pub fn ask_for_release(&self) {
+        self.gained.notify_one();
+    }
+
     /// Tells whether a server drains, given what its health endpoint says.
     ///
     /// Once the endpoint says so, too, it is trusted about the end of the draining.
@@ -167,6 +171,7 @@
 /// Hands out free slots and refusals.
 fn take_turn(shared: &Shared, now: Instant) {
     let may_dispatch = lock(&shared.fence).may_dispatch(now);
+    servers::end_holds(shared, now);
     let mut state = lock(&shared.owner.state);
     while may_dispatch
         && !state.is_stopped
@@ -174,6 +179,8 @@
     {
         grant(&mut state, assignment, now);
     }
+    let stranded = state.scheduler.stranded();
+    send_back(&mut state, stranded, now);
     for (id, refusal) in state.scheduler.expire(now) {
         if let Some(sender) = state.waiting.remove(&id) {
             let _ = sender.send(Grant::Refused(refusal));
@@ -181,6 +188,16 @@
     }
 }
 
+/// Takes requests out of the queue, so that their entries ask other owners.
+fn send_back(state: &mut State, waiting: Vec<WorkId>, now: Instant) {
+    for id in waiting {
+        if state.scheduler.cancel(id, now) == Cancelled::Removed {
+            // Dropping the sender tells the waiting request.
+            state.waiting.remove(&id);
+        }
+    }
+}
+
 fn grant(state: &mut State, assignment: Assignment, now: Instant) {
     let sender = state.waiting.remove(&assignment.id);
     let is_taken = sender.is_some_and(|s| s.send(Grant::Server(assignment.server)).is_ok());
--- a/crates/pollenshed/src/owner/probe.rs
+++ b/crates/pollenshed/src/owner/probe.rs
@@ -45,16 +45,21 @@
 
 /// Probes one server and hands its report to the scheduler. Returns whether it answered.
 fn probe(shared: &Shared, server: &BackendServer) -> bool {
-    let Ok(health) = shared.backend.health(server.address) else { return false };
+    let Some(report) = read(shared, server) else { return false };
+    let now = shared.clock.now();
+    shared.owner.with_scheduler(|scheduler| scheduler.report(&server.name, report, now));
+    true
+}
+
+/// Reads the report of a server; nothing if it does not answer. Blocks.
+pub(super) fn read(shared: &Shared, server: &BackendServer) -> Option<LoadReport> {
+    let health = shared.backend.health(server.address).ok()?;
     let health_says_so = health.status == HealthStatus::Draining;
     let draining = shared.owner.is_draining(&server.name, health_says_so, shared.clock.now());
-    let report = match shared.backend.load(server.address) {
+    Some(match shared.backend.load(server.address) {
         Ok(load) => LoadReport { in_use: load.in_use, slots: load.slots, draining },
         Err(_) => LoadReport { in_use: 0, slots: server.slots.0, draining },
-    };
-    let now = shared.clock.now();
-    shared.owner.with_scheduler(|scheduler| scheduler.report(&server.name, report, now));
-    true
+    })
 }
 
 fn note(
--- a/crates/pollenshed/src/owner/servers.rs
+++ b/crates/pollenshed/src/owner/servers.rs
@@ -1,9 +1,10 @@
 //! Brings the scheduler's servers in line with ownership and configuration.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
-use pollenshed_coordination::limits::{
-    Occupancy, Scheduler, SchedulerPolicy, ServerSpec, Temperature,
+use pollenshed_coordination::{
+    limits::{LoadReport, Occupancy, Scheduler, SchedulerPolicy, ServerSpec, Temperature},
+    ownership::OwnershipMap,
 };
 use pollenshed_state::{
     config::{BackendServer, Config, Drain, Service},
@@ -13,14 +14,26 @@
 
 use crate::{config::InForce, instance::Shared, util::lock};
 
-/// Adds owned servers whose wait is over and removes those that were given up.
+/// Adds servers that this instance may dispatch to and removes the others.
+///
+/// Ownership stays locked, so that a server that is released meanwhile is not added again.
 pub fn update_servers(shared: &Shared, current: &InForce, now: Instant) {
-    let usable: BTreeSet<BackendServerName> = {
-        let ownership = lock(&shared.ownership);
-        ownership.owned().filter(|s| ownership.is_usable(s, now)).cloned().collect()
-    };
+    apply(shared, current, &lock(&shared.ownership), &BTreeMap::new(), now);
+    shared.owner.wake();
+}
+
+/// Brings the servers in line with the locked `ownership`. `reports` are those of servers that may
+/// be new, which without a report would count as full.
+pub(super) fn apply(
+    shared: &Shared,
+    current: &InForce,
+    ownership: &OwnershipMap,
+    reports: &BTreeMap<BackendServerName, LoadReport>,
+    now: Instant,
+) {
     let longest_ms = current.config.ranks.iter().map(|r| r.deadline_ms).max().unwrap_or(0);
     let occupancy = Occupancy::UnknownUntil(now.plus_ms(longest_ms));
+    let usable: BTreeSet<BackendServerName> = ownership.usable(now).cloned().collect();
     let mut leaving = lock(&shared.leaving_backend_servers);
     leaving.expire(now);
     shared.owner.with_scheduler(|scheduler| {
@@ -29,6 +42,11 @@
         for (service, server) in servers(&current.config) {
             if usable.contains(&server.name) {
                 add(scheduler, service, server, occupancy, now);
+                let inherited = ownership.inherited(&server.name).map(|i| (i.running, i.until));
+                scheduler.set_inherited(&server.name, inherited);
+                if let Some(report) = reports.get(&server.name) {
+                    scheduler.report(&server.name, *report, now);
+                }
                 let is_draining = leaving.contains(&server.name)
                     || current.config.drains.contains(&Drain::BackendServer(server.name.clone()));
                 scheduler.set_draining(&server.name, is_draining);
@@ -38,7 +56,17 @@
             scheduler.remove_server(name);
         }
     });
-    shared.owner.wake();
+}
+
+/// Removes servers that were held for a new owner for long enough.
+pub fn end_holds(shared: &Shared, now: Instant) {
+    let mut ownership = lock(&shared.ownership);
+    let ended = ownership.end_holds(now);
+    if !ended.is_empty() {
+        shared.owner.with_scheduler(|scheduler| {
+            ended.iter().for_each(|server| scheduler.remove_server(server));
+        });
+    }
 }
 
 fn servers(config: &Config) -> impl Iterator<Item = (&Service, &BackendServer)> {
--- /dev/null
+++ b/crates/pollenshed/tests/joining.rs
@@ -0,0 +1,121 @@
+//! Instances that join under load take backend servers over without a gap and without more work
+//! than their slots.
+
+mod support;
+
+use std::{
+    net::SocketAddr,
+    thread,
+    time::{Duration, Instant},
+};
+
+use googletest::prelude::*;
+use support::{
+    Daemon,
+    faults::{DEAD_AFTER_MS, ProxiedFleet, SLOTS, THREE_ENTRIES, hold, signal},
+    load::Load,
+    wait_for,
+};
+
+/// Callers that send requests one after the other, one for each slot of the fleet.
+const CALLERS: u8 = 12;
+
+/// Time that one request takes at a backend server; requests of former owners outlast a handover.
+const SERVICE_TIME: Duration = Duration::from_millis(200);
+
+/// Share of the requests that must be served.
+const MIN_DONE_PERCENT: u64 = 95;
+
+/// Time for which load goes on after the last change, longer than the wait without a release.
+const AFTERWARDS: Duration = Duration::from_millis(DEAD_AFTER_MS + 500);
+
+fn callers_of(fleet: &ProxiedFleet) -> Vec<SocketAddr> {
+    fleet.fleet.daemons.iter().map(|d| d.callers).collect()
+}
+
+/// Runs `during` under load and checks slots, shares and that nobody was cut off.
+fn under_load(name: &str, during: impl FnOnce(&mut ProxiedFleet, &Load)) {
+    let mut fleet = ProxiedFleet::start(&THREE_ENTRIES, SERVICE_TIME);
+    let load = Load::new(callers_of(&fleet));
+    thread::scope(|scope| {
+        for client in 1..=CALLERS {
+            let load = &load;
+            scope.spawn(move || load.run_caller(client));
+        }
+        let stop = StopAtEnd(&load);
+        wait_for("load", || (load.done() > 50).then_some(()));
+        during(&mut fleet, &load);
+        hold(AFTERWARDS);
+        drop(stop);
+    });
+    let (done, refused) = (load.done(), load.refused());
+    let most = fleet.fleet.backends.iter().map(|(_, b)| b.max_in_use()).max().unwrap();
+    println!("{name}: {done} served, {} refused, at most {most} slots in use", refused.len());
+    expect_that!(load.wrong(), is_empty());
+    expect_that!(most, le(SLOTS), "{name}");
+    let all = done + refused.len() as u64;
+    expect_that!(done * 100, ge(all * MIN_DONE_PERCENT), "{name}: refused {refused:?}");
+}
+
+/// Ends the load also when a check in between panics; the callers' threads would never end.
+struct StopAtEnd<'a>(&'a Load);
+
+impl Drop for StopAtEnd<'_> {
+    fn drop(&mut self) {
+        self.0.stop();
+    }
+}
+
+/// Guards against backend servers without a dispatcher, or with more work than their slots, while
+/// instances join one after the other.
+#[gtest]
+fn instances_join_under_load() {
+    under_load("join", |fleet, load| {
+        for place in [("north-a-3", "north-a"), ("north-b-2", "north-b"), ("north-a-4", "north-a")]
+        {
+            fleet.add(place);
+            fleet.list();
+            load.set_entries(callers_of(fleet));
+            fleet.fleet.wait_until_in_force(1);
+        }
+    });
+}
+
+/// Guards against refusals while all instances of a failure domain are replaced without a wait for
+/// the ownership of their backend servers.
+#[gtest]
+fn failure_domain_is_replaced_without_a_wait() {
+    under_load("replace", |fleet, load| {
+        for name in ["north-a-3", "north-a-4"] {
+            fleet.add((name, "north-a"));
+            fleet.list();
+            // Entries of the other failure domain come after those of this one.
+            load.set_entries(callers_of(fleet)[1..].to_vec());
+            signal(&fleet.fleet.daemons[0], "-TERM");
+            expect_that!(fleet.fleet.daemons[0].wait_for_end(), eq(true));
+            fleet.remove(0);
+        }
+    });
+}
+
+/// Guards against a new owner that waits although the former one released its backend servers.
+#[gtest]
+fn joining_owner_need_not_wait() {
+    let mut fleet = ProxiedFleet::start(&[("north-a-1", "north-a")], SERVICE_TIME);
+    // The first owner is settled only after this time.
+    hold(Duration::from_millis(DEAD_AFTER_MS));
+    let began = Instant::now();
+    // With these names at least one of the two backend servers gets a new owner.
+    for name in ["north-a-2", "north-a-3", "north-a-4", "north-a-5"] {
+        fleet.add((name, "north-a"));
+    }
+    fleet.list();
+    let new = &fleet.fleet.daemons[1..];
+    wait_for("a new owner", || {
+        let statuses = new.iter().filter_map(Daemon::status);
+        statuses.flat_map(|s| s.owned_backend_servers).any(|s| s.limit > 0).then_some(())
+    });
+    let time = began.elapsed();
+    println!("new owner after {} ms", time.as_millis());
+    expect_that!(time, lt(Duration::from_millis(DEAD_AFTER_MS)));
+}
