--- a/crates/pollenshed/src/gossip/message.rs
+++ b/crates/pollenshed/src/gossip/message.rs
@@ -2,7 +2,7 @@
 
 use pollenshed_coordination::{
     limits::QuarantineEntry,
-    membership::{Change, Exchange},
+    membership::{Change, Exchange, MemberRecord},
     shift::Shares,
 };
 use pollenshed_protocol::peer::{ExchangeMessage, LeavingBackendServer, Quarantine, RampPosition};
@@ -73,17 +73,7 @@
         return;
     };
     let now = shared.clock.now();
-    let changes = lock(&shared.membership).merge(&exchange, now);
-    for change in &changes {
-        log_change(change);
-    }
-    if !changes.is_empty()
-        && let Some(current) = shared.config.get()
-    {
-        // Ownership follows at once, so that a planned stop leaves no gap.
-        super::update(shared, &current, now);
-        shared.owner.probe_now();
-    }
+    merge_members(shared, &exchange, now);
     merge_headroom(shared, message, now);
     for server in &message.leaving_backend_servers {
         if let Ok(name) = server.name.parse() {
@@ -118,6 +108,32 @@
     }
 }
 
+/// Takes the record that a member sent of itself outside gossip, and brings ownership in line.
+///
+/// A member that was known by hearsay only becomes live without a change that merging tells of.
+pub fn hear(shared: &Shared, sender: MemberRecord, now: Instant) {
+    let exchange =
+        Exchange { sender, records: Vec::new(), heartbeats: Vec::new(), buckets: Vec::new() };
+    merge_members(shared, &exchange, now);
+    if let Some(current) = shared.config.get() {
+        super::update(shared, &current, now);
+    }
+}
+
+fn merge_members(shared: &Shared, exchange: &Exchange, now: Instant) {
+    let changes = lock(&shared.membership).merge(exchange, now);
+    for change in &changes {
+        log_change(change);
+    }
+    if !changes.is_empty()
+        && let Some(current) = shared.config.get()
+    {
+        // Ownership follows at once, so that a planned stop leaves no gap.
+        super::update(shared, &current, now);
+        shared.owner.probe_now();
+    }
+}
+
 fn merge_headroom(shared: &Shared, message: &ExchangeMessage, now: Instant) {
     let adverts: Vec<_> = message.headroom.iter().filter_map(wire::headroom_from_wire).collect();
     let incarnations: Vec<_> = {
--- a/crates/pollenshed/tests/config_delta.rs
+++ b/crates/pollenshed/tests/config_delta.rs
@@ -208,6 +208,13 @@
     ) -> std::result::Result<Response<HandOverReply>, Status> {
         Ok(Response::new(HandOverReply { accepted: false }))
     }
+
+    async fn release(
+        &self,
+        _: Request<ReleaseRequest>,
+    ) -> std::result::Result<Response<ReleaseReply>, Status> {
+        Ok(Response::new(ReleaseReply::default()))
+    }
 }
 
 /// Guards against changes that are taken without the digest of the whole document, and against an
