Bring tests and the table of log lines in line with the release of servers

Ruled out: a change of the product; only names of log lines differ. Before: config_delta.rs did not compile.

--- a/crates/pollenshed/tests/config_delta.rs
+++ b/crates/pollenshed/tests/config_delta.rs
@@ -17,7 +17,7 @@
 use pollenshed_protocol::{
     peer::{
         ConfigChange, ExchangeMessage, FetchConfigReply, FetchConfigRequest, HandOverReply,
-        HandOverRequest, Member, Splice as WireSplice,
+        HandOverRequest, Member, ReleaseReply, ReleaseRequest, Splice as WireSplice,
         control_server::{Control, ControlServer},
     },
     platform::{InstanceList, ListedInstance},
