Name the parts of headroom what they are and log only targets that count

Before and after: no change of decisions; the test of slightly changed headroom checks the new result, too.

--- a/crates/coordination/src/routing/advert.rs
+++ b/crates/coordination/src/routing/advert.rs
@@ -23,7 +23,7 @@
     /// Requests per second that the owner takes from other failure domains, from all entries.
     pub requests_per_s: u64,
     /// Equal parts into which entries split the rate, see [`super::Senders`].
-    pub entries: u64,
+    pub parts: u64,
     /// Raised by the owner with each advertisement.
     pub sequence: u64,
     /// How long it can still be used.
@@ -88,7 +88,7 @@
             return Err(Ignored::Expired);
         }
         let key = (advert.service.clone(), advert.failure_domain.clone(), advert.owner.clone());
-        let (rate, size) = entry_share(advert.requests_per_s, advert.entries);
+        let (rate, size) = entry_share(advert.requests_per_s, advert.parts);
         let mut bucket = Bucket::new(rate, size, now);
         if let Some(known) = self.stored.remove(&key) {
             let is_same_run = known.advert.incarnation == advert.incarnation;
@@ -176,9 +176,9 @@
     }
 }
 
-/// Returns refill rate and bucket size of one of `entries` equal shares.
-fn entry_share(requests_per_s: u64, entries: u64) -> (i128, i128) {
-    let share = i128::from(requests_per_s) * PER_SECOND / i128::from(entries.max(1));
+/// Returns refill rate and bucket size of one of `parts` equal shares.
+fn entry_share(requests_per_s: u64, parts: u64) -> (i128, i128) {
+    let share = i128::from(requests_per_s) * PER_SECOND / i128::from(parts.max(1));
     if share < 2 * PER_SECOND {
         return (share, TOKEN);
     }
--- a/crates/coordination/src/routing/mod.rs
+++ b/crates/coordination/src/routing/mod.rs
@@ -4,22 +4,16 @@
 //!
 //! An owner advertises how many requests per second it takes from elsewhere, and into how many parts
 //! entries split that. These are the entries of the failure domains that send requests, and one more
-//! (see [`Senders`]). Each entry spends at most one part, from a token bucket that starts empty. As
-//! long as no more entries send than there are parts, this holds: with a share of 2
-//! requests per second or more, bucket size and refill rate add up to the share, so in any second or
-//! longer all entries together stay within the advertised rate. A smaller share is spent in single
-//! requests, so that each entry may exceed it by one request in all.
+//! (see [`Senders`]). Each entry spends at most one part, from a token bucket that starts empty. With
+//! a part of 2 requests per second or more, bucket size and refill rate add up to the part, so in any
+//! second or longer no more entries than there are parts stay together within the advertised rate. A
+//! smaller part is spent in single requests, so that each entry may exceed it by one request in all.
 //!
-//! When failure domains begin to send at the same time, their entries together can send more than the
-//! advertised rate until the next advertisement. The owner's [`Intake`] bounds the sum exactly and
-//! refuses the rest as not run. Views can differ in three ways:
-//!
-//! - A new entry that the owner does not know yet spends nothing until it has run for
-//!   `dead_after_ms`, by which time gossip has spread it.
-//! - An entry that the owner does not hear is still counted for `dead_after_ms`, which is longer than
-//!   `headroom_ttl_ms`, so it has no usable advertisement left when its share goes to others.
-//! - A one-way cut can leave an entry with advertisements of an owner that does not count it. The
-//!   owner's [`Intake`] refuses the rest.
+//! More entries than there are parts can send for a while: when failure domains begin to send at the
+//! same time, until the next advertisement reaches them, and when the owner and an entry hear each
+//! other in one direction only. The owner's [`Intake`] bounds the sum exactly and refuses the rest as
+//! not run. A new entry spends nothing until it has run for `dead_after_ms`, by which time gossip has
+//! spread it and the owner counts it.
 //!
 //! # Links
 //!
--- a/crates/coordination/src/shift/ramp.rs
+++ b/crates/coordination/src/shift/ramp.rs
@@ -108,18 +108,19 @@
         self.min_shares = min_shares;
     }
 
-    /// Sets where the traffic should go.
+    /// Sets where the traffic should go. Returns whether that changed.
     ///
     /// Headroom changes all the time. A target that sends the same share away, to the same failure
     /// domains, only in slightly other proportions is ignored, because each move costs warm caches
     /// and a part of the cap.
-    pub fn set_target(&mut self, target: Shares) {
+    pub fn set_target(&mut self, target: Shares) -> bool {
         let is_alike = target.home_ppm() == self.target.home_ppm()
             && target.iter().map(|(d, _)| d).eq(self.target.iter().map(|(d, _)| d))
             && self.target.distance_ppm(&target) < MIN_REBALANCED_PPM;
         if !is_alike {
             self.target = target;
         }
+        !is_alike
     }
 
     /// Returns the home failure domain.
--- a/crates/coordination/tests/routing_choice.rs
+++ b/crates/coordination/tests/routing_choice.rs
@@ -57,7 +57,7 @@
             service,
             failure_domain,
             requests_per_s,
-            entries: 1,
+            parts: 1,
             sequence: now.as_ms() + 1,
             ttl_left_ms: 2_000,
             usable_backend_servers: 3,
--- a/crates/coordination/tests/routing_headroom.rs
+++ b/crates/coordination/tests/routing_headroom.rs
@@ -19,14 +19,14 @@
     DOMAINS, config, domain, exchange, instance, membership, ms, proptest_config, shift_policy,
 };
 
-fn advert(requests_per_s: u64, entries: u64, sequence: u64) -> Advertisement {
+fn advert(requests_per_s: u64, parts: u64, sequence: u64) -> Advertisement {
     Advertisement {
         owner: instance(0),
         incarnation: Incarnation(7),
         service: "tally-view".parse().unwrap(),
         failure_domain: domain(DOMAINS[0]),
         requests_per_s,
-        entries,
+        parts,
         sequence,
         ttl_left_ms: 2_000,
         usable_backend_servers: 3,
--- a/crates/coordination/tests/shift_cap.rs
+++ b/crates/coordination/tests/shift_cap.rs
@@ -75,7 +75,9 @@
             let before = ramp.position().clone();
             let mut cap = None;
             match event {
-                Event::Target(parts) => ramp.set_target(shares(parts)),
+                Event::Target(parts) => {
+ ramp.set_target(shares(parts));
+ }
                 Event::Step { cold } => {
                     let step = ramp.step(cold, now);
                     let distance = before.distance_ppm(ramp.position());
@@ -119,7 +121,9 @@
             clock_ms += gap.max(0);
             let now = ms(clock_ms as u64);
             match event {
-                Event::Target(parts) => ramp.set_target(shares(parts)),
+                Event::Target(parts) => {
+ ramp.set_target(shares(parts));
+ }
                 Event::Step { cold } => drop(ramp.step(cold, now)),
                 Event::Requests(requests) => {
                     for (rank, wanted) in requests {
@@ -273,7 +277,7 @@
         ramp.step(false, ms(call * INTERVAL_MS / 20));
     }
     for (target, moved) in [([550_000, 450_000, 0], 0), ([600_000, 400_000, 0], 50_000)] {
-        ramp.set_target(shares(target));
+        expect_that!(ramp.set_target(shares(target)), eq(moved > 0));
         let step = ramp.step(false, ms(3 * INTERVAL_MS));
         expect_that!(step.moved_ppm, eq(moved), "{target:?}");
     }
--- a/crates/pollenshed/src/gossip/steering.rs
+++ b/crates/pollenshed/src/gossip/steering.rs
@@ -20,17 +20,17 @@
         let home = ramp.home().clone();
         let demand = Demand { home_ppm, requests_per_s: ramp.arrivals_per_s(now) };
         let target = target_shares(config, service, &home, &health, demand);
-        if target != *ramp.target() {
+        if ramp.set_target(target) {
             log::debug!(
                 service:% = service.name,
                 home:%,
                 home_ppm,
-                target_ppm:% = target;
+                requests_per_s = demand.requests_per_s,
+                target_ppm:% = ramp.target();
                 "shift: the target changes"
             );
         }
-        let is_cold = target.iter().any(|(domain, _)| is_cold(&health, domain));
-        ramp.set_target(target);
+        let is_cold = ramp.target().iter().any(|(domain, _)| is_cold(&health, domain));
         let step = ramp.step(is_cold, now);
         if step.moved_ppm > 0 {
             log::info!(
@@ -64,7 +64,7 @@
         let domain = health.entry(advert.failure_domain.clone()).or_default();
         domain.usable_backend_servers += advert.usable_backend_servers;
         domain.cold_backend_servers += advert.cold_backend_servers;
-        domain.headroom_per_s += advert.requests_per_s / advert.entries.max(1);
+        domain.headroom_per_s += advert.requests_per_s / advert.parts.max(1);
     }
     health
 }
--- a/crates/pollenshed/src/owner/dispatch.rs
+++ b/crates/pollenshed/src/owner/dispatch.rs
@@ -153,8 +153,11 @@
 ) -> bool {
     let Ok(domain) = request.failure_domain.parse() else { return false };
     let mut state = lock(&shared.owner.state);
-    if let Ok(from) = request.from_failure_domain.parse() {
-        state.senders.entry(service.name.clone()).or_default().record(&from, now);
+    // `advertisements` makes the counts of each service before any entry can send it a request.
+    if let Some(senders) = state.senders.get_mut(&service.name)
+        && let Ok(from) = request.from_failure_domain.parse()
+    {
+        senders.record(&from, now);
     }
     let intake = state.intakes.get_mut(&(service.name.clone(), domain));
     intake.is_some_and(|intake| intake.admit(now))
--- a/crates/pollenshed/src/owner/headroom.rs
+++ b/crates/pollenshed/src/owner/headroom.rs
@@ -68,7 +68,7 @@
                 service: service.name.clone(),
                 failure_domain: domain,
                 requests_per_s: share,
-                entries: parts,
+                parts,
                 sequence,
                 ttl_left_ms: shared.settings.timing.headroom_ttl_ms,
                 usable_backend_servers: counts.usable,
--- a/crates/pollenshed/src/wire.rs
+++ b/crates/pollenshed/src/wire.rs
@@ -105,7 +105,7 @@
         ttl_left_ms: advert.ttl_left_ms,
         usable_backend_servers: advert.usable_backend_servers,
         cold_backend_servers: advert.cold_backend_servers,
-        entries: advert.entries,
+        parts: advert.parts,
     }
 }
 
@@ -117,7 +117,7 @@
         service: headroom.service.parse().ok()?,
         failure_domain: headroom.failure_domain.parse().ok()?,
         requests_per_s: headroom.requests_per_s,
-        entries: headroom.entries,
+        parts: headroom.parts,
         sequence: headroom.sequence,
         ttl_left_ms: headroom.ttl_left_ms,
         usable_backend_servers: headroom.usable_backend_servers,
