--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod replication;
 pub mod routing;
 pub mod shift;
+pub mod steering;
--- /dev/null
+++ b/crates/coordination/src/steering/fleet.rs
@@ -0,0 +1,207 @@
+//! All backend servers that an instance knows, and what its peers run on them.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use pollenshed_state::{
+    ids::{BackendServerName, FailureDomainName, InstanceName, RegionName, ServiceName},
+    routes::ServerRecord,
+    time::Instant,
+};
+
+use super::{run_time::RunTimes, server::Server};
+use crate::membership::hash::hash_of;
+
+/// Time after which the counts of a silent peer are forgotten.
+const PEER_COUNTS_MS: u64 = 1_500;
+
+/// One-way delay to the own failure domain before one was measured.
+const NEAR_LINK_MS: f64 = 0.2;
+
+/// One-way delay to another failure domain of the region before one was measured.
+const REGION_LINK_MS: f64 = 2.0;
+
+/// One-way delay to another region before one was measured.
+const FAR_LINK_MS: f64 = 30.0;
+
+/// Part that a new measurement has in the delay of a link.
+const LINK_WEIGHT: f64 = 0.2;
+
+/// Identifies a backend server between instances in four bytes.
+pub type ServerKey = u32;
+
+/// Returns the key of a backend server.
+pub fn server_key(name: &BackendServerName) -> ServerKey {
+    (hash_of(&[b"server", name.as_str().as_bytes()]) >> 32) as u32
+}
+
+#[derive(Debug, Clone)]
+struct PeerCounts {
+    at: Instant,
+    counts: Vec<(ServerKey, u32)>,
+}
+
+/// All backend servers that an instance knows.
+#[derive(Debug, Clone)]
+pub struct Fleet {
+    pub(super) failure_domain: FailureDomainName,
+    pub(super) regions: BTreeMap<FailureDomainName, RegionName>,
+    pub(super) servers: BTreeMap<BackendServerName, Server>,
+    pub(super) by_service: HashMap<ServiceName, Vec<BackendServerName>>,
+    pub(super) evacuated: BTreeSet<FailureDomainName>,
+    /// Run times by route and service.
+    pub run_times: RunTimes,
+    links_ms: HashMap<FailureDomainName, f64>,
+    by_key: HashMap<ServerKey, BackendServerName>,
+    peers: HashMap<InstanceName, PeerCounts>,
+}
+
+impl Fleet {
+    /// Creates a fleet without servers for an instance in `failure_domain`. `regions` gives the
+    /// region of each failure domain.
+    pub fn new(
+        failure_domain: FailureDomainName,
+        regions: BTreeMap<FailureDomainName, RegionName>,
+    ) -> Fleet {
+        Fleet {
+            failure_domain,
+            regions,
+            servers: BTreeMap::new(),
+            by_service: HashMap::new(),
+            evacuated: BTreeSet::new(),
+            run_times: RunTimes::default(),
+            links_ms: HashMap::new(),
+            by_key: HashMap::new(),
+            peers: HashMap::new(),
+        }
+    }
+
+    /// Adds a server or takes its newer announcement. Returns whether the server was not known, or
+    /// only as another one. An announcement from an unknown failure domain names no usable server.
+    pub fn announce(&mut self, record: ServerRecord, now: Instant) -> bool {
+        let Some(region) = self.regions.get(&record.failure_domain).cloned() else { return false };
+        match self.servers.get_mut(&record.name) {
+            Some(server) if server.record.service == record.service => {
+                server.announce(record, now);
+                false
+            }
+            _ => {
+                self.remove(&record.name.clone());
+                let names = self.by_service.entry(record.service.clone()).or_default();
+                names.push(record.name.clone());
+                self.by_key.insert(server_key(&record.name), record.name.clone());
+                self.servers.insert(record.name.clone(), Server::new(record, region, now));
+                true
+            }
+        }
+    }
+
+    /// Removes a server that has left.
+    pub fn remove(&mut self, name: &BackendServerName) -> Option<ServerRecord> {
+        let server = self.servers.remove(name)?;
+        self.by_key.remove(&server_key(name));
+        if let Some(names) = self.by_service.get_mut(&server.record.service) {
+            names.retain(|known| known != name);
+        }
+        Some(server.record)
+    }
+
+    /// Sets the failure domains whose servers get nothing. Servers of a failure domain that is no
+    /// longer in it may have become cold unseen, so they are taken for cold for `cold_start_ms`.
+    pub fn set_evacuated(
+        &mut self,
+        evacuated: BTreeSet<FailureDomainName>,
+        cold_start_ms: impl Fn(&ServiceName) -> u64,
+        now: Instant,
+    ) {
+        for server in self.servers.values_mut() {
+            let domain = &server.record.failure_domain;
+            if self.evacuated.contains(domain) && !evacuated.contains(domain) {
+                server.cold_at_least_until(now.plus_ms(cold_start_ms(&server.record.service)));
+                server.warm.clear();
+            }
+        }
+        self.evacuated = evacuated;
+    }
+
+    /// Returns the failure domains whose servers get nothing.
+    pub fn evacuated(&self) -> &BTreeSet<FailureDomainName> {
+        &self.evacuated
+    }
+
+    /// Returns a server by its name.
+    pub fn server(&self, name: &BackendServerName) -> Option<&Server> {
+        self.servers.get(name)
+    }
+
+    /// Returns all servers in the order of their names.
+    pub fn servers(&self) -> impl Iterator<Item = &Server> {
+        self.servers.values()
+    }
+
+    /// Returns the requests of this instance that run, by server, without those that have none.
+    pub fn own_counts(&self) -> Vec<(ServerKey, u32)> {
+        let busy = self.servers.iter().filter(|(_, server)| server.own > 0);
+        busy.map(|(name, server)| (server_key(name), server.own)).collect()
+    }
+
+    /// Takes the requests that a peer runs, by server, in place of those it told before.
+    pub fn peer_counts(
+        &mut self,
+        peer: &InstanceName,
+        counts: Vec<(ServerKey, u32)>,
+        now: Instant,
+    ) {
+        let old = self.peers.insert(peer.clone(), PeerCounts { at: now, counts: counts.clone() });
+        self.add_counts(&old.map(|old| old.counts).unwrap_or_default(), false);
+        self.add_counts(&counts, true);
+    }
+
+    /// Forgets the counts of peers that are silent.
+    pub fn expire_peers(&mut self, now: Instant) {
+        let silent: Vec<_> = self
+            .peers
+            .iter()
+            .filter(|(_, counts)| now.since_ms(counts.at) >= PEER_COUNTS_MS)
+            .map(|(peer, _)| peer.clone())
+            .collect();
+        for peer in silent {
+            if let Some(old) = self.peers.remove(&peer) {
+                self.add_counts(&old.counts, false);
+            }
+        }
+    }
+
+    fn add_counts(&mut self, counts: &[(ServerKey, u32)], add: bool) {
+        for (key, count) in counts {
+            let Some(server) = self.by_key.get(key).and_then(|name| self.servers.get_mut(name))
+            else {
+                continue;
+            };
+            server.peers = if add {
+                server.peers.saturating_add(*count)
+            } else {
+                server.peers.saturating_sub(*count)
+            };
+        }
+    }
+
+    /// Records a measured one-way delay to a failure domain.
+    pub fn measured_link(&mut self, domain: &FailureDomainName, one_way_ms: f64) {
+        let known = self.links_ms.entry(domain.clone()).or_insert(one_way_ms);
+        *known += LINK_WEIGHT * (one_way_ms - *known);
+    }
+
+    /// Returns the one-way delay to a failure domain.
+    pub fn link_ms(&self, domain: &FailureDomainName) -> f64 {
+        if let Some(known) = self.links_ms.get(domain) {
+            return *known;
+        }
+        if *domain == self.failure_domain {
+            NEAR_LINK_MS
+        } else if self.regions.get(domain) == self.regions.get(&self.failure_domain) {
+            REGION_LINK_MS
+        } else {
+            FAR_LINK_MS
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/steering/observe.rs
@@ -0,0 +1,105 @@
+//! What the end of a request tells of its backend server.
+
+use pollenshed_state::{ids::BackendServerName, time::Instant};
+
+use super::fleet::Fleet;
+
+/// How a request ended at a backend server.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Ended {
+    /// The server answered.
+    Answered {
+        /// The answer tells of a failure of the server.
+        failed: bool,
+        /// Time from the first byte sent to the head of the answer.
+        took_ms: f64,
+    },
+    /// The server refused the request as not run.
+    Shed,
+    /// Another server has the address.
+    OtherServer,
+    /// No connection could be made.
+    Unreachable,
+    /// The connection ended without a whole answer.
+    BrokenOff,
+    /// The server did not answer within the time that it usually needs.
+    Silent,
+    /// The caller left, or the time of the request was over.
+    Abandoned,
+}
+
+impl Fleet {
+    /// Records that this instance sends a request. `cold_rate_per_s` is its share of the rate of
+    /// the server, if the server is cold.
+    pub fn started(&mut self, name: &BackendServerName, cold_rate_per_s: f64, now: Instant) {
+        let Some(server) = self.servers.get_mut(name) else { return };
+        server.own += 1;
+        if server.is_cold(now) {
+            server.cold_rate.sent(cold_rate_per_s, now);
+        }
+    }
+
+    /// Records the end of a request. `work` identifies route and service, `key` the object, and
+    /// `waited` tells whether the server was busy when the request was sent.
+    pub fn ended(
+        &mut self,
+        name: &BackendServerName,
+        work: u64,
+        key: Option<u64>,
+        waited: bool,
+        end: Ended,
+        now: Instant,
+    ) {
+        let Some(domain) = self.servers.get(name).map(|s| s.record.failure_domain.clone()) else {
+            return;
+        };
+        let link_ms = self.link_ms(&domain);
+        let Some(server) = self.servers.get_mut(name) else { return };
+        server.own = server.own.saturating_sub(1);
+        match end {
+            Ended::Answered { failed, took_ms } => {
+                server.answered(failed, now);
+                if failed {
+                    return;
+                }
+                let warm = key.is_some_and(|key| server.warm.contains(key));
+                if let Some(key) = key {
+                    server.warm.handled(key);
+                }
+                if waited {
+                    return;
+                }
+                let ran_ms = (took_ms - 2.0 * link_ms).max(1.0);
+                server.ran(ran_ms, self.run_times.expected_ms(work, warm));
+                self.run_times.observe(work, warm, ran_ms / server.pace().max(1.0));
+            }
+            Ended::Shed => server.shed(now),
+            Ended::OtherServer => server.misdirected(),
+            Ended::Unreachable | Ended::Silent => server.unreachable(now),
+            Ended::BrokenOff => server.broke_off(now),
+            Ended::Abandoned => {}
+        }
+    }
+
+    /// Records the load that a server reported with an answer.
+    pub fn reported(&mut self, name: &BackendServerName, load: u32, now: Instant) {
+        if let Some(server) = self.servers.get_mut(name) {
+            server.report(load, now);
+        }
+    }
+
+    /// Records that a server said that it is cold for `remaining_ms`.
+    pub fn reported_cold(&mut self, name: &BackendServerName, remaining_ms: u64, now: Instant) {
+        if let Some(server) = self.servers.get_mut(name) {
+            server.cold_at_least_until(now.plus_ms(remaining_ms));
+        }
+    }
+
+    /// Records that a server that could not be reached answers again. It may have started anew, so
+    /// it is taken for cold for `cold_start_ms`.
+    pub fn came_back(&mut self, name: &BackendServerName, cold_start_ms: u64, now: Instant) {
+        if let Some(server) = self.servers.get_mut(name) {
+            server.cold_at_least_until(now.plus_ms(cold_start_ms));
+        }
+    }
+}
--- a/crates/pollenshed/src/cmd/mod.rs
+++ b/crates/pollenshed/src/cmd/mod.rs
@@ -9,6 +9,7 @@
 pub mod check;
 pub mod dev;
 pub mod serve;
+pub mod steer;
 
 /// Exit code: the command line is wrong. `clap` uses the same.
 pub const EXIT_USAGE: u8 = 2;
--- a/crates/pollenshed/src/lib.rs
+++ b/crates/pollenshed/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod lookup;
 pub mod owner;
 pub mod reader;
+pub mod steer;
 pub mod util;
 pub mod wire;
--- a/crates/pollenshed/src/main.rs
+++ b/crates/pollenshed/src/main.rs
@@ -13,10 +13,12 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(cmd::serve::command())
+        .subcommand(cmd::steer::command())
         .subcommand(cmd::check::command())
         .subcommand(cmd::dev::command());
     match app.get_matches().subcommand() {
         Some(("serve", args)) => cmd::serve::run(args),
+        Some(("steer", args)) => cmd::steer::run(args),
         Some(("check", args)) => cmd::check::run(args),
         Some(("dev", args)) => cmd::dev::run(args),
         _ => ExitCode::from(cmd::EXIT_USAGE),
--- /dev/null
+++ b/crates/pollenshed/src/steer/core.rs
@@ -0,0 +1,114 @@
+//! What the parts of one instance share. All of them run on one thread.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    time,
+};
+
+use pollenshed_coordination::steering::{Fleet, RetryBudget, WeightedSplit};
+use pollenshed_state::{
+    ids::{ConfigVersion, Incarnation, InstanceName, ServiceName},
+    routes::{Bounds, RoutePlan},
+    time::Instant,
+};
+use pollenshed_transport::{forward::Pool, listen::StopPhase};
+use tokio::sync::watch;
+
+use super::{members::Members, settings::SteerSettings};
+
+/// What the parts of one instance share.
+pub struct Core {
+    /// Settings at the start.
+    pub settings: SteerSettings,
+    /// Bounds of the deployment.
+    pub bounds: Bounds,
+    /// This run of the instance.
+    pub incarnation: Incarnation,
+    /// Routes in force; `None` until the first ones are known.
+    pub plan: RefCell<Option<Rc<RoutePlan>>>,
+    /// Backend servers.
+    pub fleet: RefCell<Fleet>,
+    /// Other instances.
+    pub members: RefCell<Members>,
+    /// Further attempts by service.
+    pub budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
+    /// Positions of routes that are split.
+    pub splits: RefCell<HashMap<String, WeightedSplit>>,
+    /// Connections to backend servers.
+    pub pool: Pool,
+    /// Requests of callers that are not answered yet.
+    pub in_flight: Cell<usize>,
+    /// Bytes of request bodies that are held.
+    pub held_bytes: Cell<usize>,
+    stop: watch::Sender<StopPhase>,
+    started_at: time::Instant,
+}
+
+impl Core {
+    /// Creates the state of an instance that knows nothing yet.
+    pub fn new(settings: SteerSettings) -> Core {
+        let fleet = Fleet::new(settings.failure_domain.clone(), settings.failure_domains.clone());
+        Core {
+            bounds: settings.bounds(),
+            incarnation: Incarnation(fastrand::u64(1..)),
+            plan: RefCell::new(None),
+            fleet: RefCell::new(fleet),
+            members: RefCell::new(Members::new(settings.instance.clone())),
+            budgets: RefCell::default(),
+            splits: RefCell::default(),
+            pool: Pool::default(),
+            in_flight: Cell::new(0),
+            held_bytes: Cell::new(0),
+            stop: watch::Sender::new(StopPhase::Serving),
+            started_at: time::Instant::now(),
+            settings,
+        }
+    }
+
+    /// Returns the time since the start.
+    pub fn now(&self) -> Instant {
+        let us = self.started_at.elapsed().as_micros();
+        Instant::from_us(u64::try_from(us).unwrap_or(u64::MAX))
+    }
+
+    /// Returns the routes in force.
+    pub fn plan(&self) -> Option<Rc<RoutePlan>> {
+        self.plan.borrow().clone()
+    }
+
+    /// Returns the version of the routes in force, or 0.
+    pub fn plan_version(&self) -> ConfigVersion {
+        self.plan.borrow().as_ref().map_or(ConfigVersion(0), |plan| plan.version)
+    }
+
+    /// Returns how far a planned stop has come.
+    pub fn stop_phase(&self) -> StopPhase {
+        *self.stop.borrow()
+    }
+
+    /// Follows the planned stop.
+    pub fn watch_stop(&self) -> watch::Receiver<StopPhase> {
+        self.stop.subscribe()
+    }
+
+    /// Moves the planned stop on.
+    pub fn set_stop_phase(&self, phase: StopPhase) {
+        self.stop.send_replace(phase);
+    }
+
+    /// Returns whether callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        self.plan.borrow().is_some() && self.stop_phase() == StopPhase::Serving
+    }
+
+    /// Returns the live instances of this instance's region, this one included.
+    pub fn instances_in_region(&self) -> Vec<InstanceName> {
+        self.members.borrow().live_in(
+            self.settings.region(),
+            &self.settings.failure_domains,
+            self.now(),
+        )
+    }
+}
--- /dev/null
+++ b/crates/pollenshed/src/steer/mod.rs
@@ -0,0 +1,135 @@
+//! One instance that steers plain HTTP requests on the users' platform (docs/platform.md).
+//!
+//! Each instance takes requests of callers, chooses a backend server and sends the request there
+//! itself. It reads configuration, evacuations and backend servers from the platform's store, and
+//! learns from its peers how busy the servers are. All parts run on one thread, since the machines
+//! have a fraction of a core.
+
+mod attempt;
+mod callers;
+mod core;
+mod gossip;
+mod keys;
+mod lookup;
+mod members;
+mod reader;
+pub mod settings;
+mod stop;
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use eyre::{Result, WrapErr};
+use http::Request;
+use hyper::body::Incoming;
+use pollenshed_state::routes::CallerLimits;
+use pollenshed_transport::listen::{self, ListenLimits};
+use tokio::{net::UdpSocket, task::spawn_local};
+
+use self::{core::Core, reader::Table, settings::SteerSettings};
+
+/// Limits of callers before a configuration is known.
+const FIRST_LIMITS: CallerLimits = CallerLimits {
+    max_head_bytes: 16 * 1024,
+    max_body_bytes: 64 * 1024 * 1024,
+    head_timeout_ms: 3_000,
+    idle_timeout_ms: 15_000,
+};
+
+/// Part of the descriptors that callers' connections may take; the rest is for backend servers.
+const CALLER_DESCRIPTORS_PART: usize = 2;
+
+/// Connections to the lookup and readiness addresses.
+const SIDE_CONNECTIONS: usize = 256;
+
+/// Runs one instance until a signal ends it.
+pub async fn run(settings: SteerSettings) -> Result<()> {
+    let core = Rc::new(Core::new(settings));
+    let settings = &core.settings;
+    let callers = bind(settings.callers_address)?;
+    let lookups = bind(settings.lookup_address)?;
+    let ready = bind(settings.ready_address)?;
+    let gossip = UdpSocket::bind(settings.peer_address())
+        .await
+        .wrap_err_with(|| format!("cannot bind {}", settings.peer_address()))?;
+    let gossip = Rc::new(gossip);
+    let signals = stop::Signals::open()?;
+    log::info!(
+        "instance: started; instance={} incarnation={} failure_domain={} callers={}",
+        settings.instance,
+        core.incarnation,
+        settings.failure_domain,
+        settings.callers_address
+    );
+
+    for table in [Table::Operator, Table::Servers, Table::Instances] {
+        spawn_local(reader::follow(core.clone(), table));
+    }
+    spawn_local(reader::register(core.clone()));
+    spawn_local(reader::remove_silent(core.clone()));
+    spawn_local(gossip::run(core.clone(), gossip.clone()));
+    spawn_local(serve_side(core.clone(), lookups, |core, request| lookup::answer(core, request)));
+    spawn_local(serve_side(core.clone(), ready, lookup::ready));
+    let limits = {
+        let core = core.clone();
+        move || caller_limits(&core)
+    };
+    let serving = spawn_local(listen::serve(
+        callers,
+        limits,
+        callers::handler(core.clone()),
+        core.watch_stop(),
+    ));
+    stop::wait_and_stop(&core, &gossip, signals).await;
+    // Connections that callers keep open past the end of the stop are cut by the end of the process.
+    let _ = tokio::time::timeout(stop::CLOSING_LIMIT, serving).await;
+    log::info!(
+        "instance: stopped; instance={} in_flight={}",
+        core.settings.instance,
+        core.in_flight.get()
+    );
+    Ok(())
+}
+
+fn bind(address: SocketAddr) -> Result<tokio::net::TcpListener> {
+    listen::bind(address).wrap_err_with(|| format!("cannot bind {address}"))
+}
+
+fn caller_limits(core: &Core) -> ListenLimits {
+    let limits = core.plan().map_or(FIRST_LIMITS, |plan| plan.caller_limits);
+    ListenLimits {
+        max_head_bytes: limits.max_head_bytes as usize,
+        idle_timeout: Duration::from_millis(limits.idle_timeout_ms),
+        max_connections: core.settings.max_descriptors / CALLER_DESCRIPTORS_PART,
+    }
+}
+
+async fn serve_side(
+    core: Rc<Core>,
+    listener: tokio::net::TcpListener,
+    answer: impl Fn(
+        &Rc<Core>,
+        &Request<Incoming>,
+    ) -> http::Response<pollenshed_transport::forward::AnswerBody>
+    + Copy
+    + 'static,
+) {
+    let limits = || ListenLimits {
+        max_head_bytes: FIRST_LIMITS.max_head_bytes as usize,
+        idle_timeout: Duration::from_millis(FIRST_LIMITS.idle_timeout_ms),
+        max_connections: SIDE_CONNECTIONS,
+    };
+    let stop = core.watch_stop();
+    let handler = move |request: Request<Incoming>, _| {
+        let response = answer(&core, &request);
+        async move { response }
+    };
+    listen::serve(listener, limits, handler, stop).await;
+}
+
+/// Names the settings file where the platform sets it.
+pub const SETTINGS_VARIABLE: &str = "POLLENSHED_NODE_FILE";
+
+/// Returns the path of the settings file, if the platform names one.
+pub fn settings_path() -> Option<std::path::PathBuf> {
+    std::env::var_os(SETTINGS_VARIABLE).map(Into::into)
+}
--- /dev/null
+++ b/crates/pollenshed/src/steer/reader.rs
@@ -0,0 +1,428 @@
+//! Follows the tables of the platform's store.
+//!
+//! Each table is read whole once and then followed by its changes. A store that does not answer
+//! changes nothing: what was read stays in force.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::Method;
+use pollenshed_platform::{
+    config, servers,
+    store::{self, Row, Rows, StoreVersion},
+};
+use pollenshed_state::{ids::BackendServerName, routes::ServerState, time::Instant};
+use pollenshed_transport::call::Caller;
+
+use super::{
+    core::Core,
+    members::{GONE_MS, MemberRecord},
+};
+
+/// Table of the instances.
+pub const INSTANCES_TABLE: &str = "instances";
+
+/// Time that the store waits for a change. A connection that went silent is noticed after it, so it
+/// stays below the bounds for changes.
+const FEED_WAIT_MS: u64 = 1_000;
+
+/// Longest time for an answer beyond the time that the store waits.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// Pause between two reads of the backend servers, which change all the time.
+const SERVERS_PERIOD: Duration = Duration::from_millis(800);
+
+/// Pauses after a failed call; they double up to the longest.
+const RETRY_PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
+
+/// Time after the return of the store in which backend servers whose announcement had lapsed
+/// announce themselves again.
+const LAPSED_MS: u64 = 2_200;
+
+/// A table that is followed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Table {
+    /// Configuration and evacuations.
+    Operator,
+    /// Backend servers.
+    Servers,
+    /// Instances.
+    Instances,
+}
+
+impl Table {
+    fn name(self) -> &'static str {
+        match self {
+            Table::Operator => store::OPERATOR_TABLE,
+            Table::Servers => store::SERVERS_TABLE,
+            Table::Instances => INSTANCES_TABLE,
+        }
+    }
+}
+
+/// Follows a table until the process ends.
+pub async fn follow(core: Rc<Core>, table: Table) {
+    let mut follower = Follower {
+        caller: Caller::new(core.settings.store_address),
+        table,
+        version: None,
+        lost_at: None,
+        regained_at: None,
+        missing: BTreeMap::new(),
+        core,
+    };
+    let mut pause = RETRY_PAUSE.0;
+    loop {
+        let start = tokio::time::Instant::now();
+        match follower.step().await {
+            Ok(()) => {
+                pause = RETRY_PAUSE.0;
+                follower.regained();
+                if table == Table::Servers {
+                    follower.remove_missing();
+                    tokio::time::sleep_until(start + SERVERS_PERIOD).await;
+                }
+            }
+            Err(error) => {
+                follower.lost(&error);
+                tokio::time::sleep(pause.mul_f64(0.5 + fastrand::f64())).await;
+                pause = (pause * 2).min(RETRY_PAUSE.1);
+            }
+        }
+    }
+}
+
+struct Follower {
+    core: Rc<Core>,
+    caller: Caller,
+    table: Table,
+    /// Version up to which changes were read; `None` before the first whole read.
+    version: Option<StoreVersion>,
+    lost_at: Option<Instant>,
+    regained_at: Option<Instant>,
+    /// Servers whose announcement lapsed while the store was lost, and when that was seen.
+    missing: BTreeMap<BackendServerName, Instant>,
+}
+
+impl Follower {
+    async fn step(&mut self) -> Result<(), String> {
+        match self.version {
+            None => self.read_all().await,
+            Some(after) => self.read_changes(after).await,
+        }
+    }
+
+    async fn read_all(&mut self) -> Result<(), String> {
+        let mut rows = Vec::new();
+        let mut first_version = None;
+        loop {
+            let from = rows.last().map(|row: &Row| format!("{}\0", row.key));
+            let target = store::read_target(self.table.name(), from.as_deref());
+            let page = self.get(&target, 0).await?.ok_or("no history in a whole read")?;
+            // Changes between two pages are read again from the version of the first one.
+            first_version.get_or_insert(page.version);
+            rows.extend(page.rows);
+            if !page.has_more {
+                break;
+            }
+        }
+        self.apply_all(rows);
+        self.version = first_version;
+        Ok(())
+    }
+
+    async fn read_changes(&mut self, after: StoreVersion) -> Result<(), String> {
+        let wait_ms = if self.table == Table::Servers { 0 } else { FEED_WAIT_MS };
+        let target = store::feed_target(self.table.name(), after, wait_ms);
+        match self.get(&target, wait_ms).await? {
+            Some(changes) => {
+                self.apply(&changes.rows);
+                self.version = Some(changes.version.max(after));
+            }
+            None => {
+                log::info!("store: history is gone, reading again; table={}", self.table.name());
+                self.version = None;
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the rows of an answer, or `None` if the history is gone.
+    async fn get(&mut self, target: &str, wait_ms: u64) -> Result<Option<Rows>, String> {
+        let limit = ANSWER_TIMEOUT + Duration::from_millis(wait_ms);
+        let answer = self.caller.call(Method::GET, target, Bytes::new(), limit).await;
+        let (status, body) = answer.map_err(|e| e.to_string())?;
+        match status.as_u16() {
+            200 => store::rows(&body).map(Some).ok_or_else(|| "unreadable answer".to_owned()),
+            store::HISTORY_GONE => Ok(None),
+            other => Err(format!("status {other}")),
+        }
+    }
+
+    fn lost(&mut self, error: &str) {
+        if self.lost_at.is_none() {
+            self.lost_at = Some(self.core.now());
+            let version = self.version.unwrap_or(0);
+            log::warn!(
+                "store: lost; table={} version={version} error={error:?}",
+                self.table.name()
+            );
+        }
+    }
+
+    fn regained(&mut self) {
+        let now = self.core.now();
+        if let Some(at) = self.lost_at.take() {
+            let lost_ms = now.since_ms(at);
+            self.regained_at = Some(now);
+            log::info!("store: regained; table={} lost_ms={lost_ms}", self.table.name());
+        }
+    }
+
+    fn apply_all(&mut self, rows: Vec<Row>) {
+        let known: BTreeSet<String> = rows.iter().map(|row| row.key.clone()).collect();
+        let mut changes = rows;
+        let gone: Vec<String> = match self.table {
+            Table::Servers => {
+                let fleet = self.core.fleet.borrow();
+                fleet.servers().map(|s| s.record.name.to_string()).collect()
+            }
+            Table::Instances => {
+                let members = self.core.members.borrow();
+                members.peers().map(|m| m.record.instance.to_string()).collect()
+            }
+            Table::Operator => {
+                let fleet = self.core.fleet.borrow();
+                fleet.evacuated().iter().map(|d| format!("evacuate/{d}")).collect()
+            }
+        };
+        for key in gone.into_iter().filter(|key| !known.contains(key)) {
+            changes.push(Row { key, value: None, version: 0 });
+        }
+        self.apply(&changes);
+    }
+
+    fn apply(&mut self, rows: &[Row]) {
+        match self.table {
+            Table::Operator => apply_operator(&self.core, rows),
+            Table::Servers => self.apply_servers(rows),
+            Table::Instances => apply_instances(&self.core, rows),
+        }
+    }
+
+    fn apply_servers(&mut self, rows: &[Row]) {
+        let now = self.core.now();
+        for row in rows {
+            let Ok(name) = row.key.parse::<BackendServerName>() else {
+                log::warn!("servers: unusable name; key={:?}", row.key);
+                continue;
+            };
+            match row.value.as_deref().and_then(|value| servers::decode(&row.key, value)) {
+                Some(record) => {
+                    self.missing.remove(&name);
+                    announce(&self.core, record, now);
+                }
+                None if row.value.is_some() => {
+                    log::warn!("servers: unreadable announcement; server={name}");
+                    remove(&self.core, &name, "unreadable");
+                }
+                None if self.may_have_lapsed(now) => {
+                    self.missing.entry(name).or_insert(now);
+                }
+                None => remove(&self.core, &name, "removed"),
+            }
+        }
+    }
+
+    /// Returns whether the store was lost so lately that announcements may have lapsed meanwhile.
+    fn may_have_lapsed(&self, now: Instant) -> bool {
+        self.lost_at.is_some() || self.regained_at.is_some_and(|at| now.since_ms(at) < LAPSED_MS)
+    }
+
+    fn remove_missing(&mut self) {
+        let now = self.core.now();
+        if self.may_have_lapsed(now) {
+            return;
+        }
+        for name in std::mem::take(&mut self.missing).into_keys() {
+            remove(&self.core, &name, "missing");
+        }
+    }
+}
+
+fn announce(core: &Core, record: pollenshed_state::routes::ServerRecord, now: Instant) {
+    let mut fleet = core.fleet.borrow_mut();
+    let old = fleet.server(&record.name).map(|s| s.record.clone());
+    let changed = old.as_ref().is_none_or(|old| {
+        old.state != record.state
+            || old.address != record.address
+            || old.started_at_ms != record.started_at_ms
+    });
+    if changed {
+        log::info!(
+            "servers: {} server={} service={} failure_domain={} address={} cold_ms={} sequence={}",
+            if record.state == ServerState::Draining { "draining;" } else { "ready;" },
+            record.name,
+            record.service,
+            record.failure_domain,
+            record.address,
+            record.cold_remaining_ms,
+            record.sequence
+        );
+    }
+    fleet.announce(record, now);
+}
+
+fn remove(core: &Core, name: &BackendServerName, reason: &str) {
+    if let Some(record) = core.fleet.borrow_mut().remove(name) {
+        core.pool.forget(record.address);
+        log::info!("servers: gone; server={name} service={} reason={reason}", record.service);
+    }
+}
+
+fn apply_operator(core: &Core, rows: &[Row]) {
+    let mut evacuated = core.fleet.borrow().evacuated().clone();
+    for row in rows {
+        if row.key == store::CONFIG_KEY {
+            if let Some(value) = &row.value {
+                take_config(core, value);
+            }
+        } else if let Some(domain) = store::evacuated(&row.key) {
+            let Ok(domain) = domain.parse() else { continue };
+            let changed = match &row.value {
+                Some(_) => evacuated.insert(domain),
+                None => evacuated.remove(&domain),
+            };
+            if changed {
+                log::info!("evacuation: changed; key={} version={}", row.key, row.version);
+            }
+        }
+    }
+    if *core.fleet.borrow().evacuated() != evacuated {
+        let plan = core.plan();
+        let cold_start_ms = |service: &_| {
+            plan.as_ref().and_then(|p| p.services.get(service)).map_or(0, |s| s.cold_start_ms)
+        };
+        core.fleet.borrow_mut().set_evacuated(evacuated, cold_start_ms, core.now());
+    }
+}
+
+fn take_config(core: &Core, value: &[u8]) {
+    match config::decode(value) {
+        Ok(plan) if plan.version > core.plan_version() => {
+            log::info!(
+                "config: in force; version={} before={} hosts={} services={}",
+                plan.version,
+                core.plan_version(),
+                plan.hosts.len(),
+                plan.services.len()
+            );
+            core.splits.borrow_mut().clear();
+            *core.plan.borrow_mut() = Some(Rc::new(plan));
+        }
+        Ok(_) => {}
+        Err(e) => log::error!("config: refused; error={:?}", e.to_string()),
+    }
+}
+
+fn apply_instances(core: &Core, rows: &[Row]) {
+    let now = core.now();
+    let mut members = core.members.borrow_mut();
+    for row in rows {
+        let record = row.value.as_deref().map(serde_json::from_slice::<MemberRecord>);
+        match record {
+            Some(Ok(record)) => members.announce(record, now),
+            Some(Err(e)) => {
+                log::warn!("members: unreadable entry; key={:?} error={e}", row.key);
+            }
+            None => {
+                if let Ok(name) = row.key.parse() {
+                    members.remove(&name, now);
+                }
+            }
+        }
+    }
+}
+
+/// Returns the announcement of this instance.
+pub fn own_record(core: &Core) -> MemberRecord {
+    MemberRecord {
+        instance: core.settings.instance.clone(),
+        incarnation: core.incarnation,
+        failure_domain: core.settings.failure_domain.clone(),
+        callers_address: core.settings.callers_address,
+        peer_address: core.settings.peer_address(),
+    }
+}
+
+/// Enters this instance into the store, with as many tries as it takes.
+pub async fn register(core: Rc<Core>) {
+    let mut caller = Caller::new(core.settings.store_address);
+    let record = serde_json::to_vec(&own_record(&core)).expect("a record is always JSON");
+    let key = core.settings.instance.to_string();
+    let mut pause = RETRY_PAUSE.0;
+    loop {
+        let body = store::write_body(INSTANCES_TABLE, &key, &record);
+        match caller.call(Method::POST, store::WRITE_TARGET, body, ANSWER_TIMEOUT).await {
+            Ok((status, _)) if status.is_success() => {
+                log::info!("members: registered; instance={key}");
+                return;
+            }
+            Ok((status, _)) => log::debug!("members: not registered; status={status}"),
+            Err(e) => log::debug!("members: not registered; error={e}"),
+        }
+        tokio::time::sleep(pause.mul_f64(0.5 + fastrand::f64())).await;
+        pause = (pause * 2).min(RETRY_PAUSE.1);
+    }
+}
+
+/// Removes the entry of this instance at a planned stop. It is tried once, since peers remove it
+/// otherwise.
+pub async fn unregister(core: &Core) {
+    let mut caller = Caller::new(core.settings.store_address);
+    let key = core.settings.instance.to_string();
+    remove_entry(&mut caller, &key).await;
+}
+
+async fn remove_entry(caller: &mut Caller, key: &str) {
+    let target = store::read_target(INSTANCES_TABLE, Some(key));
+    let Ok((_, body)) = caller.call(Method::GET, &target, Bytes::new(), ANSWER_TIMEOUT).await
+    else {
+        return;
+    };
+    let rows = store::rows(&body).unwrap_or_default().rows;
+    let Some(row) = rows.into_iter().find(|row| row.key == key) else { return };
+    let body = store::remove_body(INSTANCES_TABLE, key, row.version);
+    if let Err(e) = caller.call(Method::POST, store::WRITE_TARGET, body, ANSWER_TIMEOUT).await {
+        log::debug!("members: entry not removed; key={key} error={e}");
+    }
+}
+
+/// Removes entries of instances that have been silent for long. One instance does so, so that the
+/// store is not called by all of them.
+pub async fn remove_silent(core: Rc<Core>) {
+    let period = Duration::from_millis(GONE_MS / 4);
+    let mut caller = Caller::new(core.settings.store_address);
+    loop {
+        tokio::time::sleep(period).await;
+        let now = core.now();
+        let silent: Vec<String> = {
+            let members = core.members.borrow();
+            let first = members
+                .peers()
+                .filter(|m| m.is_live(now))
+                .all(|m| m.record.instance > core.settings.instance);
+            let is_gone = |at: Instant| now.since_ms(at) >= GONE_MS;
+            let gone = members.peers().filter(|m| is_gone(m.heard_at.unwrap_or(m.known_at)));
+            if first { gone.map(|m| m.record.instance.to_string()).collect() } else { Vec::new() }
+        };
+        for key in silent {
+            log::info!("members: removing the entry of a silent instance; instance={key}");
+            remove_entry(&mut caller, &key).await;
+        }
+    }
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod findings;
 pub mod ids;
 mod reader;
+pub mod routes;
 pub mod settings;
 pub mod time;
 pub mod units;
--- /dev/null
+++ b/crates/state/src/routes/plan.rs
@@ -0,0 +1,181 @@
+//! The routes in force: which service serves a host and path, and under which rules.
+
+use std::{collections::BTreeMap, fmt, str::FromStr};
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{ConfigVersion, RegionName, ServiceName};
+
+/// Urgency of a route; 0 is the most urgent.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct RouteRank(pub u32);
+
+impl fmt::Display for RouteRank {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for RouteRank {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<RouteRank, Self::Err> {
+        text.parse().map(RouteRank)
+    }
+}
+
+/// Whether a request may run more than once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Repeat {
+    /// The request is idempotent.
+    Idempotent,
+    /// The request runs at most once.
+    AtMostOnce,
+    /// The request runs at most once and has a large body.
+    AtMostOnceLarge,
+}
+
+impl Repeat {
+    /// Returns whether a second run does harm.
+    pub fn at_most_once(self) -> bool {
+        self != Repeat::Idempotent
+    }
+}
+
+/// A service that receives a part of a route's requests.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Destination {
+    /// The service.
+    pub service: ServiceName,
+    /// Share of the requests, relative to the weights of the route's other destinations.
+    pub weight: u32,
+}
+
+/// Requests of one host whose path begins with a prefix.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Route {
+    /// Name for logs.
+    pub name: String,
+    /// Start of the paths; it begins and ends with a slash.
+    pub prefix: String,
+    /// Whether a request may run more than once.
+    pub repeat: Repeat,
+    /// Longest time until the final answer. `None` leaves it to the caller.
+    pub timeout_ms: Option<u64>,
+    /// Time within which an answer has its full value to the caller.
+    pub target_ms: Option<u64>,
+    /// Urgency among the routes of a service.
+    pub rank: RouteRank,
+    /// Backend servers that one request may be sent to.
+    pub max_attempts: u32,
+    /// Whether a backend server that had the same affinity key recently is faster.
+    pub affinity: bool,
+    /// Services that receive the requests. Never empty.
+    pub destinations: Vec<Destination>,
+    /// Regions in which requests may be served. Empty allows all.
+    pub home_regions: Vec<RegionName>,
+}
+
+impl Route {
+    /// Returns whether requests may be served in `region`.
+    pub fn allows_region(&self, region: &RegionName) -> bool {
+        self.home_regions.is_empty() || self.home_regions.contains(region)
+    }
+}
+
+/// What backend servers of a service bear and how they are probed.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct ServiceRules {
+    /// Path of the health check.
+    pub health_path: String,
+    /// Connections that a backend server takes from all instances together.
+    pub max_connections: u32,
+    /// Time that a backend server stays cold after its start.
+    pub cold_start_ms: u64,
+    /// Requests a second that a cold backend server tolerates from all instances together.
+    pub cold_requests_per_s: f64,
+}
+
+/// Bounds on what callers may send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct CallerLimits {
+    /// Longest request head.
+    pub max_head_bytes: u64,
+    /// Longest request body.
+    pub max_body_bytes: u64,
+    /// Longest time for a request head.
+    pub head_timeout_ms: u64,
+    /// Time after which an idle connection may be closed.
+    pub idle_timeout_ms: u64,
+}
+
+/// Why no route serves a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MatchError {
+    /// No route has this host.
+    UnknownHost,
+    /// No route of the host has a prefix that begins the path.
+    UnknownPath,
+}
+
+impl fmt::Display for MatchError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            MatchError::UnknownHost => "unknown-host",
+            MatchError::UnknownPath => "unknown-path",
+        })
+    }
+}
+
+/// All routes and services of one configuration version.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct RoutePlan {
+    /// Version of the configuration.
+    pub version: ConfigVersion,
+    /// Routes by host.
+    pub hosts: BTreeMap<String, Vec<Route>>,
+    /// Services by name.
+    pub services: BTreeMap<ServiceName, ServiceRules>,
+    /// Bounds on what callers may send.
+    pub caller_limits: CallerLimits,
+}
+
+impl RoutePlan {
+    /// Builds a plan. Routes of a host are ordered so that the longest prefix comes first.
+    pub fn new(
+        version: ConfigVersion,
+        mut hosts: BTreeMap<String, Vec<Route>>,
+        services: BTreeMap<ServiceName, ServiceRules>,
+        caller_limits: CallerLimits,
+    ) -> RoutePlan {
+        for routes in hosts.values_mut() {
+            routes.sort_by(|a, b| b.prefix.len().cmp(&a.prefix.len()));
+        }
+        RoutePlan { version, hosts, services, caller_limits }
+    }
+
+    /// Returns the route with the longest prefix of `path` at `host`. A port in `host` is ignored.
+    pub fn route(&self, host: &str, path: &str) -> Result<&Route, MatchError> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let routes = self
+            .hosts
+            .get(name)
+            .or_else(|| self.hosts.get(&name.to_ascii_lowercase()))
+            .ok_or(MatchError::UnknownHost)?;
+        routes.iter().find(|route| path.starts_with(&route.prefix)).ok_or(MatchError::UnknownPath)
+    }
+}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -2,7 +2,10 @@
 //! form costs one file.
 
 pub mod backend;
+pub mod call;
 pub mod edge;
+pub mod forward;
+pub mod listen;
 pub mod logs;
 pub mod metrics;
 pub mod peers;
--- /dev/null
+++ b/crates/transport/src/listen/mod.rs
@@ -0,0 +1,128 @@
+//! HTTP servers of one instance on one thread.
+
+use std::{convert::Infallible, future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
+
+use http::{Request, Response};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::{Domain, Protocol, Socket, Type};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{Semaphore, watch},
+};
+
+use crate::forward::{AnswerBody, guard};
+
+/// Connections that wait to be accepted.
+const BACKLOG: i32 = 1_024;
+
+/// Pause after a connection could not be accepted, such as for lack of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Smallest buffer that the HTTP library takes.
+const MIN_HEAD_BYTES: usize = 8_192;
+
+/// How far a planned stop has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum StopPhase {
+    /// The instance serves.
+    Serving,
+    /// The instance serves and asks callers to go elsewhere.
+    Leaving,
+    /// No new connections and no new requests on open ones.
+    Closing,
+}
+
+/// Limits of a server.
+#[derive(Debug, Clone, Copy)]
+pub struct ListenLimits {
+    /// Longest head of a request.
+    pub max_head_bytes: usize,
+    /// Longest time for a head, counted from the end of the answer before it.
+    pub idle_timeout: Duration,
+    /// Open connections.
+    pub max_connections: usize,
+}
+
+/// Binds `address`.
+pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    TcpListener::from_std(socket.into())
+}
+
+/// Serves connections until the stop has come to [`StopPhase::Closing`] and all are finished.
+/// `limits` is asked for each connection, since a configuration can change them.
+pub async fn serve<H, F>(
+    listener: TcpListener,
+    limits: impl Fn() -> ListenLimits,
+    handler: H,
+    mut stop: watch::Receiver<StopPhase>,
+) where
+    H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + 'static,
+    F: Future<Output = Response<AnswerBody>> + 'static,
+{
+    let max = limits().max_connections;
+    let places = Arc::new(Semaphore::new(max));
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|phase| *phase >= StopPhase::Closing) => break,
+        };
+        let (stream, peer) = match accepted {
+            Ok(accepted) => accepted,
+            Err(e) => {
+                log::warn!("listen: a connection was not accepted; error={e}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let Ok(place) = places.clone().try_acquire_owned() else { continue };
+        let connection = serve_connection(stream, peer, limits(), handler.clone(), stop.clone());
+        tokio::task::spawn_local(async move {
+            connection.await;
+            drop(place);
+        });
+    }
+    drop(listener);
+    // Connections end by themselves in this phase.
+    while places.available_permits() < max {
+        tokio::time::sleep(ACCEPT_PAUSE).await;
+    }
+}
+
+async fn serve_connection<H, F>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    limits: ListenLimits,
+    handler: H,
+    mut stop: watch::Receiver<StopPhase>,
+) where
+    H: Fn(Request<Incoming>, SocketAddr) -> F + 'static,
+    F: Future<Output = Response<AnswerBody>> + 'static,
+{
+    guard(&stream);
+    let service = service_fn(move |request| {
+        let answer = handler(request, peer);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_timeout)
+        .max_buf_size(limits.max_head_bytes.max(MIN_HEAD_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        _ = stop.wait_for(|phase| *phase >= StopPhase::Closing) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(e) = ended {
+        log::debug!("listen: a connection ended early; peer={peer} error={e}");
+    }
+}
--- a/crates/transport/src/logs/mod.rs
+++ b/crates/transport/src/logs/mod.rs
@@ -34,7 +34,12 @@
 /// Installs the log writer of this process. Fails if a logger is installed already or the thread
 /// can't be started.
 pub fn init() -> io::Result<()> {
-    let queue = LineQueue::spawn(io::stderr(), QUEUE_LINES)?;
+    init_to(io::stderr())
+}
+
+/// Installs a log writer that writes to `sink`. Fails as [`init`] does.
+pub fn init_to(sink: impl io::Write + Send + 'static) -> io::Result<()> {
+    let queue = LineQueue::spawn(sink, QUEUE_LINES)?;
     let logger = logger(&queue);
     let level = logger.filter();
     log::set_boxed_logger(Box::new(logger)).map_err(io::Error::other)?;
