Give objects a home on one backend server and move them instead of spilling

Cause: servers remember the last objects that they handled and run those in a third of the time. Ruled out: a time after which servers forget; the few objects that stayed put stayed fast. Change: the instance that first sees an object gives it a home where few objects live and tells its peers; a busy home gives objects away one at a time; run times are sorted into first and later runs by their length; a server counts as silent only after two first runs.

--- a/crates/coordination/src/steering/fleet.rs
+++ b/crates/coordination/src/steering/fleet.rs
@@ -8,7 +8,7 @@
     time::Instant,
 };
 
-use super::{run_time::RunTimes, server::Server};
+use super::{homes::Homes, run_time::RunTimes, server::Server};
 use crate::membership::hash::hash_of;
 
 /// Time after which the counts of a silent peer are forgotten.
@@ -50,8 +50,11 @@
     pub(super) evacuated: BTreeSet<FailureDomainName>,
     /// Run times by route and service.
     pub run_times: RunTimes,
+    /// Homes of objects.
+    pub homes: Homes,
+    pub(super) moved_at: Option<Instant>,
     links_ms: HashMap<FailureDomainName, f64>,
-    by_key: HashMap<ServerKey, BackendServerName>,
+    pub(super) by_key: HashMap<ServerKey, BackendServerName>,
     peers: HashMap<InstanceName, PeerCounts>,
 }
 
@@ -69,6 +72,8 @@
             by_service: HashMap::new(),
             evacuated: BTreeSet::new(),
             run_times: RunTimes::default(),
+            homes: Homes::default(),
+            moved_at: None,
             links_ms: HashMap::new(),
             by_key: HashMap::new(),
             peers: HashMap::new(),
--- a/crates/coordination/src/steering/mod.rs
+++ b/crates/coordination/src/steering/mod.rs
@@ -6,6 +6,7 @@
 
 mod cold;
 mod fleet;
+mod homes;
 mod observe;
 mod place;
 mod retry_budget;
@@ -16,6 +17,7 @@
 
 pub use cold::{ColdRate, cold_senders};
 pub use fleet::{Fleet, ServerKey, server_key};
+pub use homes::{Claim, Homes};
 pub use observe::Ended;
 pub use place::{Choice, ColdLimits, RefusalReason, Request, object_key};
 pub use retry_budget::RetryBudget;
--- a/crates/coordination/src/steering/observe.rs
+++ b/crates/coordination/src/steering/observe.rs
@@ -62,7 +62,7 @@
                 if failed {
                     return;
                 }
-                let warm = key.is_some_and(|key| server.warm.contains(key));
+                let was_warm = key.is_none_or(|key| server.warm.contains(key));
                 if let Some(key) = key {
                     server.warm.handled(key);
                 }
@@ -70,8 +70,13 @@
                     return;
                 }
                 let ran_ms = (took_ms - 2.0 * link_ms).max(1.0);
-                server.ran(ran_ms, self.run_times.expected_ms(work, warm));
-                self.run_times.observe(work, warm, ran_ms / server.pace().max(1.0));
+                let expected_ms = self.run_times.expected_ms(work, was_warm);
+                // Whether a server remembers an object that this instance has not sent it is not
+                // known, so a short run there tells nothing of its pace.
+                if was_warm || ran_ms > expected_ms {
+                    server.ran(ran_ms, expected_ms);
+                }
+                self.run_times.observe(work, ran_ms / server.pace().max(1.0));
             }
             Ended::Shed => server.shed(now),
             Ended::OtherServer => server.misdirected(),
--- a/crates/coordination/src/steering/place.rs
+++ b/crates/coordination/src/steering/place.rs
@@ -1,11 +1,10 @@
 //! Chooses the backend server of a request, or refuses it.
 //!
-//! A server runs a request several times faster if it handled the same object lately, so each
-//! object has a home that all instances compute alike. Further servers are used only when the home
-//! is so busy that even a slower run elsewhere answers sooner; they then remember the object too.
-//! A request that can't be answered within its target takes a free slot or is refused, since a
-//! queue of late requests would make those behind it late as well. This answers load above the
-//! capacity of the fleet and objects that one server can't bear.
+//! A request goes to the home of its object as long as it can be answered there within its target.
+//! Otherwise it takes a free slot elsewhere, if even a first run there is in time. A request that
+//! can't be answered within its target anywhere takes a free slot or is refused, since a queue of
+//! late requests would make those behind it late as well. This answers load above the capacity of
+//! the fleet, and objects that one server can't bear.
 
 use std::fmt;
 
@@ -14,20 +13,57 @@
     time::Instant,
 };
 
-use super::{cold::cold_senders, fleet::Fleet, server::Server};
+use super::{
+    cold::cold_senders,
+    fleet::{Fleet, server_key},
+    server::Server,
+};
 use crate::membership::hash::{hash_of, mix};
 
-/// Servers among which a request with an object chooses.
-const CANDIDATES: usize = 4;
-
 /// Requests that wait at a server at most; servers shed more than a few.
 const MAX_WAITING: u32 = 8;
 
 /// Added time for a server all of whose answers fail.
 const FAILURE_PENALTY_MS: f64 = 2_000.0;
 
-/// Added time for each place that a server has behind the home of the object.
-const RANK_PENALTY_MS: f64 = 10.0;
+/// Part of failed answers above which a server is no home.
+const MAX_HOME_FAILURES: f64 = 0.3;
+
+/// Pace above which a server is no home.
+const MAX_HOME_PACE: f64 = 2.5;
+
+/// Distance of another failure domain of the region in objects: so many more may live nearer.
+const DOMAIN_DISTANCE: f64 = 0.1;
+
+/// Distance of another region in objects.
+const REGION_DISTANCE: f64 = 0.4;
+
+/// Bytes of a request and its answer that add an object to the distance of a failure domain.
+const DOMAIN_BYTES_PER_OBJECT: f64 = 45_000.0;
+
+/// Bytes of a request and its answer that add an object to the distance of a region.
+const REGION_BYTES_PER_OBJECT: f64 = 20_000.0;
+
+/// Objects that a home must have more than another server before one of them moves.
+const MOVE_DIFFERENCE: f64 = 2.0;
+
+/// Slots of the server that [`MOVE_DIFFERENCE`] and the distances stand for.
+const USUAL_SLOTS: f64 = 3.0;
+
+/// Added time for a server whose slots are all taken, so that free ones go first.
+const LOAD_PENALTY_MS: f64 = 20.0;
+
+/// Pause between two such moves of this instance.
+const MOVE_PAUSE_MS: u64 = 400;
+
+/// Pause between two moves of this instance away from busy servers.
+const RELIEF_PAUSE_MS: u64 = 250;
+
+/// First runs that a server may take for a request before it is taken for silent.
+const PATIENT_RUNS: f64 = 2.0;
+
+/// Pause between two such moves to another region, which change where traffic runs.
+const FAR_MOVE_PAUSE_MS: u64 = 2_000;
 
 /// Part of the expected time that a request must have left, as estimates vary.
 const NEEDED_PART: f64 = 0.8;
@@ -46,6 +82,8 @@
     pub key: Option<u64>,
     /// Regions that may serve it. Empty allows all.
     pub home_regions: &'a [RegionName],
+    /// Bytes of the body and, as far as known, of the answer.
+    pub bytes: u64,
     /// Time left until the answer loses value.
     pub target_left_ms: f64,
     /// Time left until the request is given up.
@@ -111,6 +149,8 @@
         load: u32,
         /// Expected time until the answer.
         expected_ms: f64,
+        /// Time after which a server that answers nothing is taken for silent.
+        patience_ms: f64,
         /// All slots of the server are taken.
         waits: bool,
         /// Share of the rate of a cold server.
@@ -125,65 +165,99 @@
     },
 }
 
-struct Candidate<'a> {
-    name: &'a BackendServerName,
-    server: &'a Server,
+struct Candidate {
+    name: BackendServerName,
     load: u32,
     wait_ms: f64,
     total_ms: f64,
+    /// Time after which a server that answers nothing is taken for silent.
+    patience_ms: f64,
+    /// Time until the answer, and what the choice costs later requests.
     cost_ms: f64,
+    is_home: bool,
+    /// It handled the object lately, or the request has none.
+    remembers: bool,
     cold_rate_per_s: f64,
 }
 
 impl Fleet {
     /// Chooses the server of a request.
-    pub fn choose(&self, request: &Request<'_>, cold: &ColdLimits<'_>, now: Instant) -> Choice {
-        let ranked = self.ranked(request, cold, now);
-        if ranked.is_empty() {
+    pub fn choose(&mut self, request: &Request<'_>, cold: &ColdLimits<'_>, now: Instant) -> Choice {
+        let usable = self.usable(request, cold, now);
+        if usable.is_empty() {
             return refuse(RefusalReason::NoServer, 500.0, request.draw);
         }
-        let candidates: Vec<Candidate<'_>> = ranked
+        let home = request.key.and_then(|object| self.home_of(object, request, &usable, now));
+        let mut candidates: Vec<Candidate> = usable
             .into_iter()
-            .enumerate()
-            .map(|(rank, (name, server, share))| {
-                self.candidate(request, rank, name, server, share, now)
-            })
-            .filter(|c| c.load < c.server.record.slots + MAX_WAITING)
+            .filter_map(|(name, share)| self.candidate(request, name, share, home.as_ref(), now))
             .collect();
-        let best = candidates.iter().min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms));
-        let Some(best) = best else {
-            return refuse(RefusalReason::Busy, 400.0, request.draw);
+        candidates.sort_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms));
+        let in_time = |c: &&Candidate| c.total_ms <= request.target_left_ms;
+        let is_free = |c: &&Candidate| c.wait_ms == 0.0;
+        let feasible = |c: &&Candidate| c.total_ms * NEEDED_PART <= request.left_ms;
+        let home = candidates.iter().find(|c| c.is_home);
+        let remembers = |c: &&Candidate| c.remembers;
+        let chosen = home
+            .filter(in_time)
+            .or_else(|| candidates.iter().filter(remembers).find(in_time))
+            .or_else(|| home.filter(is_free).filter(feasible))
+            .or_else(|| candidates.iter().filter(remembers).filter(is_free).find(feasible));
+        let chosen = match (chosen, home, request.key) {
+            (Some(chosen), ..) => Some(chosen),
+            // A first run elsewhere makes another server forget an object, so the object moves.
+            (None, Some(home), Some(object)) => {
+                let next = self.relief(home, &candidates, now).filter(feasible);
+                if let Some(next) = next {
+                    self.moved_at = Some(now);
+                    self.homes.settle(object, server_key(&next.name), now);
+                }
+                next
+            }
+            _ => candidates.iter().filter(is_free).find(feasible),
         };
-        if best.total_ms <= request.target_left_ms {
-            return send(best);
+        match (chosen, candidates.first()) {
+            (Some(chosen), _) => send(chosen),
+            (None, Some(best)) if best.wait_ms > 0.0 => {
+                refuse(RefusalReason::Busy, best.wait_ms, request.draw)
+            }
+            (None, Some(_)) => refuse(RefusalReason::TooLate, 300.0, request.draw),
+            (None, None) => refuse(RefusalReason::Busy, 400.0, request.draw),
         }
-        let free = candidates
-            .iter()
-            .filter(|c| c.wait_ms == 0.0 && c.total_ms * NEEDED_PART <= request.left_ms)
-            .min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms));
-        match free {
-            Some(free) => send(free),
-            None if best.wait_ms == 0.0 => refuse(RefusalReason::TooLate, 300.0, request.draw),
-            None => refuse(RefusalReason::Busy, best.wait_ms, request.draw),
+    }
+
+    /// Returns a server that takes an object over from its busy home: one with a free slot on which
+    /// fewer objects live.
+    fn relief<'a>(
+        &self,
+        home: &Candidate,
+        candidates: &'a [Candidate],
+        now: Instant,
+    ) -> Option<&'a Candidate> {
+        if self.moved_at.is_some_and(|at| now.since_ms(at) < RELIEF_PAUSE_MS) {
+            return None;
         }
+        let objects = |c: &Candidate| self.homes.objects_on(server_key(&c.name));
+        candidates
+            .iter()
+            .filter(|c| c.wait_ms == 0.0 && objects(c) + 1 < objects(home))
+            .min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))
     }
 
-    /// Returns the servers that may be used with this instance's share of their rate, the home of
-    /// the object first.
-    fn ranked(
+    /// Returns the servers that may be used, with this instance's share of their rate.
+    fn usable(
         &self,
         request: &Request<'_>,
         cold: &ColdLimits<'_>,
         now: Instant,
-    ) -> Vec<(&BackendServerName, &Server, f64)> {
+    ) -> Vec<(BackendServerName, f64)> {
         let Some(names) = self.by_service.get(request.service) else { return Vec::new() };
-        let key = request.key.unwrap_or(request.draw);
         let own_region = self.regions.get(&self.failure_domain);
-        let mut scored: Vec<_> = names
-            .iter()
-            .filter(|name| !request.tried.contains(name))
-            .filter_map(|name| Some((name, self.servers.get(name)?)))
-            .filter(|(_, server)| self.is_usable(server, request, now))
+        let servers = names.iter().filter_map(|name| Some((name, self.servers.get(name)?)));
+        let mut usable: Vec<_> = servers
+            .filter(|(name, server)| {
+                !request.tried.contains(name) && self.is_usable(server, request, now)
+            })
             .filter_map(|(name, server)| {
                 if !server.is_cold(now) {
                     return Some((name, server, f64::INFINITY));
@@ -193,22 +267,12 @@
                     cold.share_per_s(name).filter(|_| near && server.cold_rate.allows(now))?;
                 Some((name, server, share))
             })
-            .map(|(name, server, share)| {
-                (mix(hash_of(&[name.as_str().as_bytes()]) ^ key), name, server, share)
-            })
             .collect();
-        scored.sort_unstable_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.cmp(b.1)));
-        let trusted = scored.iter().any(|(_, _, server, _)| !server.is_suspect());
+        let trusted = usable.iter().any(|(_, server, _)| !server.is_suspect());
         if trusted && request.at_most_once {
-            scored.retain(|(_, _, server, _)| !server.is_suspect());
+            usable.retain(|(_, server, _)| !server.is_suspect());
         }
-        if let Some((_, _, home, _)) = scored.first() {
-            // Servers near the home come next, so that load moves between regions last.
-            let region = home.region.clone();
-            scored[1..].sort_by_key(|(_, _, server, _)| server.region != region);
-        }
-        scored.truncate(CANDIDATES);
-        scored.into_iter().map(|(_, name, server, share)| (name, server, share)).collect()
+        usable.into_iter().map(|(name, _, share)| (name.clone(), share)).collect()
     }
 
     fn is_usable(&self, server: &Server, request: &Request<'_>, now: Instant) -> bool {
@@ -219,38 +283,124 @@
             && (!server.is_suspect() || server.own == 0)
     }
 
-    fn candidate<'a>(
+    /// Returns the home of an object. An object without a home that can be used gets a new one, and
+    /// one whose home has many more objects than another server moves there.
+    fn home_of(
+        &mut self,
+        object: u64,
+        request: &Request<'_>,
+        usable: &[(BackendServerName, f64)],
+        now: Instant,
+    ) -> Option<BackendServerName> {
+        let known = self.homes.home(object, now).and_then(|key| self.by_key.get(&key)).cloned();
+        let is_fit = |server: &Server| {
+            server.failure_rate(now) <= MAX_HOME_FAILURES && server.pace() <= MAX_HOME_PACE
+        };
+        let candidates = usable
+            .iter()
+            .filter_map(|(name, _)| Some((name, self.servers.get(name)?)))
+            .filter(|(_, server)| is_fit(server) && !server.is_suspect());
+        let best = candidates
+            .map(|(name, server)| (self.crowding(name, server, request), name, server))
+            .min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1)));
+        let Some((crowding, name, server)) = best else { return known };
+        let Some(home) = known else {
+            self.homes.settle(object, server_key(name), now);
+            return Some(name.clone());
+        };
+        let current = self.servers.get(&home);
+        // A home that was tried by this request or is cold is only avoided for now.
+        let stays = current.is_some_and(|home| {
+            home.record.service == *request.service
+                && self.is_usable(home, request, now)
+                && is_fit(home)
+        });
+        let Some(current) = current.filter(|_| stays) else {
+            self.homes.settle(object, server_key(name), now);
+            return Some(name.clone());
+        };
+        let is_far = current.region != server.region;
+        let pause_ms = if is_far { FAR_MOVE_PAUSE_MS } else { MOVE_PAUSE_MS };
+        let may_move = self.moved_at.is_none_or(|at| now.since_ms(at) >= pause_ms);
+        if may_move && crowding + MOVE_DIFFERENCE <= self.crowding(&home, current, request) {
+            let name = name.clone();
+            self.moved_at = Some(now);
+            self.homes.settle(object, server_key(&name), now);
+            return Some(name);
+        }
+        Some(home)
+    }
+
+    /// Returns how little a server is suited as a home: the objects that live on it for each slot
+    /// of an ordinary server, and its distance.
+    fn crowding(&self, name: &BackendServerName, server: &Server, request: &Request<'_>) -> f64 {
+        let objects = f64::from(self.homes.objects_on(server_key(name)));
+        let slots = f64::from(server.record.slots);
+        let bytes = request.bytes as f64;
+        let distance = if server.record.failure_domain == self.failure_domain {
+            0.0
+        } else if self.regions.get(&self.failure_domain) == Some(&server.region) {
+            DOMAIN_DISTANCE + bytes / DOMAIN_BYTES_PER_OBJECT
+        } else {
+            REGION_DISTANCE + bytes / REGION_BYTES_PER_OBJECT
+        };
+        objects * USUAL_SLOTS / slots + distance
+    }
+
+    fn candidate(
         &self,
         request: &Request<'_>,
-        rank: usize,
-        name: &'a BackendServerName,
-        server: &'a Server,
+        name: BackendServerName,
         cold_rate_per_s: f64,
+        home: Option<&BackendServerName>,
         now: Instant,
-    ) -> Candidate<'a> {
+    ) -> Option<Candidate> {
+        let server = self.servers.get(&name)?;
         let load = server.load(now);
         let slots = server.record.slots;
-        let warm = request.key.is_some_and(|key| server.warm.contains(key));
-        let run_ms =
-            self.run_times.expected_ms(request.work, warm || request.key.is_none()) * server.pace();
+        if load >= slots + MAX_WAITING {
+            return None;
+        }
+        let is_home = home == Some(&name);
+        let warm = match request.key {
+            Some(key) => is_home || server.warm.contains(key),
+            None => true,
+        };
+        let warm_ms = self.run_times.expected_ms(request.work, true) * server.pace();
+        let run_ms = self.run_times.expected_ms(request.work, warm) * server.pace();
         let wait_ms = if load < slots {
             0.0
         } else {
-            f64::from(load - slots + 1) * run_ms / f64::from(slots)
+            f64::from(load - slots + 1) * warm_ms / f64::from(slots)
         };
         let total_ms = wait_ms + run_ms + 2.0 * self.link_ms(&server.record.failure_domain);
+        let first_ms = self.run_times.expected_ms(request.work, false) * server.pace();
+        let patience_ms = total_ms - run_ms + PATIENT_RUNS * first_ms;
         let cost_ms = total_ms
+            + (run_ms - warm_ms)
             + server.failure_rate(now) * FAILURE_PENALTY_MS
-            + rank as f64 * RANK_PENALTY_MS;
-        Candidate { name, server, load, wait_ms, total_ms, cost_ms, cold_rate_per_s }
+            + f64::from(load) / f64::from(slots) * LOAD_PENALTY_MS;
+        let remembers = warm && !is_home;
+        Some(Candidate {
+            name,
+            load,
+            wait_ms,
+            total_ms,
+            cost_ms,
+            patience_ms,
+            is_home,
+            remembers,
+            cold_rate_per_s,
+        })
     }
 }
 
-fn send(candidate: &Candidate<'_>) -> Choice {
+fn send(candidate: &Candidate) -> Choice {
     Choice::Send {
         server: candidate.name.clone(),
         load: candidate.load,
         expected_ms: candidate.total_ms,
+        patience_ms: candidate.patience_ms,
         waits: candidate.wait_ms > 0.0,
         cold_rate_per_s: candidate.cold_rate_per_s,
     }
--- a/crates/coordination/src/steering/run_time.rs
+++ b/crates/coordination/src/steering/run_time.rs
@@ -1,4 +1,7 @@
 //! Estimates of how long requests run, for objects that a server remembers and others.
+//!
+//! A run is much shorter if its server remembers the object, and the instance that sends it may not
+//! know whether it does. So observed runs are sorted by their length.
 
 use std::collections::HashMap;
 
@@ -7,15 +10,22 @@
 
 /// Run time for an object that the server remembers, relative to one that it does not, as long as
 /// none was observed.
-const WARM_PART: f64 = 0.5;
+const WARM_PART: f64 = 0.4;
 
-/// Run time before anything was observed.
+/// Runs shorter than this part of a first run are of objects that the server remembers.
+const WARM_BELOW_PART: f64 = 0.6;
+
+/// Runs longer than this many first runs are the fault of the server and no measure.
+const MAX_PART: f64 = 2.5;
+
+/// Run time of a route without a target before anything was observed.
 const UNKNOWN_MS: f64 = 500.0;
 
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 struct Estimate {
     warm_ms: Option<f64>,
-    cold_ms: Option<f64>,
+    first_ms: f64,
+    first_seen: bool,
 }
 
 /// Run times by route and service.
@@ -25,24 +35,34 @@
 }
 
 impl RunTimes {
-    /// Records a run. `work` identifies route and service.
-    pub fn observe(&mut self, work: u64, warm: bool, ran_ms: f64) {
-        let estimate = self.by_work.entry(work).or_default();
-        let slot = if warm { &mut estimate.warm_ms } else { &mut estimate.cold_ms };
-        *slot = Some(match *slot {
-            Some(known) => known + WEIGHT * (ran_ms - known),
-            None => ran_ms,
-        });
+    /// Takes the target of a route as its run time until one was observed, since operators set
+    /// targets near what their servers need. `work` identifies route and service.
+    pub fn expect(&mut self, work: u64, target_ms: Option<u64>) {
+        let first_ms = target_ms.map_or(UNKNOWN_MS, |ms| ms.max(1) as f64);
+        self.by_work.entry(work).or_insert(Estimate { warm_ms: None, first_ms, first_seen: false });
+    }
+
+    /// Records a run.
+    pub fn observe(&mut self, work: u64, ran_ms: f64) {
+        let Some(estimate) = self.by_work.get_mut(&work) else { return };
+        if ran_ms < WARM_BELOW_PART * estimate.first_ms {
+            let known = estimate.warm_ms.unwrap_or(ran_ms);
+            estimate.warm_ms = Some(known + WEIGHT * (ran_ms - known));
+        } else if !estimate.first_seen {
+            estimate.first_ms = ran_ms.min(MAX_PART * estimate.first_ms);
+            estimate.first_seen = true;
+        } else if ran_ms < MAX_PART * estimate.first_ms {
+            estimate.first_ms += WEIGHT * (ran_ms - estimate.first_ms);
+        }
     }
 
     /// Returns the expected run time.
     pub fn expected_ms(&self, work: u64, warm: bool) -> f64 {
-        let estimate = self.by_work.get(&work).copied().unwrap_or_default();
-        match (warm, estimate.warm_ms, estimate.cold_ms) {
-            (true, Some(ms), _) | (false, _, Some(ms)) => ms,
-            (true, None, Some(cold_ms)) => cold_ms * WARM_PART,
-            (false, Some(warm_ms), None) => warm_ms / WARM_PART,
-            (_, None, None) => UNKNOWN_MS,
+        let Some(estimate) = self.by_work.get(&work) else { return UNKNOWN_MS };
+        if warm {
+            estimate.warm_ms.unwrap_or(estimate.first_ms * WARM_PART)
+        } else {
+            estimate.first_ms
         }
     }
 
--- a/crates/pollenshed/src/steer/attempt.rs
+++ b/crates/pollenshed/src/steer/attempt.rs
@@ -3,6 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use http::{HeaderMap, Method, Request, StatusCode, request::Parts};
+use hyper::body::Body;
 use pollenshed_coordination::steering::{Choice, ColdLimits, Ended, RefusalReason, RetryBudget};
 use pollenshed_platform::heads::{self, CallerHead};
 use pollenshed_state::{
@@ -32,12 +33,8 @@
 /// Servers to which no connection could be made, in one request.
 const MAX_UNREACHABLE: u32 = 3;
 
-/// Part of the expected time, beyond it, that an idempotent request waits for a server that answers
-/// nothing.
-const PATIENCE_PART: f64 = 1.5;
-
-/// Shortest such wait beyond the expected time.
-const MIN_PATIENCE_MS: f64 = 400.0;
+/// Added to the time in which a server is expected to answer anything.
+const PATIENCE_MARGIN_MS: f64 = 300.0;
 
 /// When callers come back whose request was shed by its backend server.
 const SHED_RETRY_AFTER_MS: u64 = 200;
@@ -99,9 +96,13 @@
 pub async fn run(core: &Rc<Core>, outgoing: Outgoing<'_>, body: RequestBody) -> Outcome {
     let service = destination(core, outgoing.route);
     with_budget(core, &service, |budget, now| budget.request(now));
+    let work = keys::work(&outgoing.route.name, &service);
+    core.fleet.borrow_mut().run_times.expect(work, outgoing.route.target_ms);
+    let body_bytes = body.size_hint().lower();
     let mut attempts = Attempts {
         core,
-        work: keys::work(&outgoing.route.name, &service),
+        work,
+        body_bytes,
         key: keys::object(outgoing.route, outgoing.caller.affinity_key.as_deref()),
         head: forwarded_head(&outgoing.parts),
         service,
@@ -142,6 +143,7 @@
     service: ServiceName,
     work: u64,
     key: Option<u64>,
+    body_bytes: u64,
     head: (Method, String, HeaderMap),
     tried: Vec<BackendServerName>,
     /// Servers that the request was sent to.
@@ -158,16 +160,19 @@
             if left_ms < MIN_LEFT_MS {
                 return self.timed_out();
             }
-            let (server, expected_ms, waits, cold_rate_per_s) = match self.choose(left_ms) {
-                Choice::Send { server, expected_ms, waits, cold_rate_per_s, load } => {
+            let (server, patience_ms, waits, cold_rate_per_s) = match self
+                .choose(left_ms, &self.tried)
+            {
+                Choice::Send { server, expected_ms, patience_ms, waits, cold_rate_per_s, load } => {
                     log::info!(
-                        "request: sent; id={} route={} server={server} attempt={} load={load} \
+                        "request: sent; id={} route={} object={} server={server} attempt={} load={load} \
                          expected_ms={expected_ms:.0} left_ms={left_ms}",
                         self.id(),
                         self.outgoing.route.name,
+                        self.outgoing.caller.affinity_key.as_deref().unwrap_or("-"),
                         self.sent + 1,
                     );
-                    (server, expected_ms, waits, cold_rate_per_s)
+                    (server, patience_ms, waits, cold_rate_per_s)
                 }
                 Choice::Refuse { reason, retry_after_ms } => {
                     return self.refused(reason, retry_after_ms);
@@ -183,7 +188,7 @@
                 waits,
                 end: Ended::Abandoned,
             };
-            let attempted = self.attempt(&mut running, body, expected_ms, left_ms).await;
+            let attempted = self.attempt(&mut running, body, patience_ms, left_ms).await;
             drop(running);
             self.tried.push(server.clone());
             let may_repeat = copy.is_some();
@@ -191,7 +196,12 @@
                 Attempted::Answered(status, headers, answer) => {
                     self.sent += 1;
                     let failed = status.is_server_error();
-                    if !failed || self.at_most_once() || !may_repeat || !self.may_retry() {
+                    if !failed
+                        || self.at_most_once()
+                        || !may_repeat
+                        || !self.has_other(&server, self.left_ms())
+                        || !self.may_retry()
+                    {
                         let response = passed_on(status, headers, answer);
                         return Outcome { response, reason: "answered", attempts: self.sent };
                     }
@@ -212,7 +222,11 @@
                 Attempted::BrokenOff(reason) => {
                     self.sent += 1;
                     self.may_have_run = true;
-                    if self.at_most_once() || !may_repeat || !self.may_retry() {
+                    if self.at_most_once()
+                        || !may_repeat
+                        || !self.has_other(&server, self.left_ms())
+                        || !self.may_retry()
+                    {
                         return Outcome::own(StatusCode::BAD_GATEWAY, reason, self.sent);
                     }
                 }
@@ -242,7 +256,14 @@
         self.outgoing.limit_ms.saturating_sub(spent_ms)
     }
 
-    fn choose(&self, left_ms: u64) -> Choice {
+    /// Returns whether the request could be sent to a server other than `server` now.
+    fn has_other(&self, server: &BackendServerName, left_ms: u64) -> bool {
+        let mut tried = self.tried.clone();
+        tried.push(server.clone());
+        matches!(self.choose(left_ms, &tried), Choice::Send { .. })
+    }
+
+    fn choose(&self, left_ms: u64, tried: &[BackendServerName]) -> Choice {
         let core = self.core;
         let now = core.now();
         let spent_ms = now.since_ms(self.outgoing.start) as f64;
@@ -259,14 +280,15 @@
             service: &self.service,
             work: self.work,
             key: self.key,
+            bytes: self.body_bytes,
             home_regions: &self.outgoing.route.home_regions,
             target_left_ms: target_ms - spent_ms,
             left_ms: left_ms as f64,
             at_most_once: self.at_most_once(),
-            tried: &self.tried,
+            tried,
             draw: fastrand::u64(..),
         };
-        core.fleet.borrow().choose(&request, &cold, now)
+        core.fleet.borrow_mut().choose(&request, &cold, now)
     }
 
     /// Takes a further attempt out of the budget, if the route allows one.
@@ -301,11 +323,11 @@
         &self,
         running: &mut Running<'_>,
         body: RequestBody,
-        expected_ms: f64,
+        patience_ms: f64,
         left_ms: u64,
     ) -> Attempted {
         let limit = Duration::from_millis(left_ms);
-        match timeout(limit, self.exchange(running, body, expected_ms)).await {
+        match timeout(limit, self.exchange(running, body, patience_ms)).await {
             Ok(attempted) => attempted,
             Err(_) => Attempted::TimedOut,
         }
@@ -315,7 +337,7 @@
         &self,
         running: &mut Running<'_>,
         body: RequestBody,
-        expected_ms: f64,
+        patience_ms: f64,
     ) -> Attempted {
         let core = self.core;
         let Some((address, domain)) = core
@@ -349,7 +371,7 @@
             }
             let sent_at = core.now();
             let request = self.request(&running.server, left_ms, body);
-            match self.await_head(running, exchange(lease, request), expected_ms, sent_at).await {
+            match self.await_head(running, exchange(lease, request), patience_ms, sent_at).await {
                 Some(Err(ExchangeError::NotSent)) if copy.is_some() && !max_idle.is_zero() => {
                     // Once more on a new connection.
                     max_idle = Duration::ZERO;
@@ -386,15 +408,14 @@
         &self,
         running: &Running<'_>,
         answer: impl Future<Output = Result<Answer, ExchangeError>>,
-        expected_ms: f64,
+        patience_ms: f64,
         sent_at: Instant,
     ) -> Option<Result<Answer, ExchangeError>> {
         let mut answer = std::pin::pin!(answer);
         if self.at_most_once() {
             return Some(answer.await);
         }
-        let patience_ms = expected_ms + (expected_ms * PATIENCE_PART).max(MIN_PATIENCE_MS);
-        let patience = Duration::from_millis(patience_ms as u64);
+        let patience = Duration::from_millis((patience_ms + PATIENCE_MARGIN_MS) as u64);
         if let Ok(answer) = timeout(patience, answer.as_mut()).await {
             return Some(answer);
         }
@@ -403,7 +424,8 @@
             fleet.server(&running.server).is_none_or(|s| !s.answered_since(sent_at))
         };
         let later = self.sent + 1 < self.outgoing.route.max_attempts;
-        if is_silent && later {
+        let left_ms = self.left_ms();
+        if is_silent && later && self.has_other(&running.server, left_ms) {
             let instances = self.core.members.borrow().live_count(self.core.now());
             let taken = with_budget(self.core, &self.service, |b, now| b.try_retry(instances, now));
             if taken {
--- a/crates/pollenshed/src/steer/gossip.rs
+++ b/crates/pollenshed/src/steer/gossip.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
+use pollenshed_coordination::steering::Claim;
 use pollenshed_state::ids::Incarnation;
 use pollenshed_transport::listen::StopPhase;
 use prost::Message;
@@ -15,6 +16,9 @@
 /// Longest datagram.
 const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
 
+/// Homes of objects in one datagram.
+const MAX_CLAIMS: usize = 80;
+
 /// State of an instance as its peers receive it.
 #[derive(Clone, PartialEq)]
 #[derive(Message)]
@@ -41,6 +45,13 @@
     /// Requests that run, one number for each of `servers`.
     #[prost(uint32, repeated, tag = "10")]
     counts: Vec<u32>,
+    /// Objects whose home the instance chose lately, with `home_servers` and `home_moves`.
+    #[prost(fixed64, repeated, tag = "11")]
+    home_objects: Vec<u64>,
+    #[prost(fixed32, repeated, tag = "12")]
+    home_servers: Vec<u32>,
+    #[prost(uint32, repeated, tag = "13")]
+    home_moves: Vec<u32>,
 }
 
 /// Sends and receives heartbeats until the process ends.
@@ -78,6 +89,9 @@
 fn heartbeat(core: &Core) -> Heartbeat {
     let record = own_record(core);
     let counts = core.fleet.borrow().own_counts();
+    let mut claims = core.fleet.borrow_mut().homes.recent(core.now());
+    // The newest ones, if they do not all fit.
+    claims.drain(..claims.len().saturating_sub(MAX_CLAIMS));
     Heartbeat {
         instance: record.instance.to_string(),
         incarnation: record.incarnation.0,
@@ -89,6 +103,9 @@
         config_version: core.plan_version().0,
         servers: counts.iter().map(|(server, _)| *server).collect(),
         counts: counts.iter().map(|(_, count)| *count).collect(),
+        home_objects: claims.iter().map(|claim| claim.object).collect(),
+        home_servers: claims.iter().map(|claim| claim.server).collect(),
+        home_moves: claims.iter().map(|claim| claim.moves).collect(),
     }
 }
 
@@ -124,6 +141,12 @@
         log::info!("members: heard; instance={instance} config={}", heartbeat.config_version);
     }
     let counts = heartbeat.servers.iter().copied().zip(heartbeat.counts.iter().copied()).collect();
-    core.fleet.borrow_mut().peer_counts(&instance, counts, now);
+    let claims =
+        heartbeat.home_objects.iter().zip(&heartbeat.home_servers).zip(&heartbeat.home_moves).map(
+            |((object, server), moves)| Claim { object: *object, server: *server, moves: *moves },
+        );
+    let mut fleet = core.fleet.borrow_mut();
+    fleet.peer_counts(&instance, counts, now);
+    fleet.homes.merge(claims, now);
     Some(())
 }
--- a/crates/state/src/routes/plan.rs
+++ b/crates/state/src/routes/plan.rs
@@ -163,7 +163,7 @@
         caller_limits: CallerLimits,
     ) -> RoutePlan {
         for routes in hosts.values_mut() {
-            routes.sort_by(|a, b| b.prefix.len().cmp(&a.prefix.len()));
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         RoutePlan { version, hosts, services, caller_limits }
     }
