--- a/crates/pollenshed/src/steer/attempt.rs
+++ b/crates/pollenshed/src/steer/attempt.rs
@@ -1,6 +1,6 @@
 //! Sends a request to backend servers until one answers or none may be tried any more.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use http::{HeaderMap, Method, Request, StatusCode, request::Parts};
 use hyper::body::Body;
@@ -110,6 +110,7 @@
         sent: 0,
         unreachable: 0,
         may_have_run: false,
+        planned: RefCell::new(None),
         outgoing,
     };
     attempts.run(body).await
@@ -150,6 +151,8 @@
     sent: u32,
     unreachable: u32,
     may_have_run: bool,
+    /// Choice for the next attempt, if it was made already.
+    planned: RefCell<Option<Choice>>,
 }
 
 impl Attempts<'_> {
@@ -160,9 +163,7 @@
             if left_ms < MIN_LEFT_MS {
                 return self.timed_out();
             }
-            let (server, patience_ms, waits, cold_rate_per_s) = match self
-                .choose(left_ms, &self.tried)
-            {
+            let (server, patience_ms, waits, cold_rate_per_s) = match self.next_choice(left_ms) {
                 Choice::Send { server, expected_ms, patience_ms, waits, cold_rate_per_s, load } => {
                     log::info!(
                         "request: sent; id={} route={} object={} server={server} attempt={} load={load} \
@@ -196,12 +197,7 @@
                 Attempted::Answered(status, headers, answer) => {
                     self.sent += 1;
                     let failed = status.is_server_error();
-                    if !failed
-                        || self.at_most_once()
-                        || !may_repeat
-                        || !self.has_other(&server, self.left_ms())
-                        || !self.may_retry()
-                    {
+                    if !failed || self.at_most_once() || !may_repeat || !self.plan_retry(&server) {
                         let response = passed_on(status, headers, answer);
                         return Outcome { response, reason: "answered", attempts: self.sent };
                     }
@@ -209,7 +205,7 @@
                 }
                 Attempted::NotRun => {
                     self.sent += 1;
-                    if !may_repeat || !self.may_retry() {
+                    if !may_repeat || !self.plan_retry(&server) {
                         return self.not_run("shed", SHED_RETRY_AFTER_MS);
                     }
                 }
@@ -222,11 +218,7 @@
                 Attempted::BrokenOff(reason) => {
                     self.sent += 1;
                     self.may_have_run = true;
-                    if self.at_most_once()
-                        || !may_repeat
-                        || !self.has_other(&server, self.left_ms())
-                        || !self.may_retry()
-                    {
+                    if self.at_most_once() || !may_repeat || !self.plan_retry(&server) {
                         return Outcome::own(StatusCode::BAD_GATEWAY, reason, self.sent);
                     }
                 }
@@ -256,11 +248,26 @@
         self.outgoing.limit_ms.saturating_sub(spent_ms)
     }
 
-    /// Returns whether the request could be sent to a server other than `server` now.
-    fn has_other(&self, server: &BackendServerName, left_ms: u64) -> bool {
+    /// Chooses a server other than `server` for the next attempt and takes it out of the budget.
+    /// Returns whether there is one. It comes before the present attempt is given up, so that
+    /// nothing is given up for nothing.
+    fn plan_retry(&self, server: &BackendServerName) -> bool {
+        if self.sent + 1 > self.outgoing.route.max_attempts {
+            return false;
+        }
         let mut tried = self.tried.clone();
         tried.push(server.clone());
-        matches!(self.choose(left_ms, &tried), Choice::Send { .. })
+        let choice = self.choose(self.left_ms(), &tried);
+        let planned = matches!(choice, Choice::Send { .. }) && self.take_retry();
+        if planned {
+            *self.planned.borrow_mut() = Some(choice);
+        }
+        planned
+    }
+
+    fn next_choice(&self, left_ms: u64) -> Choice {
+        let planned = self.planned.borrow_mut().take();
+        planned.unwrap_or_else(|| self.choose(left_ms, &self.tried))
     }
 
     fn choose(&self, left_ms: u64, tried: &[BackendServerName]) -> Choice {
@@ -291,11 +298,10 @@
         core.fleet.borrow_mut().choose(&request, &cold, now)
     }
 
-    /// Takes a further attempt out of the budget, if the route allows one.
-    fn may_retry(&self) -> bool {
+    /// Takes a further attempt out of the budget.
+    fn take_retry(&self) -> bool {
         let instances = self.core.members.borrow().live_count(self.core.now());
-        self.sent < self.outgoing.route.max_attempts
-            && with_budget(self.core, &self.service, |b, now| b.try_retry(instances, now))
+        with_budget(self.core, &self.service, |b, now| b.try_retry(instances, now))
     }
 
     fn refused(&self, reason: RefusalReason, retry_after_ms: u64) -> Outcome {
@@ -423,15 +429,10 @@
             let fleet = self.core.fleet.borrow();
             fleet.server(&running.server).is_none_or(|s| !s.answered_since(sent_at))
         };
-        let later = self.sent + 1 < self.outgoing.route.max_attempts;
-        let left_ms = self.left_ms();
-        if is_silent && later && self.has_other(&running.server, left_ms) {
-            let instances = self.core.members.borrow().live_count(self.core.now());
-            let taken = with_budget(self.core, &self.service, |b, now| b.try_retry(instances, now));
-            if taken {
-                log::info!("backend: silent; id={} server={}", self.id(), running.server);
-                return None;
-            }
+        let others = self.sent + 1 < self.outgoing.route.max_attempts;
+        if is_silent && others && self.plan_retry(&running.server) {
+            log::info!("backend: silent; id={} server={}", self.id(), running.server);
+            return None;
         }
         Some(answer.await)
     }
