Read the store at one instance of each region and pass changes on

Change: one instance of each region reads the store, the others wait for changes at that one; a peer that the store answered all the time tells that nothing lapsed.

--- a/crates/pollenshed/src/steer/core.rs
+++ b/crates/pollenshed/src/steer/core.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
+    net::SocketAddr,
     rc::Rc,
     time,
 };
@@ -16,7 +17,14 @@
 use pollenshed_transport::{forward::Pool, listen::StopPhase};
 use tokio::sync::watch;
 
-use super::{members::Members, settings::SteerSettings};
+use super::{members::Members, settings::SteerSettings, tables::Tables};
+
+/// Time without a failed call after which the store counts as steady.
+const STEADY_MS: u64 = 4_000;
+
+/// Time for which the answer of a peer that is current stands in for the store. It exceeds the
+/// time that such a call takes and is well below the bounds for changes.
+const FED_MS: u64 = 1_100;
 
 /// What the parts of one instance share.
 pub struct Core {
@@ -36,6 +44,14 @@
     pub budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
     /// Positions of routes that are split.
     pub splits: RefCell<HashMap<String, WeightedSplit>>,
+    /// Tables of the store as far as they are known.
+    pub tables: RefCell<Tables>,
+    /// Counts changes of the tables.
+    pub changed: watch::Sender<u64>,
+    /// When a call to the store failed last.
+    pub store_failed_at: Cell<Option<Instant>>,
+    /// When a peer that is current answered last.
+    pub fed_at: Cell<Option<Instant>>,
     /// Connections to backend servers.
     pub pool: Pool,
     /// Requests of callers that are not answered yet.
@@ -58,6 +74,10 @@
             members: RefCell::new(Members::new(settings.instance.clone())),
             budgets: RefCell::default(),
             splits: RefCell::default(),
+            tables: RefCell::default(),
+            changed: watch::Sender::new(0),
+            store_failed_at: Cell::new(None),
+            fed_at: Cell::new(None),
             pool: Pool::default(),
             in_flight: Cell::new(0),
             held_bytes: Cell::new(0),
@@ -103,6 +123,49 @@
         self.plan.borrow().is_some() && self.stop_phase() == StopPhase::Serving
     }
 
+    /// Returns whether the store has answered all calls of this instance lately.
+    pub fn store_is_steady(&self) -> bool {
+        let now = self.now();
+        self.store_failed_at.get().is_none_or(|at| now.since_ms(at) >= STEADY_MS)
+    }
+
+    /// Returns whether this instance is the one of its region that reads the store for all.
+    pub fn reads_store(&self) -> bool {
+        let members = self.members.borrow();
+        let first = members.reader_of(
+            self.settings.region(),
+            &self.settings.failure_domains,
+            self.store_is_steady(),
+            self.now(),
+        );
+        first == self.settings.instance
+    }
+
+    /// Returns whether this instance has to call the store itself.
+    pub fn needs_store(&self) -> bool {
+        let now = self.now();
+        let is_fed = self.fed_at.get().is_some_and(|at| now.since_ms(at) < FED_MS);
+        !is_fed || self.reads_store()
+    }
+
+    /// Returns whether the tables of this instance are as new as the store's.
+    pub fn is_current(&self) -> bool {
+        let now = self.now();
+        let known = self.tables.borrow().operator.version.is_some();
+        let fed = self.fed_at.get().is_some_and(|at| now.since_ms(at) < FED_MS);
+        known && (fed || self.store_is_steady())
+    }
+
+    /// Returns the address of the peer to follow, other than those in `failed`.
+    pub fn feeding_peer(&self, failed: &[SocketAddr]) -> Option<SocketAddr> {
+        self.members.borrow().feeding_peer(
+            self.settings.region(),
+            &self.settings.failure_domains,
+            failed,
+            self.now(),
+        )
+    }
+
     /// Returns the live instances of this instance's region, this one included.
     pub fn instances_in_region(&self) -> Vec<InstanceName> {
         self.members.borrow().live_in(
--- a/crates/pollenshed/src/steer/gossip.rs
+++ b/crates/pollenshed/src/steer/gossip.rs
@@ -8,7 +8,11 @@
 use prost::Message;
 use tokio::net::UdpSocket;
 
-use super::{core::Core, members::MemberRecord, reader::own_record};
+use super::{
+    core::Core,
+    members::{MemberRecord, PeerState},
+    reader::own_record,
+};
 
 /// Pause between two datagrams to a peer.
 const PERIOD: Duration = Duration::from_millis(250);
@@ -52,6 +56,9 @@
     home_servers: Vec<u32>,
     #[prost(uint32, repeated, tag = "13")]
     home_moves: Vec<u32>,
+    /// The store answers the calls of the instance.
+    #[prost(bool, tag = "14")]
+    steady: bool,
 }
 
 /// Sends and receives heartbeats until the process ends.
@@ -106,6 +113,7 @@
         home_objects: claims.iter().map(|claim| claim.object).collect(),
         home_servers: claims.iter().map(|claim| claim.server).collect(),
         home_moves: claims.iter().map(|claim| claim.moves).collect(),
+        steady: core.store_is_steady(),
     }
 }
 
@@ -136,7 +144,9 @@
     };
     let now = core.now();
     let instance = record.instance.clone();
-    let is_new = core.members.borrow_mut().heard(record, heartbeat.leaving, heartbeat.ready, now);
+    let state =
+        PeerState { leaving: heartbeat.leaving, ready: heartbeat.ready, steady: heartbeat.steady };
+    let is_new = core.members.borrow_mut().heard(record, state, now);
     if is_new {
         log::info!("members: heard; instance={instance} config={}", heartbeat.config_version);
     }
--- a/crates/pollenshed/src/steer/members.rs
+++ b/crates/pollenshed/src/steer/members.rs
@@ -44,6 +44,8 @@
     pub leaving: bool,
     /// It has a configuration.
     pub ready: bool,
+    /// The store answers its calls.
+    pub steady: bool,
 }
 
 impl Member {
@@ -53,6 +55,17 @@
     }
 }
 
+/// What a peer says of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PeerState {
+    /// It stops as planned.
+    pub leaving: bool,
+    /// It has a configuration.
+    pub ready: bool,
+    /// The store answers its calls.
+    pub steady: bool,
+}
+
 /// All other instances that are known.
 #[derive(Debug)]
 pub struct Members {
@@ -74,8 +87,14 @@
         match self.peers.get_mut(&record.instance) {
             Some(member) if member.record == record => {}
             known => {
-                let member =
-                    Member { record, heard_at: None, known_at: now, leaving: false, ready: false };
+                let member = Member {
+                    record,
+                    heard_at: None,
+                    known_at: now,
+                    leaving: false,
+                    ready: false,
+                    steady: false,
+                };
                 match known {
                     Some(known) => *known = member,
                     None => {
@@ -94,20 +113,15 @@
     }
 
     /// Records that a peer was heard. Returns whether it was silent before.
-    pub fn heard(
-        &mut self,
-        record: MemberRecord,
-        leaving: bool,
-        ready: bool,
-        now: Instant,
-    ) -> bool {
+    pub fn heard(&mut self, record: MemberRecord, state: PeerState, now: Instant) -> bool {
         let name = record.instance.clone();
         self.announce(record, now);
         let Some(member) = self.peers.get_mut(&name) else { return false };
         let was_live = member.is_live(now);
         member.heard_at = Some(now);
-        member.leaving = leaving;
-        member.ready = ready;
+        member.leaving = state.leaving;
+        member.ready = state.ready;
+        member.steady = state.steady;
         !was_live
     }
 
@@ -121,6 +135,44 @@
         self.peers.values().filter(move |m| m.is_live(now) && m.ready && !m.leaving)
     }
 
+    /// Returns whether the store answers the calls of a live peer.
+    pub fn any_steady(&self, now: Instant) -> bool {
+        self.usable(now).any(|m| m.steady)
+    }
+
+    /// Returns the instance of a region that reads the store for all. `own_steady` tells whether
+    /// the store answers this instance.
+    pub fn reader_of(
+        &self,
+        region: &RegionName,
+        regions: &BTreeMap<FailureDomainName, RegionName>,
+        own_steady: bool,
+        now: Instant,
+    ) -> InstanceName {
+        let near = |m: &&Member| regions.get(&m.record.failure_domain) == Some(region);
+        let peers = self.usable(now).filter(near).filter(|m| m.steady);
+        let peers = peers.map(|m| &m.record.instance);
+        // An instance that the store turns away reads only if there is no other.
+        let own = Some(&self.own).filter(|_| own_steady);
+        peers.chain(own).min().unwrap_or(&self.own).clone()
+    }
+
+    /// Returns the address of the peer to follow: the reader of the region, or any peer that the
+    /// store answers.
+    pub fn feeding_peer(
+        &self,
+        region: &RegionName,
+        regions: &BTreeMap<FailureDomainName, RegionName>,
+        failed: &[SocketAddr],
+        now: Instant,
+    ) -> Option<SocketAddr> {
+        let is_far = |m: &Member| regions.get(&m.record.failure_domain) != Some(region);
+        self.usable(now)
+            .filter(|m| m.steady && !failed.contains(&m.record.peer_address))
+            .min_by_key(|m| (is_far(m), &m.record.instance))
+            .map(|m| m.record.peer_address)
+    }
+
     /// Returns the number of live instances, this one included.
     pub fn live_count(&self, now: Instant) -> usize {
         1 + self.peers.values().filter(|m| m.is_live(now)).count()
--- a/crates/pollenshed/src/steer/mod.rs
+++ b/crates/pollenshed/src/steer/mod.rs
@@ -12,9 +12,11 @@
 mod keys;
 mod lookup;
 mod members;
+mod peer_view;
 mod reader;
 pub mod settings;
 mod stop;
+mod tables;
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
@@ -48,6 +50,7 @@
     let callers = bind(settings.callers_address)?;
     let lookups = bind(settings.lookup_address)?;
     let ready = bind(settings.ready_address)?;
+    let peers = bind(settings.peer_address())?;
     let gossip = UdpSocket::bind(settings.peer_address())
         .await
         .wrap_err_with(|| format!("cannot bind {}", settings.peer_address()))?;
@@ -64,6 +67,8 @@
     for table in [Table::Operator, Table::Servers, Table::Instances] {
         spawn_local(reader::follow(core.clone(), table));
     }
+    spawn_local(peer_view::follow(core.clone()));
+    spawn_local(serve_peers(core.clone(), peers));
     spawn_local(reader::register(core.clone()));
     spawn_local(reader::remove_silent(core.clone()));
     spawn_local(gossip::run(core.clone(), gossip.clone()));
@@ -113,17 +118,26 @@
     + Copy
     + 'static,
 ) {
-    let limits = || ListenLimits {
-        max_head_bytes: FIRST_LIMITS.max_head_bytes as usize,
-        idle_timeout: Duration::from_millis(FIRST_LIMITS.idle_timeout_ms),
-        max_connections: SIDE_CONNECTIONS,
-    };
     let stop = core.watch_stop();
     let handler = move |request: Request<Incoming>, _| {
         let response = answer(&core, &request);
         async move { response }
     };
-    listen::serve(listener, limits, handler, stop).await;
+    listen::serve(listener, side_limits, handler, stop).await;
+}
+
+async fn serve_peers(core: Rc<Core>, listener: tokio::net::TcpListener) {
+    let stop = core.watch_stop();
+    let handler = move |request: Request<Incoming>, _| peer_view::answer(core.clone(), request);
+    listen::serve(listener, side_limits, handler, stop).await;
+}
+
+fn side_limits() -> ListenLimits {
+    ListenLimits {
+        max_head_bytes: FIRST_LIMITS.max_head_bytes as usize,
+        idle_timeout: Duration::from_millis(FIRST_LIMITS.idle_timeout_ms),
+        max_connections: SIDE_CONNECTIONS,
+    }
 }
 
 /// Names the settings file where the platform sets it.
--- a/crates/pollenshed/src/steer/reader.rs
+++ b/crates/pollenshed/src/steer/reader.rs
@@ -39,6 +39,9 @@
 /// Pauses after a failed call; they double up to the longest.
 const RETRY_PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
 
+/// Pause between two looks whether this instance has to read the store.
+const IDLE_PAUSE: Duration = Duration::from_millis(150);
+
 /// Time after the return of the store in which backend servers whose announcement had lapsed
 /// announce themselves again.
 const LAPSED_MS: u64 = 2_200;
@@ -69,7 +72,6 @@
     let mut follower = Follower {
         caller: Caller::new(core.settings.store_address),
         table,
-        version: None,
         lost_at: None,
         regained_at: None,
         missing: BTreeMap::new(),
@@ -77,6 +79,10 @@
     };
     let mut pause = RETRY_PAUSE.0;
     loop {
+        if !follower.core.needs_store() {
+            tokio::time::sleep(IDLE_PAUSE).await;
+            continue;
+        }
         let start = tokio::time::Instant::now();
         match follower.step().await {
             Ok(()) => {
@@ -100,17 +106,16 @@
     core: Rc<Core>,
     caller: Caller,
     table: Table,
-    /// Version up to which changes were read; `None` before the first whole read.
-    version: Option<StoreVersion>,
     lost_at: Option<Instant>,
     regained_at: Option<Instant>,
-    /// Servers whose announcement lapsed while the store was lost, and when that was seen.
-    missing: BTreeMap<BackendServerName, Instant>,
+    /// Removed announcements that may have lapsed while the store was away.
+    missing: BTreeMap<String, Row>,
 }
 
 impl Follower {
     async fn step(&mut self) -> Result<(), String> {
-        match self.version {
+        let version = self.core.tables.borrow().get(self.table).version;
+        match version {
             None => self.read_all().await,
             Some(after) => self.read_changes(after).await,
         }
@@ -130,8 +135,8 @@
                 break;
             }
         }
-        self.apply_all(rows);
-        self.version = first_version;
+        self.take_all(rows);
+        self.set_version(first_version);
         Ok(())
     }
 
@@ -140,17 +145,21 @@
         let target = store::feed_target(self.table.name(), after, wait_ms);
         match self.get(&target, wait_ms).await? {
             Some(changes) => {
-                self.apply(&changes.rows);
-                self.version = Some(changes.version.max(after));
+                self.take(changes.rows);
+                self.set_version(Some(changes.version.max(after)));
             }
             None => {
                 log::info!("store: history is gone, reading again; table={}", self.table.name());
-                self.version = None;
+                self.set_version(None);
             }
         }
         Ok(())
     }
 
+    fn set_version(&self, version: Option<StoreVersion>) {
+        self.core.tables.borrow_mut().get_mut(self.table).version = version;
+    }
+
     /// Returns the rows of an answer, or `None` if the history is gone.
     async fn get(&mut self, target: &str, wait_ms: u64) -> Result<Option<Rows>, String> {
         let limit = ANSWER_TIMEOUT + Duration::from_millis(wait_ms);
@@ -164,9 +173,10 @@
     }
 
     fn lost(&mut self, error: &str) {
+        self.core.store_failed_at.set(Some(self.core.now()));
         if self.lost_at.is_none() {
             self.lost_at = Some(self.core.now());
-            let version = self.version.unwrap_or(0);
+            let version = self.core.tables.borrow().get(self.table).version.unwrap_or(0);
             log::warn!(
                 "store: lost; table={} version={version} error={error:?}",
                 self.table.name()
@@ -183,73 +193,93 @@
         }
     }
 
-    fn apply_all(&mut self, rows: Vec<Row>) {
-        let known: BTreeSet<String> = rows.iter().map(|row| row.key.clone()).collect();
-        let mut changes = rows;
-        let gone: Vec<String> = match self.table {
-            Table::Servers => {
-                let fleet = self.core.fleet.borrow();
-                fleet.servers().map(|s| s.record.name.to_string()).collect()
-            }
-            Table::Instances => {
-                let members = self.core.members.borrow();
-                members.peers().map(|m| m.record.instance.to_string()).collect()
-            }
-            Table::Operator => {
-                let fleet = self.core.fleet.borrow();
-                fleet.evacuated().iter().map(|d| format!("evacuate/{d}")).collect()
-            }
+    /// Takes a whole table: what is not in it was removed.
+    fn take_all(&mut self, mut rows: Vec<Row>) {
+        let known: BTreeSet<&str> = rows.iter().map(|row| row.key.as_str()).collect();
+        let newest = rows.iter().map(|row| row.version).max().unwrap_or(0);
+        let gone: Vec<Row> = {
+            let tables = self.core.tables.borrow();
+            let keys = tables.get(self.table).keys().filter(|key| !known.contains(key.as_str()));
+            keys.map(|key| Row { key: key.clone(), value: None, version: newest }).collect()
         };
-        for key in gone.into_iter().filter(|key| !known.contains(key)) {
-            changes.push(Row { key, value: None, version: 0 });
-        }
-        self.apply(&changes);
+        rows.extend(gone);
+        self.take(rows);
     }
 
-    fn apply(&mut self, rows: &[Row]) {
-        match self.table {
-            Table::Operator => apply_operator(&self.core, rows),
-            Table::Servers => self.apply_servers(rows),
-            Table::Instances => apply_instances(&self.core, rows),
-        }
-    }
-
-    fn apply_servers(&mut self, rows: &[Row]) {
+    fn take(&mut self, rows: Vec<Row>) {
         let now = self.core.now();
-        for row in rows {
-            let Ok(name) = row.key.parse::<BackendServerName>() else {
-                log::warn!("servers: unusable name; key={:?}", row.key);
-                continue;
-            };
-            match row.value.as_deref().and_then(|value| servers::decode(&row.key, value)) {
-                Some(record) => {
-                    self.missing.remove(&name);
-                    announce(&self.core, record, now);
-                }
-                None if row.value.is_some() => {
-                    log::warn!("servers: unreadable announcement; server={name}");
-                    remove(&self.core, &name, "unreadable");
-                }
-                None if self.may_have_lapsed(now) => {
-                    self.missing.entry(name).or_insert(now);
-                }
-                None => remove(&self.core, &name, "removed"),
+        if self.table == Table::Servers && self.may_have_lapsed(now) {
+            // Announcements that lapsed while the store was away come back soon.
+            let (removed, rows) = rows.into_iter().partition(|row| row.value.is_none());
+            let removed: Vec<Row> = removed;
+            let rows: Vec<Row> = rows;
+            for row in &rows {
+                self.missing.remove(&row.key);
             }
+            self.missing.extend(removed.into_iter().map(|row| (row.key.clone(), row)));
+            take(&self.core, self.table, rows);
+        } else {
+            take(&self.core, self.table, rows);
         }
     }
 
-    /// Returns whether the store was lost so lately that announcements may have lapsed meanwhile.
+    /// Returns whether the store was away so lately that announcements may have lapsed meanwhile.
+    /// They have not if it served a peer all the time.
     fn may_have_lapsed(&self, now: Instant) -> bool {
-        self.lost_at.is_some() || self.regained_at.is_some_and(|at| now.since_ms(at) < LAPSED_MS)
+        let is_late = self.lost_at.is_some()
+            || self.regained_at.is_some_and(|at| now.since_ms(at) < LAPSED_MS);
+        is_late && !self.core.members.borrow().any_steady(now)
     }
 
     fn remove_missing(&mut self) {
-        let now = self.core.now();
-        if self.may_have_lapsed(now) {
-            return;
+        if !self.missing.is_empty() && !self.may_have_lapsed(self.core.now()) {
+            let missing = std::mem::take(&mut self.missing).into_values().collect();
+            take(&self.core, self.table, missing);
         }
-        for name in std::mem::take(&mut self.missing).into_keys() {
-            remove(&self.core, &name, "missing");
+    }
+}
+
+/// Takes rows of a table into this instance's view of it and applies what is new.
+fn take(core: &Rc<Core>, table: Table, rows: Vec<Row>) {
+    let rows = core.tables.borrow_mut().get_mut(table).take(table, rows);
+    if rows.is_empty() {
+        return;
+    }
+    match table {
+        Table::Operator => apply_operator(core, &rows),
+        Table::Servers => apply_servers(core, &rows),
+        Table::Instances => apply_instances(core, &rows),
+    }
+    core.changed.send_modify(|count| *count += 1);
+}
+
+/// Takes the changes of a table that a peer has read up to `version`.
+pub fn take_from_peer(
+    core: &Rc<Core>,
+    table: Table,
+    rows: Vec<Row>,
+    version: Option<StoreVersion>,
+) {
+    take(core, table, rows);
+    let mut tables = core.tables.borrow_mut();
+    let view = tables.get_mut(table);
+    view.version = view.version.max(version);
+}
+
+fn apply_servers(core: &Core, rows: &[Row]) {
+    let now = core.now();
+    for row in rows {
+        let Ok(name) = row.key.parse::<BackendServerName>() else {
+            log::warn!("servers: unusable name; key={:?}", row.key);
+            continue;
+        };
+        match row.value.as_deref().map(|value| servers::decode(&row.key, value)) {
+            Some(Some(record)) => announce(core, record, now),
+            Some(None) => {
+                log::warn!("servers: unreadable announcement; server={name}");
+                remove(core, &name, "unreadable");
+            }
+            None => remove(core, &name, "removed"),
         }
     }
 }
