--- /dev/null
+++ b/crates/coordination/tests/steering_homes.rs
@@ -0,0 +1,143 @@
+//! Homes of objects: balanced, alike in all instances, and moved one at a time.
+
+mod steering_support;
+
+use std::collections::BTreeMap;
+
+use googletest::prelude::*;
+use pollenshed_coordination::steering::{Claim, Ended, Homes};
+use steering_support::*;
+
+/// Guards against a server on which several times the objects of others live, which is full while
+/// the rest are idle.
+#[googletest::test]
+fn objects_are_spread_evenly() {
+    let mut fleet = fleet(&["palermo-a", "palermo-a", "palermo-b", "palermo-b"]);
+    let service = service();
+    let mut objects: BTreeMap<_, u32> = BTreeMap::new();
+    for number in 0..24 {
+        let choice = choose(&mut fleet, &request(&service, Some(object(number))), at(0));
+        *objects.entry(sent_to(&choice).unwrap()).or_default() += 1;
+    }
+    expect_that!(objects.values().copied().collect::<Vec<_>>(), eq(&vec![6, 6, 6, 6]));
+}
+
+/// Guards against objects that wander, since each move costs a run several times as long.
+#[googletest::test]
+fn an_object_stays_on_its_server() {
+    let mut fleet = fleet(&["palermo-a", "palermo-b", "catania-a"]);
+    let service = service();
+    let first = sent_to(&choose(&mut fleet, &request(&service, Some(object(1))), at(0))).unwrap();
+    for ms in (0..20_000).step_by(500) {
+        let choice = choose(&mut fleet, &request(&service, Some(object(1))), at(ms));
+        expect_that!(sent_to(&choice), some(eq(&first)));
+        answered(&mut fleet, &first, Some(object(1)), at(ms), WARM_MS);
+    }
+}
+
+/// Guards against large bodies that cross regions while there is room near their callers.
+#[googletest::test]
+fn large_bodies_stay_near() {
+    let mut fleet = fleet(&["palermo-a", "catania-a"]);
+    let service = service();
+    let mut near = 0;
+    for number in 0..4 {
+        let large = pollenshed_coordination::steering::Request {
+            bytes: 100_000,
+            ..request(&service, Some(object(number)))
+        };
+        near += u32::from(sent_to(&choose(&mut fleet, &large, at(0))) == Some(server_name(0)));
+    }
+    expect_that!(near, eq(4));
+}
+
+/// Guards against instances that send the same object to different servers for good.
+#[googletest::test]
+fn instances_that_claim_at_once_agree() {
+    let (mut here, mut there) = (Homes::default(), Homes::default());
+    here.settle(1, 10, at(0));
+    there.settle(1, 20, at(0));
+    let (from_here, from_there) = (here.recent(at(1)), there.recent(at(1)));
+    here.merge(from_there, at(5));
+    there.merge(from_here, at(5));
+    expect_that!(here.home(1, at(6)), eq(there.home(1, at(6))));
+}
+
+/// Guards against a late datagram that moves an object back.
+#[googletest::test]
+fn a_later_move_wins_over_an_earlier_one() {
+    let mut homes = Homes::default();
+    homes.settle(1, 10, at(0));
+    let old = homes.recent(at(0));
+    homes.settle(1, 20, at(1));
+    homes.merge(old, at(2));
+    expect_that!(homes.home(1, at(3)), some(eq(20)));
+    expect_that!((homes.objects_on(10), homes.objects_on(20)), eq((0, 1)));
+}
+
+/// Guards against memory that grows with the number of objects ever seen.
+#[googletest::test]
+fn objects_that_are_not_used_are_forgotten() {
+    let mut homes = Homes::default();
+    let claims = (0..100_000).map(|object| Claim { object, server: (object % 7) as u32, moves: 0 });
+    for (ms, claim) in claims.enumerate() {
+        homes.merge([claim], at(ms as u64));
+    }
+    expect_that!(homes.all().len(), le(16_384));
+    let counted: u32 = (0..7).map(|server| homes.objects_on(server)).sum();
+    expect_that!(counted as usize, eq(homes.all().len()));
+}
+
+/// Guards against objects that stay on a server that is gone, fails or crawls.
+#[googletest::test]
+fn an_object_leaves_a_server_that_can_not_serve_it() {
+    for harm in ["gone", "failing", "unreachable", "slow"] {
+        let mut fleet = fleet(&["palermo-a", "palermo-b"]);
+        let service = service();
+        let wanted = request(&service, Some(object(3)));
+        let home = sent_to(&choose(&mut fleet, &wanted, at(0))).unwrap();
+        answered(&mut fleet, &home, Some(object(3)), at(0), WARM_MS);
+        for step in 0..6 {
+            let now = at(1_000 + step);
+            fleet.started(&home, f64::INFINITY, now);
+            let end = match harm {
+                "failing" => Ended::Answered { failed: true, took_ms: 10.0 },
+                "unreachable" => Ended::Unreachable,
+                "slow" => Ended::Answered { failed: false, took_ms: 8.0 * WARM_MS as f64 },
+                _ => Ended::Abandoned,
+            };
+            fleet.ended(&home, WORK, Some(object(3)), false, end, now);
+        }
+        if harm == "gone" {
+            fleet.remove(&home);
+        }
+        let next = sent_to(&choose(&mut fleet, &wanted, at(1_010)));
+        expect_that!(next, some(not(eq(&home))), "{harm}");
+    }
+}
+
+/// Guards against new servers that stay empty while the others are crowded, and against a jump of
+/// all objects to them.
+#[googletest::test]
+fn objects_move_to_new_servers_one_at_a_time() {
+    let mut fleet = fleet(&["palermo-a", "palermo-a"]);
+    let service = service();
+    for number in 0..12 {
+        choose(&mut fleet, &request(&service, Some(object(number))), at(0));
+    }
+    fleet.announce(record(2, "palermo-a"), at(1_000));
+    let mut moved_by_second = Vec::new();
+    for second in 0..6 {
+        let mut moved = 0;
+        for step in 0..100 {
+            let wanted = request(&service, Some(object(step % 12)));
+            let now = at(1_000 + second * 1_000 + step as u64 * 10);
+            choose(&mut fleet, &wanted, now);
+        }
+        moved +=
+            fleet.homes.objects_on(pollenshed_coordination::steering::server_key(&server_name(2)));
+        moved_by_second.push(moved);
+    }
+    expect_that!(moved_by_second[0], le(3));
+    expect_that!(moved_by_second[5], ge(3));
+}
--- /dev/null
+++ b/crates/coordination/tests/steering_support/mod.rs
@@ -0,0 +1,125 @@
+//! A small fleet and its callers for the tests of steering, with time as a number.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::collections::BTreeMap;
+
+use pollenshed_coordination::steering::{Choice, ColdLimits, Ended, Fleet, Request, object_key};
+use pollenshed_state::{
+    ids::{BackendServerName, FailureDomainName, InstanceName, RegionName, ServiceName},
+    routes::{ServerRecord, ServerState},
+    time::Instant,
+};
+
+/// Run time for an object that a server does not remember.
+pub const FIRST_MS: u64 = 800;
+
+/// Run time for an object that a server remembers.
+pub const WARM_MS: u64 = 250;
+
+/// Identifies the only route of the tests.
+pub const WORK: u64 = 7;
+
+/// Returns the time `ms` after the start.
+pub fn at(ms: u64) -> Instant {
+    Instant::from_ms(ms)
+}
+
+/// Returns the only service of the tests.
+pub fn service() -> ServiceName {
+    "tables".parse().unwrap()
+}
+
+/// Returns a name.
+pub fn server_name(number: usize) -> BackendServerName {
+    format!("i-{number:02}").parse().unwrap()
+}
+
+/// Returns the failure domains of the tests: two in each of two regions.
+pub fn regions() -> BTreeMap<FailureDomainName, RegionName> {
+    [
+        ("palermo-a", "palermo"),
+        ("palermo-b", "palermo"),
+        ("catania-a", "catania"),
+        ("catania-b", "catania"),
+    ]
+    .into_iter()
+    .map(|(domain, region)| (domain.parse().unwrap(), region.parse().unwrap()))
+    .collect()
+}
+
+/// Returns an announcement of a server with three slots.
+pub fn record(number: usize, domain: &str) -> ServerRecord {
+    ServerRecord {
+        name: server_name(number),
+        service: service(),
+        address: ([10, 0, 0, number as u8], 80).into(),
+        failure_domain: domain.parse().unwrap(),
+        slots: 3,
+        state: ServerState::Ready,
+        cold_remaining_ms: 0,
+        started_at_ms: 1,
+        sequence: 1,
+    }
+}
+
+/// Returns the view of an instance in `palermo-a` of servers in the given failure domains.
+pub fn fleet(domains: &[&str]) -> Fleet {
+    let mut fleet = Fleet::new("palermo-a".parse().unwrap(), regions());
+    for (number, domain) in domains.iter().enumerate() {
+        fleet.announce(record(number, domain), at(0));
+    }
+    fleet.run_times.expect(WORK, Some(FIRST_MS));
+    fleet
+}
+
+/// Returns the key of an object.
+pub fn object(number: usize) -> u64 {
+    object_key("route", &number.to_string())
+}
+
+/// A request with 500 ms to its target and 4 s in all.
+pub fn request<'a>(service: &'a ServiceName, object: Option<u64>) -> Request<'a> {
+    Request {
+        service,
+        work: WORK,
+        key: object,
+        home_regions: &[],
+        bytes: 0,
+        target_left_ms: 500.0,
+        left_ms: 4_000.0,
+        at_most_once: false,
+        tried: &[],
+        draw: 1,
+    }
+}
+
+/// Asks a fleet without bounds on cold servers.
+pub fn choose(fleet: &mut Fleet, request: &Request<'_>, now: Instant) -> Choice {
+    let instance: InstanceName = "front-1".parse().unwrap();
+    let in_region = [instance.clone()];
+    let cold =
+        ColdLimits { instance: &instance, in_region: &in_region, rate_per_s: 1.0, burst: 5.0 };
+    fleet.choose(request, &cold, now)
+}
+
+/// Returns the server of a choice.
+pub fn sent_to(choice: &Choice) -> Option<BackendServerName> {
+    match choice {
+        Choice::Send { server, .. } => Some(server.clone()),
+        Choice::Refuse { .. } => None,
+    }
+}
+
+/// Sends a request and lets it be answered after `took_ms`.
+pub fn answered(
+    fleet: &mut Fleet,
+    server: &BackendServerName,
+    object: Option<u64>,
+    now: Instant,
+    took_ms: u64,
+) {
+    fleet.started(server, f64::INFINITY, now);
+    let end = Ended::Answered { failed: false, took_ms: took_ms as f64 };
+    fleet.ended(server, WORK, object, false, end, now.plus_ms(took_ms));
+}
--- a/crates/standins/src/backend/http.rs
+++ b/crates/standins/src/backend/http.rs
@@ -5,7 +5,7 @@
 /// Longest line of a head.
 const MAX_LINE_BYTES: u64 = 64 * 1024;
 
-pub(super) struct Head {
+pub(crate) struct Head {
     pub method: String,
     pub target: String,
     pub headers: Vec<(String, String)>,
@@ -20,7 +20,7 @@
 }
 
 #[derive(Debug, Clone)]
-pub(super) struct Answer {
+pub(crate) struct Answer {
     pub status: u16,
     pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
@@ -43,7 +43,7 @@
 }
 
 /// Reads the head of the next request; nothing when the peer closed the connection before it.
-pub(super) fn read_head(reader: &mut impl BufRead) -> io::Result<Option<Head>> {
+pub(crate) fn read_head(reader: &mut impl BufRead) -> io::Result<Option<Head>> {
     let first = loop {
         match read_line(reader)? {
             None => return Ok(None),
@@ -79,7 +79,7 @@
 }
 
 /// Reads a body and passes each piece to `sink`. An error means that the body is not whole.
-pub(super) fn read_body(
+pub(crate) fn read_body(
     reader: &mut impl BufRead,
     head: &Head,
     sink: &mut impl FnMut(&[u8]),
@@ -151,7 +151,7 @@
 
 /// Writes an answer. Only the first `cut_after` bytes of the body are written, if given, although
 /// the head announces all of it.
-pub(super) fn write_answer(
+pub(crate) fn write_answer(
     writer: &mut impl Write,
     answer: &Answer,
     head: &Head,
--- a/crates/standins/src/backend/mod.rs
+++ b/crates/standins/src/backend/mod.rs
@@ -6,7 +6,7 @@
 //! It is built on `std::net` and not on `rouille`, because its faults cut single connections and
 //! stop the listener, which `rouille` does not allow.
 
-mod http;
+pub(crate) mod http;
 mod reports;
 mod server;
 mod state;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod backend;
 pub mod platform;
 pub mod proxy;
+pub mod steered;
--- /dev/null
+++ b/crates/standins/src/steered/server.rs
@@ -0,0 +1,352 @@
+//! A backend server of the users' platform: slots, a short queue, and a memory of objects.
+
+use std::{
+    collections::VecDeque,
+    io::{self, BufReader, ErrorKind, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc, Condvar, Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use serde_json::json;
+
+use crate::backend::http::{Answer, Head, read_body, read_head, write_answer};
+
+/// Period in which a running request looks whether its connection has ended.
+const WATCH_PERIOD: Duration = Duration::from_millis(10);
+
+/// How a server misbehaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// It serves.
+    None,
+    /// It refuses each request as not run.
+    Shed,
+    /// It runs each request and answers 500.
+    Fail,
+    /// It runs each request and closes the connection without an answer.
+    LoseAnswers,
+    /// It closes the connection in the middle of each answer.
+    CutAnswers,
+    /// It answers with the id of another request.
+    WrongId,
+    /// It sends a second answer after each answer.
+    ExtraAnswers,
+    /// It takes requests and never answers.
+    Silent,
+}
+
+/// What a server is like.
+#[derive(Debug, Clone)]
+pub struct ServerOptions {
+    /// Name of the server.
+    pub name: String,
+    /// Service that it announces.
+    pub service: String,
+    /// Failure domain that it announces.
+    pub failure_domain: String,
+    /// Requests that run at the same time.
+    pub slots: u32,
+    /// Requests that wait at most.
+    pub queue: u32,
+    /// Time of a run for an object that it does not remember.
+    pub first_run: Duration,
+    /// Time of a run for an object that it remembers.
+    pub warm_run: Duration,
+    /// Objects that it remembers.
+    pub remembered: usize,
+}
+
+impl Default for ServerOptions {
+    fn default() -> ServerOptions {
+        ServerOptions {
+            name: "i-1".to_owned(),
+            service: "tables".to_owned(),
+            failure_domain: "palermo-a".to_owned(),
+            slots: 3,
+            queue: 9,
+            first_run: Duration::from_millis(60),
+            warm_run: Duration::from_millis(20),
+            remembered: 25,
+        }
+    }
+}
+
+/// A request that a server has begun to run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Run {
+    /// Id of the request.
+    pub id: String,
+    /// Method and target.
+    pub line: String,
+    /// Body.
+    pub body: Vec<u8>,
+    /// Time that the request was given.
+    pub deadline_ms: u64,
+    /// The caller was still there at the end.
+    pub finished: bool,
+}
+
+#[derive(Default)]
+struct State {
+    runs: Vec<Run>,
+    running: u32,
+    waiting: u32,
+    most_running: u32,
+    remembered: VecDeque<String>,
+}
+
+struct Shared {
+    options: ServerOptions,
+    state: Mutex<State>,
+    freed: Condvar,
+    fault: Mutex<Fault>,
+    stopped: AtomicBool,
+}
+
+/// A running server. It stops when dropped, which breaks its connections.
+pub struct Server {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+impl Server {
+    /// Starts a server on loopback.
+    pub fn bind(options: ServerOptions) -> io::Result<Server> {
+        Server::bind_at(SocketAddr::from(([127, 0, 0, 1], 0)), options)
+    }
+
+    /// Starts a server at an address, such as that of one that has ended.
+    pub fn bind_at(address: SocketAddr, options: ServerOptions) -> io::Result<Server> {
+        let listener = TcpListener::bind(address)?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            options,
+            state: Mutex::default(),
+            freed: Condvar::new(),
+            fault: Mutex::new(Fault::None),
+            stopped: AtomicBool::new(false),
+        });
+        let accepting = shared.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                if accepting.stopped.load(Ordering::SeqCst) {
+                    return;
+                }
+                let Ok(stream) = stream else { continue };
+                let serving = accepting.clone();
+                thread::spawn(move || serving.serve(&stream));
+            }
+        });
+        Ok(Server { address, shared })
+    }
+
+    /// Returns the address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the announcement of the server in `state` (`ready` or `draining`).
+    pub fn announcement(&self, state: &str, cold_ms: u64, sequence: u64) -> Vec<u8> {
+        let options = &self.shared.options;
+        let announcement = json!({
+            "service": options.service,
+            "address": self.address.to_string(),
+            "zone": options.failure_domain,
+            "version": "v1",
+            "slots": options.slots,
+            "state": state,
+            "cold_remaining": format!("{cold_ms}ms"),
+            "sequence": sequence,
+            "born": 1,
+        });
+        announcement.to_string().into_bytes()
+    }
+
+    /// Returns the name.
+    pub fn name(&self) -> &str {
+        &self.shared.options.name
+    }
+
+    /// Sets how the server misbehaves.
+    pub fn set_fault(&self, fault: Fault) {
+        *self.shared.fault.lock().unwrap_or_else(|e| e.into_inner()) = fault;
+    }
+
+    /// Returns the requests that began to run, in that order.
+    pub fn runs(&self) -> Vec<Run> {
+        self.shared.state().runs.clone()
+    }
+
+    /// Returns the most requests that ran at the same time.
+    pub fn most_running(&self) -> u32 {
+        self.shared.state().most_running
+    }
+
+    /// Returns the number of requests that run now.
+    pub fn running(&self) -> u32 {
+        self.shared.state().running
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.shared.stopped.store(true, Ordering::SeqCst);
+        // Wakes the thread that accepts.
+        let _ = TcpStream::connect(self.address);
+    }
+}
+
+impl Shared {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    fn fault(&self) -> Fault {
+        *self.fault.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    fn serve(&self, stream: &TcpStream) {
+        let mut reader = BufReader::new(stream);
+        while let Ok(Some(head)) = read_head(&mut reader) {
+            let mut body = Vec::new();
+            if read_body(&mut reader, &head, &mut |piece| body.extend_from_slice(piece)).is_err() {
+                return;
+            }
+            if self.stopped.load(Ordering::SeqCst) || !self.answer(stream, &head, body) {
+                return;
+            }
+        }
+    }
+
+    /// Answers a request. Returns whether the connection goes on.
+    fn answer(&self, stream: &TcpStream, head: &Head, body: Vec<u8>) -> bool {
+        let options = &self.options;
+        let id = head.header("x-request-id").unwrap_or_default().to_owned();
+        if head.header("x-expect-instance").is_some_and(|name| name != options.name) {
+            let answer = Answer::text(421, "").with_header("X-Instance-Id", &options.name);
+            return send(stream, &answer, head);
+        }
+        let fault = self.fault();
+        if fault == Fault::Shed || !self.wait_for_slot() {
+            let load = format!("{},{},{}", options.slots, options.queue, options.slots);
+            let answer = Answer::text(503, "")
+                .with_header("X-Request-Id", &id)
+                .with_header("X-Not-Executed", "1")
+                .with_header("X-Server-Load", &load);
+            return send(stream, &answer, head);
+        }
+        let number = self.begin(head, &id, body);
+        let object = head.header("x-affinity-key").unwrap_or_default().to_owned();
+        let finished = self.run(stream, &object, fault);
+        let load = self.end(number, object, finished);
+        if !finished {
+            return false;
+        }
+        let status = if fault == Fault::Fail { 500 } else { 200 };
+        let answer_id = if fault == Fault::WrongId { "another" } else { &id };
+        let text = format!("{} from {}", head.target, options.service);
+        let answer = Answer::text(status, &text)
+            .with_header("X-Request-Id", answer_id)
+            .with_header("X-Response-Stamp", "stand-in")
+            .with_header("X-Server-Load", &load);
+        match fault {
+            Fault::LoseAnswers => false,
+            Fault::CutAnswers => {
+                let mut writer = stream;
+                let _ = write_answer(&mut writer, &answer, head, Some(text.len() / 2));
+                false
+            }
+            Fault::ExtraAnswers => send(stream, &answer, head) && send(stream, &answer, head),
+            _ => send(stream, &answer, head),
+        }
+    }
+
+    /// Waits for a slot. Returns false if too many requests wait already.
+    fn wait_for_slot(&self) -> bool {
+        let mut state = self.state();
+        if state.running >= self.options.slots {
+            if state.waiting >= self.options.queue {
+                return false;
+            }
+            state.waiting += 1;
+            while state.running >= self.options.slots {
+                state = self.freed.wait(state).unwrap_or_else(|e| e.into_inner());
+            }
+            state.waiting -= 1;
+        }
+        state.running += 1;
+        state.most_running = state.most_running.max(state.running);
+        true
+    }
+
+    fn begin(&self, head: &Head, id: &str, body: Vec<u8>) -> usize {
+        let deadline = head.header("x-deadline-ms").and_then(|text| text.parse().ok());
+        let mut state = self.state();
+        state.runs.push(Run {
+            id: id.to_owned(),
+            line: format!("{} {}", head.method, head.target),
+            body,
+            deadline_ms: deadline.unwrap_or(0),
+            finished: false,
+        });
+        state.runs.len() - 1
+    }
+
+    /// Runs a request. Returns whether its connection is still open at the end.
+    fn run(&self, stream: &TcpStream, object: &str, fault: Fault) -> bool {
+        let remembers = self.state().remembered.iter().any(|known| known == object);
+        let time = if remembers { self.options.warm_run } else { self.options.first_run };
+        let end = Instant::now() + time;
+        loop {
+            if has_ended(stream) || self.stopped.load(Ordering::SeqCst) {
+                return false;
+            }
+            let is_silent = fault == Fault::Silent && self.fault() == Fault::Silent;
+            let left = end.saturating_duration_since(Instant::now());
+            if left.is_zero() && !is_silent {
+                return true;
+            }
+            thread::sleep(if is_silent { WATCH_PERIOD } else { left.min(WATCH_PERIOD) });
+        }
+    }
+
+    fn end(&self, number: usize, object: String, finished: bool) -> String {
+        let mut state = self.state();
+        state.running -= 1;
+        state.runs[number].finished = finished;
+        state.remembered.retain(|known| *known != object);
+        state.remembered.push_back(object);
+        if state.remembered.len() > self.options.remembered {
+            state.remembered.pop_front();
+        }
+        self.freed.notify_one();
+        format!("{},{},{}", state.running, state.waiting, self.options.slots)
+    }
+}
+
+fn send(stream: &TcpStream, answer: &Answer, head: &Head) -> bool {
+    let mut writer = stream;
+    write_answer(&mut writer, answer, head, None).is_ok()
+        && writer.flush().is_ok()
+        && head.keep_alive
+}
+
+/// Returns whether the caller has closed the connection.
+fn has_ended(stream: &TcpStream) -> bool {
+    let mut byte = [0];
+    if stream.set_nonblocking(true).is_err() {
+        return true;
+    }
+    let peeked = stream.peek(&mut byte);
+    let restored = stream.set_nonblocking(false);
+    match peeked {
+        Ok(0) => true,
+        Ok(_) => restored.is_err(),
+        Err(e) => e.kind() != ErrorKind::WouldBlock,
+    }
+}
--- /dev/null
+++ b/crates/standins/src/steered/store.rs
@@ -0,0 +1,316 @@
+//! The platform's store: tables of rows with versions, and their history.
+
+use std::{
+    collections::BTreeMap,
+    io::{self, BufReader},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc, Condvar, Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use base64::{Engine, engine::general_purpose::STANDARD};
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use crate::backend::http::{Answer, Head, read_body, read_head, write_answer};
+
+/// How a door of the store behaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DoorFault {
+    /// It serves.
+    None,
+    /// It answers each call with 503.
+    Busy,
+    /// It takes calls and never answers.
+    Silent,
+    /// It performs calls and closes the connection without an answer.
+    LoseAnswers,
+}
+
+#[derive(Debug, Clone)]
+struct Row {
+    value: Option<String>,
+    version: u64,
+}
+
+#[derive(Default)]
+struct Tables {
+    rows: BTreeMap<(String, String), Row>,
+    version: u64,
+    /// Versions up to this one are no longer in the history.
+    forgotten: u64,
+    calls: u64,
+}
+
+struct Shared {
+    tables: Mutex<Tables>,
+    changed: Condvar,
+}
+
+/// The platform's store. All its doors share the tables.
+#[derive(Clone)]
+pub struct Store {
+    shared: Arc<Shared>,
+}
+
+/// An address of the store. Faults of one door leave the others alone, so that a test can turn
+/// some instances away. It closes when dropped.
+pub struct Door {
+    address: SocketAddr,
+    fault: Arc<Mutex<DoorFault>>,
+    stopped: Arc<AtomicBool>,
+}
+
+#[derive(Deserialize)]
+struct Transaction {
+    #[serde(default)]
+    precondition: Vec<Condition>,
+    #[serde(default)]
+    writes: Vec<Write>,
+    #[serde(default)]
+    remove: Vec<Key>,
+}
+
+#[derive(Deserialize)]
+struct Condition {
+    table: String,
+    key: String,
+    ver: u64,
+}
+
+#[derive(Deserialize)]
+struct Write {
+    table: String,
+    key: String,
+    value: String,
+}
+
+#[derive(Deserialize)]
+struct Key {
+    table: String,
+    key: String,
+}
+
+impl Store {
+    /// Creates an empty store.
+    pub fn open() -> Store {
+        let shared = Shared { tables: Mutex::default(), changed: Condvar::new() };
+        Store { shared: Arc::new(shared) }
+    }
+
+    /// Opens an address of the store on loopback.
+    pub fn bind(&self) -> io::Result<Door> {
+        let listener = TcpListener::bind(("127.0.0.1", 0))?;
+        let door = Door {
+            address: listener.local_addr()?,
+            fault: Arc::new(Mutex::new(DoorFault::None)),
+            stopped: Arc::default(),
+        };
+        let (store, fault, stopped) = (self.clone(), door.fault.clone(), door.stopped.clone());
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                if stopped.load(Ordering::SeqCst) {
+                    return;
+                }
+                let Ok(stream) = stream else { continue };
+                let (store, fault) = (store.clone(), fault.clone());
+                thread::spawn(move || store.serve(&stream, &fault));
+            }
+        });
+        Ok(door)
+    }
+
+    /// Writes a row, as the operator or a backend server does.
+    pub fn put(&self, table: &str, key: &str, value: &[u8]) -> u64 {
+        self.write(table, key, Some(STANDARD.encode(value)))
+    }
+
+    /// Removes a row.
+    pub fn remove(&self, table: &str, key: &str) -> u64 {
+        self.write(table, key, None)
+    }
+
+    /// Returns the content of a row.
+    pub fn get(&self, table: &str, key: &str) -> Option<Vec<u8>> {
+        let tables = self.tables();
+        let row = tables.rows.get(&(table.to_owned(), key.to_owned()))?;
+        STANDARD.decode(row.value.as_ref()?).ok()
+    }
+
+    /// Drops the history, so that followers have to read their tables again.
+    pub fn forget_history(&self) {
+        let mut tables = self.tables();
+        tables.forgotten = tables.version;
+        tables.rows.retain(|_, row| row.value.is_some());
+    }
+
+    /// Returns the number of calls that were made.
+    pub fn calls(&self) -> u64 {
+        self.tables().calls
+    }
+
+    fn tables(&self) -> MutexGuard<'_, Tables> {
+        self.shared.tables.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    fn write(&self, table: &str, key: &str, value: Option<String>) -> u64 {
+        let mut tables = self.tables();
+        tables.version += 1;
+        let version = tables.version;
+        tables.rows.insert((table.to_owned(), key.to_owned()), Row { value, version });
+        self.shared.changed.notify_all();
+        version
+    }
+
+    fn serve(&self, stream: &TcpStream, fault: &Mutex<DoorFault>) {
+        let mut reader = BufReader::new(stream);
+        while let Ok(Some(head)) = read_head(&mut reader) {
+            let mut body = Vec::new();
+            if read_body(&mut reader, &head, &mut |piece| body.extend_from_slice(piece)).is_err() {
+                return;
+            }
+            let present = || *fault.lock().unwrap_or_else(|e| e.into_inner());
+            let answer = match present() {
+                DoorFault::Busy => Answer::text(503, "busy"),
+                DoorFault::Silent => {
+                    while present() == DoorFault::Silent {
+                        thread::sleep(Duration::from_millis(20));
+                    }
+                    return;
+                }
+                DoorFault::None | DoorFault::LoseAnswers => self.answer(&head, &body),
+            };
+            // A fault that began while a call waited for changes loses its answer too.
+            if !matches!(present(), DoorFault::None | DoorFault::Busy) {
+                return;
+            }
+            let mut writer = stream;
+            if write_answer(&mut writer, &answer, &head, None).is_err() || !head.keep_alive {
+                return;
+            }
+        }
+    }
+
+    fn answer(&self, head: &Head, body: &[u8]) -> Answer {
+        self.tables().calls += 1;
+        let (path, query) = head.target.split_once('?').unwrap_or((&head.target, ""));
+        let parameter = |name: &str| {
+            let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            pairs.filter(|(n, _)| *n == name).map(|(_, value)| value.to_owned()).next()
+        };
+        let number = |name: &str| parameter(name).and_then(|text| text.parse().ok()).unwrap_or(0);
+        let table = parameter("table").unwrap_or_default();
+        match path {
+            "/rows-get" => self.read(&table, &parameter("from").unwrap_or_default()),
+            "/rows-feed" => self.feed(&table, number("after"), number("wait_ms")),
+            "/rows-tx" => match serde_json::from_slice(body) {
+                Ok(transaction) => self.transact(&transaction),
+                Err(e) => Answer::text(400, &e.to_string()),
+            },
+            _ => Answer::text(404, "no such call"),
+        }
+    }
+
+    fn read(&self, table: &str, from: &str) -> Answer {
+        let tables = self.tables();
+        let rows: Vec<Value> = tables
+            .rows
+            .iter()
+            .filter(|((t, key), row)| t == table && key.as_str() >= from && row.value.is_some())
+            .map(|((t, key), row)| json(t, key, row))
+            .collect();
+        Answer::json(
+            &json!({ "rows": rows, "ver": tables.version, "has_more": false, "now": "0ms" }),
+        )
+    }
+
+    fn feed(&self, table: &str, after: u64, wait_ms: u64) -> Answer {
+        let end = Instant::now() + Duration::from_millis(wait_ms);
+        let mut tables = self.tables();
+        loop {
+            if after < tables.forgotten {
+                return Answer::text(410, "the history is gone");
+            }
+            let mut changed: Vec<_> = tables
+                .rows
+                .iter()
+                .filter(|((t, _), row)| t == table && row.version > after)
+                .collect();
+            let left = end.saturating_duration_since(Instant::now());
+            if !changed.is_empty() || left.is_zero() {
+                changed.sort_by_key(|(_, row)| row.version);
+                let rows: Vec<Value> =
+                    changed.into_iter().map(|((t, key), row)| json(t, key, row)).collect();
+                return Answer::json(&json!({ "rows": rows, "ver": tables.version, "now": "0ms" }));
+            }
+            let waited = self.shared.changed.wait_timeout(tables, left);
+            tables = waited.unwrap_or_else(|e| e.into_inner()).0;
+        }
+    }
+
+    fn transact(&self, transaction: &Transaction) -> Answer {
+        let mut tables = self.tables();
+        let holds = transaction.precondition.iter().all(|condition| {
+            let row = tables.rows.get(&(condition.table.clone(), condition.key.clone()));
+            row.filter(|row| row.value.is_some()).map_or(0, |row| row.version) == condition.ver
+        });
+        let named = transaction.writes.iter().map(|w| &w.table);
+        if named
+            .chain(transaction.remove.iter().map(|k| &k.table))
+            .any(|t| t == "op" || t == "servers")
+        {
+            return Answer::text(403, "not a table of the system");
+        }
+        if !holds {
+            return Answer::text(412, "{\"rows\":[]}");
+        }
+        tables.version += 1;
+        let version = tables.version;
+        for write in &transaction.writes {
+            let row = Row { value: Some(write.value.clone()), version };
+            tables.rows.insert((write.table.clone(), write.key.clone()), row);
+        }
+        for key in &transaction.remove {
+            let row = Row { value: None, version };
+            tables.rows.insert((key.table.clone(), key.key.clone()), row);
+        }
+        self.shared.changed.notify_all();
+        Answer::json(&json!({ "ver": version, "now": "0ms" }))
+    }
+}
+
+fn json(table: &str, key: &str, row: &Row) -> Value {
+    match &row.value {
+        Some(value) => {
+            json!({ "table": table, "part": "", "key": key, "value": value, "ver": row.version })
+        }
+        None => {
+            json!({ "table": table, "part": "", "key": key, "ver": row.version, "tombstone": true })
+        }
+    }
+}
+
+impl Door {
+    /// Returns the address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sets how the door behaves.
+    pub fn set_fault(&self, fault: DoorFault) {
+        *self.fault.lock().unwrap_or_else(|e| e.into_inner()) = fault;
+    }
+}
+
+impl Drop for Door {
+    fn drop(&mut self) {
+        self.set_fault(DoorFault::Busy);
+        self.stopped.store(true, Ordering::SeqCst);
+        // Wakes the thread that accepts.
+        let _ = TcpStream::connect(self.address);
+    }
+}
