--- a/crates/pollenshed/src/steer/callers.rs
+++ b/crates/pollenshed/src/steer/callers.rs
@@ -227,6 +227,7 @@
     body: AnswerBody,
 ) -> Response<AnswerBody> {
     heads::strip_hop_by_hop(&mut headers);
+    heads::to_caller(&mut headers);
     // The length is set from the body, which may have arrived without one.
     headers.remove(header::CONTENT_LENGTH);
     let mut response = Response::new(body);
--- a/crates/pollenshed/src/steer/settings.rs
+++ b/crates/pollenshed/src/steer/settings.rs
@@ -62,7 +62,7 @@
         let value = jsonc_parser::parse_to_serde_value(text, &Default::default())
             .map_err(|e| eyre!("{e}"))?
             .ok_or_else(|| eyre!("the file is empty"))?;
-        let settings: SteerSettings = serde_json::from_value(value)?;
+        let settings: SteerSettings = serde_path_to_error::deserialize(value)?;
         ensure!(
             settings.failure_domains.contains_key(&settings.failure_domain),
             "failure_domains does not contain {}",
--- /dev/null
+++ b/crates/pollenshed/tests/steer_failures.rs
@@ -0,0 +1,319 @@
+//! Failures of backend servers, the store and instances, with real processes: what runs, how often,
+//! and what callers are told.
+
+mod steer_support;
+
+use std::collections::HashSet;
+
+use googletest::prelude::*;
+use pollenshed_standins::steered::{DoorFault, Fault, Server};
+use steer_support::*;
+
+fn runs_of(servers: &[Server], id: &str) -> usize {
+    servers.iter().flat_map(Server::runs).filter(|run| run.id == id).count()
+}
+
+/// Guards against a second run of a request whose answer was lost, against a refusal that says
+/// that it did not run, and against answers that are cut, foreign or not asked for.
+#[googletest::test]
+fn requests_that_run_at_most_once_never_run_twice() {
+    for fault in [
+        Fault::LoseAnswers,
+        Fault::CutAnswers,
+        Fault::WrongId,
+        Fault::ExtraAnswers,
+        Fault::Fail,
+        Fault::Shed,
+    ] {
+        let fleet = Fleet::with(3, 1);
+        fleet.servers[0].set_fault(fault);
+        fleet.servers[1].set_fault(fault);
+        for number in 0..30 {
+            let id = format!("f-{number}");
+            let headers = format!("X-Affinity-Key: {number}\r\n");
+            let text = request("POST", &format!("/file/{number}"), &id, &headers, "n=1");
+            let answer = fleet.instances[0].call(&text);
+            let runs = runs_of(&fleet.servers, &id);
+            expect_that!(runs, le(1), "{fault:?}");
+            let Some(answer) = answer else { continue };
+            match answer.status {
+                200 => {
+                    expect_that!(runs, eq(1), "{fault:?}");
+                    expect_that!(answer.header("x-request-id"), some(eq(id.as_str())));
+                    expect_that!(answer.body, eq(&format!("/file/{number} from tables")));
+                }
+                408 | 421 | 429 | 503 => expect_that!(runs, eq(0), "{fault:?}"),
+                status => expect_that!(status, any!(eq(500), eq(502), eq(504)), "{fault:?}"),
+            }
+        }
+    }
+}
+
+/// Guards against callers of idempotent requests that see the failure of one server.
+#[googletest::test]
+fn idempotent_requests_are_sent_to_another_server() {
+    for fault in [Fault::LoseAnswers, Fault::CutAnswers, Fault::WrongId, Fault::Fail, Fault::Shed] {
+        let fleet = Fleet::with(2, 1);
+        fleet.instances[0].get("/read/1", "first");
+        let home = usize::from(runs_of(&fleet.servers[1..], "first") == 1);
+        fleet.servers[home].set_fault(fault);
+        let answer = fleet.instances[0].get("/read/1", "second").unwrap();
+        expect_that!(answer.status, eq(200), "{fault:?}");
+        expect_that!(answer.body, eq("/read/1 from tables"), "{fault:?}");
+    }
+}
+
+/// Guards against a server that is silent and keeps its callers until their time is over.
+#[googletest::test]
+fn a_silent_server_is_given_up_for_another_one() {
+    let fleet = Fleet::with(2, 1);
+    fleet.instances[0].get("/read/1", "first");
+    let home = usize::from(runs_of(&fleet.servers[1..], "first") == 1);
+    fleet.servers[home].set_fault(Fault::Silent);
+    let answer = fleet.instances[0].get("/read/1", "second").unwrap();
+    expect_that!(answer.status, eq(200));
+    wait_for("the cancelled run", || (fleet.servers[home].running() == 0).then_some(()));
+}
+
+/// Guards against a server that is pushed over its slots and short queue by one instance.
+#[googletest::test]
+fn a_flood_is_refused_with_a_time_to_come_back() {
+    let fleet = Fleet::with(1, 1);
+    for number in 0..5 {
+        // The instance learns how long requests run.
+        fleet.instances[0].post("/file/a", &format!("first-{number}"), "");
+    }
+    let callers: Vec<_> = (0..100)
+        .map(|number| {
+            let mut caller = Caller::connect(fleet.instances[0].callers());
+            caller.send(&request("POST", "/file/a", &format!("f-{number}"), "", ""));
+            caller
+        })
+        .collect();
+    let answers: Vec<_> = callers.into_iter().filter_map(|mut caller| caller.read()).collect();
+    let served = answers.iter().filter(|answer| answer.status == 200).count();
+    let refused: Vec<_> = answers.iter().filter(|answer| answer.status == 503).collect();
+    expect_that!(answers.len(), eq(100));
+    expect_that!(served, ge(10));
+    expect_that!(served + refused.len(), eq(100));
+    let seconds: Vec<f64> =
+        refused.iter().filter_map(|a| a.header("retry-after")?.parse().ok()).collect();
+    expect_that!(seconds.len(), eq(refused.len()));
+    expect_that!(seconds.iter().all(|s| (0.01..=3.0).contains(s)), eq(true), "{seconds:?}");
+    expect_that!(fleet.servers[0].runs().len(), eq(served + 5));
+}
+
+/// Guards against requests to a server that has said that it leaves, or that is gone.
+#[googletest::test]
+fn a_leaving_server_gets_nothing_new() {
+    let mut fleet = Fleet::with(2, 1);
+    for sign in ["draining", "removed"] {
+        fleet.announce(0, "ready");
+        let uses_first = |fleet: &Fleet| {
+            let before = fleet.servers[0].runs().len();
+            for number in 0..8 {
+                let headers = format!("X-Affinity-Key: {number}\r\n");
+                let text = request("GET", "/read/1", &format!("r-{number}"), &headers, "");
+                expect_that!(fleet.instances[0].call(&text).unwrap().status, eq(200));
+            }
+            fleet.servers[0].runs().len() > before
+        };
+        wait_for("use of the server", || uses_first(&fleet).then_some(()));
+        if sign == "draining" {
+            fleet.announce(0, "draining");
+        } else {
+            fleet.store.remove("servers", "i-0");
+        }
+        let start = std::time::Instant::now();
+        wait_for("the end of its use", || (!uses_first(&fleet)).then_some(()));
+        expect_that!(start.elapsed().as_millis(), lt(2_000), "{sign}");
+        expect_that!(uses_first(&fleet), eq(false), "{sign}");
+    }
+}
+
+/// Guards against requests to servers of an evacuated failure domain, and against an evacuation
+/// that lasts after it was taken back.
+#[googletest::test]
+fn an_evacuated_failure_domain_gets_nothing() {
+    let fleet = Fleet::with(1, 1);
+    expect_that!(fleet.instances[0].get("/read/1", "r-1").unwrap().status, eq(200));
+    fleet.store.put("op", "evacuate/palermo-a", b"{}");
+    wait_for("the evacuation", || {
+        let answer = fleet.instances[0].get("/read/1", "r-2")?;
+        (answer.status == 503).then_some(())
+    });
+    let runs = fleet.servers[0].runs().len();
+    expect_that!(fleet.instances[0].get("/read/1", "r-3").unwrap().status, eq(503));
+    expect_that!(fleet.servers[0].runs().len(), eq(runs));
+    fleet.store.remove("op", "evacuate/palermo-a");
+    wait_for("the return", || {
+        let answer = fleet.instances[0].get("/read/1", "r-4")?;
+        (answer.status == 200).then_some(())
+    });
+}
+
+/// Guards against a store whose failures reach callers, and against changes that are missed while
+/// it is away.
+#[googletest::test]
+fn callers_are_served_while_the_store_is_away() {
+    for fault in [DoorFault::Busy, DoorFault::Silent, DoorFault::LoseAnswers] {
+        let fleet = Fleet::with(1, 1);
+        fleet.door.set_fault(fault);
+        for number in 0..5 {
+            let answer = fleet.instances[0].get("/read/1", &format!("r-{number}"));
+            expect_that!(answer.unwrap().status, eq(200), "{fault:?}");
+        }
+        let mut next = config(2);
+        next["virtual_hosts"][0]["paths"][0]["prefix"] = "/other/".into();
+        fleet.store.put("op", "config", next.to_string().as_bytes());
+        fleet.door.set_fault(DoorFault::None);
+        wait_for("the new configuration", || {
+            let answer = fleet.instances[0].get("/other/1", "r-9")?;
+            (answer.status == 200).then_some(())
+        });
+        expect_that!(fleet.instances[0].get("/read/1", "r-9").unwrap().status, eq(404));
+    }
+}
+
+/// Guards against a configuration that an instance misses because the store has dropped the
+/// changes that it had not read.
+#[googletest::test]
+fn a_store_that_forgets_its_history_is_read_again() {
+    let fleet = Fleet::with(2, 1);
+    fleet.store.remove("servers", "i-0");
+    fleet.store.put("op", "config", config(2).to_string().as_bytes());
+    fleet.store.forget_history();
+    wait_for("the second configuration", || {
+        fleet.instances[0].log().contains("config: in force; version=2").then_some(())
+    });
+    wait_for("the removal", || {
+        fleet.instances[0].log().contains("servers: gone; server=i-0").then_some(())
+    });
+}
+
+/// Guards against an older configuration that replaces a newer one, and a broken one that replaces
+/// any.
+#[googletest::test]
+fn only_newer_configurations_that_can_be_read_come_into_force() {
+    let fleet = Fleet::with(1, 1);
+    fleet.store.put("op", "config", config(5).to_string().as_bytes());
+    let in_force = |version: u64| {
+        let line = format!("config: in force; version={version} ");
+        fleet.instances[0].log().contains(&line)
+    };
+    wait_for("version 5", || in_force(5).then_some(()));
+    fleet.store.put("op", "config", config(3).to_string().as_bytes());
+    fleet.store.put("op", "config", b"{\"version\": 6, \"services\": 7}");
+    wait_for("the refusal", || fleet.instances[0].log().contains("config: refused").then_some(()));
+    fleet.store.put("op", "config", config(7).to_string().as_bytes());
+    wait_for("version 7", || in_force(7).then_some(()));
+    expect_that!((in_force(3), in_force(6)), eq((false, false)));
+    expect_that!(fleet.instances[0].get("/read/1", "r-1").unwrap().status, eq(200));
+}
+
+/// Guards against rows of other writers that name no usable server and disturb the others.
+#[googletest::test]
+fn unreadable_rows_disturb_nothing() {
+    let fleet = Fleet::with(1, 1);
+    let good = fleet.servers[0].announcement("ready", 0, 9);
+    let good: serde_json::Value = serde_json::from_slice(&good).unwrap();
+    let rows = [
+        ("i-bytes", b"\xff\x00".to_vec()),
+        ("i-empty", Vec::new()),
+        ("i-list", b"[]".to_vec()),
+        ("I BAD NAME", good.to_string().into_bytes()),
+    ];
+    for (key, value) in rows {
+        fleet.store.put("servers", key, &value);
+    }
+    let odd = [("state", "gone"), ("slots", "many"), ("address", "nowhere"), ("zone", "")];
+    for (number, (field, value)) in odd.into_iter().enumerate() {
+        let mut row = good.clone();
+        row[field] = value.into();
+        fleet.store.put("servers", &format!("i-odd-{number}"), row.to_string().as_bytes());
+    }
+    fleet.store.put("instances", "front-9", b"\xff");
+    fleet.store.put("op", "evacuate/", b"{}");
+    fleet.store.put("op", "config", config(2).to_string().as_bytes());
+    wait_for("the next configuration", || {
+        fleet.instances[0].log().contains("config: in force; version=2").then_some(())
+    });
+    for number in 0..10 {
+        let answer = fleet.instances[0].get("/read/1", &format!("r-{number}")).unwrap();
+        expect_that!(answer.status, eq(200));
+    }
+}
+
+/// Guards against an instance that the store turns away and that therefore misses configurations,
+/// evacuations and leaving servers that its peers know.
+#[googletest::test]
+fn an_instance_that_the_store_turns_away_learns_from_its_peers() {
+    for fault in [DoorFault::Busy, DoorFault::Silent] {
+        let mut fleet = Fleet::with(1, 1);
+        let other_door = fleet.store.bind().unwrap();
+        fleet.start_with("palermo-b", other_door.address());
+        fleet.wait_until_ready();
+        other_door.set_fault(fault);
+        fleet.store.put("op", "config", config(2).to_string().as_bytes());
+        let start = std::time::Instant::now();
+        wait_for("the configuration", || {
+            fleet.instances[1].log().contains("config: in force; version=2").then_some(())
+        });
+        expect_that!(start.elapsed().as_millis(), lt(3_500), "{fault:?}");
+        // Started again, it has nothing but its peers.
+        fleet.restart(1);
+        wait_for("readiness", || (fleet.instances[1].ready() == Some(200)).then_some(()));
+        expect_that!(fleet.instances[1].get("/read/1", "r-1").unwrap().status, eq(200));
+    }
+}
+
+/// Guards against instances that all call the store, whose rates are for all of them together.
+#[googletest::test]
+fn the_calls_to_the_store_do_not_grow_with_the_instances() {
+    let calls_in_three_seconds = |instances: usize| {
+        let fleet = Fleet::with(1, instances);
+        std::thread::sleep(std::time::Duration::from_secs(2));
+        let before = fleet.store.calls();
+        std::thread::sleep(std::time::Duration::from_secs(3));
+        fleet.store.calls() - before
+    };
+    let (one, six) = (calls_in_three_seconds(1), calls_in_three_seconds(6));
+    expect_that!(six, le(one + one / 2));
+}
+
+/// Guards against a killed instance that is still named to callers.
+#[googletest::test]
+fn a_killed_instance_is_not_named_to_callers() {
+    let fleet = Fleet::with(1, 3);
+    let named = || {
+        let answer = fleet.instances[0].lookup("name=calendar.example&region=palermo").unwrap();
+        answer.body.matches("8641").count()
+    };
+    wait_for("three instances", || (named() == 3).then_some(()));
+    fleet.instances[2].signal("KILL");
+    wait_for("two instances", || (named() == 2).then_some(()));
+}
+
+/// Guards against two instances that keep the same object on different servers.
+#[googletest::test]
+fn instances_send_an_object_to_the_same_server() {
+    let fleet = Fleet::with(3, 2);
+    for number in 0..12 {
+        let headers = format!("X-Affinity-Key: {number}\r\n");
+        let text = request("GET", "/read/1", &format!("a-{number}"), &headers, "");
+        fleet.instances[0].call(&text);
+    }
+    std::thread::sleep(std::time::Duration::from_millis(600));
+    for number in 0..12 {
+        let headers = format!("X-Affinity-Key: {number}\r\n");
+        let text = request("GET", "/read/1", &format!("b-{number}"), &headers, "");
+        fleet.instances[1].call(&text);
+    }
+    let server_of =
+        |id: String| fleet.servers.iter().position(|s| s.runs().iter().any(|r| r.id == id));
+    let same =
+        (0..12).filter(|n| server_of(format!("a-{n}")) == server_of(format!("b-{n}"))).count();
+    expect_that!(same, ge(11));
+    let used: HashSet<_> = (0..12).map(|n| server_of(format!("a-{n}"))).collect();
+    expect_that!(used.len(), eq(3));
+}
--- /dev/null
+++ b/crates/pollenshed/tests/steer_stop.rs
@@ -0,0 +1,152 @@
+//! Planned stops, reloads and restarts of instances under load, with real processes.
+
+mod steer_support;
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use googletest::prelude::*;
+use steer_support::*;
+
+/// Guards against a planned stop that cuts off a request, that keeps the instance ready, or that
+/// outlasts its time.
+#[googletest::test]
+fn a_planned_stop_cuts_off_no_request() {
+    let mut fleet = Fleet::with(2, 2);
+    let address = fleet.instances[0].callers();
+    let stopped = Arc::new(AtomicBool::new(false));
+    let callers: Vec<_> = (0..8)
+        .map(|caller| {
+            let stopped = stopped.clone();
+            thread::spawn(move || send_until(address, caller, &stopped))
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(500));
+    let start = Instant::now();
+    fleet.instances[0].signal("TERM");
+    wait_for("the end of readiness", || (fleet.instances[0].ready() != Some(200)).then_some(()));
+    expect_that!(start.elapsed().as_millis(), lt(1_000));
+    wait_for("another instance", || {
+        let answer = fleet.instances[1].lookup("name=calendar.example&region=palermo")?;
+        (answer.body.matches("8641").count() == 1).then_some(())
+    });
+    let succeeded = wait_for("the end", || fleet.instances[0].ended());
+    expect_that!(succeeded, eq(true));
+    expect_that!(start.elapsed().as_millis(), lt(6_000));
+    stopped.store(true, Ordering::SeqCst);
+    for caller in callers {
+        let (answered, cut) = caller.join().unwrap();
+        expect_that!(answered, ge(5));
+        expect_that!(cut, eq(0));
+    }
+}
+
+/// Sends requests on a connection for as long as the instance keeps it, then on new ones. Returns
+/// the requests that were answered, and those that were cut off though the instance had read them.
+fn send_until(address: std::net::SocketAddr, caller: usize, stopped: &AtomicBool) -> (u32, u32) {
+    let (mut answered, mut cut) = (0, 0);
+    let mut number = 0;
+    'connect: while !stopped.load(Ordering::SeqCst) {
+        if std::net::TcpStream::connect(address).is_err() {
+            return (answered, cut);
+        }
+        let mut connection = Caller::connect(address);
+        loop {
+            number += 1;
+            let headers = format!("X-Affinity-Key: {caller}\r\n");
+            let id = format!("c-{caller}-{number}");
+            connection.send(&request("POST", "/file/a", &id, &headers, "n=1"));
+            match connection.read() {
+                Some(answer) => {
+                    answered += 1;
+                    if answer.header("connection") == Some("close") {
+                        continue 'connect;
+                    }
+                }
+                None => {
+                    // The first request of a connection can meet the end of the listener.
+                    cut += 1;
+                    continue 'connect;
+                }
+            }
+        }
+    }
+    (answered, cut)
+}
+
+/// Guards against a reload that ends the process or cuts off a request, and against settings that
+/// can't be read and replace those in force.
+#[googletest::test]
+fn a_reload_cuts_off_nobody() {
+    let mut fleet = Fleet::with(1, 1);
+    let mut caller = Caller::connect(fleet.instances[0].callers());
+    for number in 0..10 {
+        if number == 5 {
+            std::fs::write(&fleet.instances[0].file, "{ not settings").unwrap();
+        }
+        fleet.instances[0].signal("HUP");
+        caller.send(&request("GET", "/read/1", &format!("r-{number}"), "", ""));
+        expect_that!(caller.read().map(|answer| answer.status), some(eq(200)));
+    }
+    expect_that!(fleet.instances[0].ended(), none());
+    wait_for("the log of both", || {
+        let log = fleet.instances[0].log();
+        (log.contains("settings: read again") && log.contains("settings: refused")).then_some(())
+    });
+}
+
+/// Guards against instances that do not come back after all of them were killed at once.
+#[googletest::test]
+fn all_instances_come_back_after_they_were_killed_at_once() {
+    let mut fleet = Fleet::with(2, 3);
+    for instance in &fleet.instances {
+        instance.signal("KILL");
+    }
+    for number in 0..3 {
+        fleet.restart(number);
+    }
+    let start = Instant::now();
+    fleet.wait_until_ready();
+    expect_that!(start.elapsed().as_secs(), lt(5));
+    for instance in &fleet.instances {
+        expect_that!(instance.get("/read/1", "r-1").unwrap().status, eq(200));
+    }
+}
+
+/// Guards against settings whose faults are found only when they are needed.
+#[googletest::test]
+fn settings_that_can_not_be_used_are_refused_with_a_reason() {
+    let folder = std::env::temp_dir().join(format!("pollenshed-settings-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let store = "127.0.0.1:9".parse().unwrap();
+    let good = settings("front-0", "palermo-a", "127.0.0.1".parse().unwrap(), store);
+    let mut cases = vec![("good", good.clone())];
+    for (what, field, value) in [
+        ("unknown failure domain", "failure_domain", serde_json::json!("napoli-a")),
+        ("unreadable bound", "bounds", serde_json::json!({ "drain": "soon" })),
+        ("no address", "callers_address", serde_json::json!("nowhere")),
+    ] {
+        let mut case = good.clone();
+        case[field] = value;
+        cases.push((what, case));
+    }
+    let mut shown = Vec::new();
+    for (what, case) in cases {
+        std::fs::write(folder.join("steer.json"), case.to_string()).unwrap();
+        let output = std::process::Command::new(env!("CARGO_BIN_EXE_pollenshed"))
+            .args(["steer", "--check", "steer.json"])
+            .current_dir(&folder)
+            .output()
+            .unwrap();
+        let text = String::from_utf8([output.stdout, output.stderr].concat()).unwrap();
+        shown.push(format!("{what}: {} {}", output.status.code().unwrap(), text.trim()));
+    }
+    std::fs::remove_dir_all(&folder).unwrap();
+    insta::assert_snapshot!(shown.join("\n"));
+}
--- /dev/null
+++ b/crates/pollenshed/tests/steer_support/mod.rs
@@ -0,0 +1,358 @@
+//! Real `pollenshed steer` processes with the users' store and backend servers around them.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::{
+    fs,
+    io::{BufRead, BufReader, Read, Write},
+    net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream},
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU16, Ordering},
+    time::{Duration, Instant},
+};
+
+use pollenshed_standins::steered::{Door, Server, ServerOptions, Store};
+use serde_json::{Value, json};
+
+/// Longest time that a test waits for a condition.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Host of the routes in [`config`].
+pub const HOST: &str = "calendar.example";
+
+const CALLERS_PORT: u16 = 8641;
+const LOOKUP_PORT: u16 = 8644;
+const READY_PORT: u16 = 8640;
+const PEER_PORT: u16 = 7620;
+
+static NEXT_FLEET: AtomicU16 = AtomicU16::new(0);
+
+/// Waits until `condition` returns something.
+pub fn wait_for<T>(what: &str, mut condition: impl FnMut() -> Option<T>) -> T {
+    let start = Instant::now();
+    loop {
+        if let Some(value) = condition() {
+            return value;
+        }
+        assert!(start.elapsed() < PATIENCE, "no {what} within {PATIENCE:?}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// An answer to a caller.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    /// Status.
+    pub status: u16,
+    /// Names in lower case and values of the headers.
+    pub headers: Vec<(String, String)>,
+    /// Body.
+    pub body: String,
+}
+
+impl Answer {
+    /// Returns a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n == name).map(|(_, value)| value.as_str())
+    }
+}
+
+/// A connection of a caller.
+pub struct Caller(BufReader<TcpStream>);
+
+impl Caller {
+    /// Connects to an address.
+    pub fn connect(address: SocketAddr) -> Caller {
+        let stream = TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Caller(BufReader::new(stream))
+    }
+
+    /// Sends the bytes of a request.
+    pub fn send(&mut self, text: &str) {
+        self.0.get_mut().write_all(text.as_bytes()).unwrap();
+    }
+
+    /// Reads an answer; `None` if the connection ends without a whole one.
+    pub fn read(&mut self) -> Option<Answer> {
+        let mut lines = Vec::new();
+        loop {
+            let mut line = String::new();
+            if self.0.read_line(&mut line).ok()? == 0 {
+                return None;
+            }
+            if line.trim_end().is_empty() {
+                break;
+            }
+            lines.push(line.trim_end().to_owned());
+        }
+        let status = lines.first()?.split(' ').nth(1)?.parse().ok()?;
+        let headers: Vec<_> = lines[1..]
+            .iter()
+            .filter_map(|line| line.split_once(':'))
+            .map(|(name, value)| (name.to_lowercase(), value.trim().to_owned()))
+            .collect();
+        let length = headers.iter().find(|(name, _)| name == "content-length");
+        let length = length.and_then(|(_, value)| value.parse().ok()).unwrap_or(0);
+        let mut body = vec![0; length];
+        self.0.read_exact(&mut body).ok()?;
+        Some(Answer { status, headers, body: String::from_utf8(body).unwrap() })
+    }
+}
+
+/// Returns the text of a request.
+pub fn request(method: &str, path: &str, id: &str, headers: &str, body: &str) -> String {
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 4000\r\n\
+         {headers}Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// An instance. It is killed when dropped.
+pub struct Instance {
+    /// Its name.
+    pub name: String,
+    /// Address of this instance alone.
+    pub ip: IpAddr,
+    /// Settings file.
+    pub file: PathBuf,
+    child: Child,
+}
+
+impl Instance {
+    /// Returns the address for callers.
+    pub fn callers(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, CALLERS_PORT)
+    }
+
+    /// Sends a request on a new connection and returns the answer.
+    pub fn call(&self, text: &str) -> Option<Answer> {
+        let mut caller = Caller::connect(self.callers());
+        caller.send(text);
+        caller.read()
+    }
+
+    /// Sends an idempotent request for an object.
+    pub fn get(&self, path: &str, id: &str) -> Option<Answer> {
+        self.call(&request("GET", path, id, "X-Affinity-Key: 1\r\n", ""))
+    }
+
+    /// Sends a request that may run at most once.
+    pub fn post(&self, path: &str, id: &str, body: &str) -> Option<Answer> {
+        self.call(&request("POST", path, id, "X-Affinity-Key: 1\r\n", body))
+    }
+
+    /// Returns the status of the readiness check.
+    pub fn ready(&self) -> Option<u16> {
+        let stream = TcpStream::connect(SocketAddr::new(self.ip, READY_PORT)).ok()?;
+        stream.set_read_timeout(Some(PATIENCE)).ok()?;
+        let mut caller = Caller(BufReader::new(stream));
+        caller.send("GET /readyz HTTP/1.1\r\nHost: ready\r\n\r\n");
+        caller.read().map(|answer| answer.status)
+    }
+
+    /// Asks which instances to use.
+    pub fn lookup(&self, query: &str) -> Option<Answer> {
+        let mut caller = Caller::connect(SocketAddr::new(self.ip, LOOKUP_PORT));
+        caller.send(&format!("GET /resolve?{query} HTTP/1.1\r\nHost: lookup\r\n\r\n"));
+        caller.read()
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, name: &str) {
+        let status =
+            Command::new("kill").arg(format!("-{name}")).arg(self.child.id().to_string()).status();
+        assert!(status.unwrap().success());
+    }
+
+    /// Returns whether the process has ended, and how.
+    pub fn ended(&mut self) -> Option<bool> {
+        self.child.try_wait().unwrap().map(|status| status.success())
+    }
+
+    /// Returns what the process has logged.
+    pub fn log(&self) -> String {
+        fs::read_to_string(self.file.with_extension("log")).unwrap()
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A store, servers and instances.
+pub struct Fleet {
+    /// The store.
+    pub store: Store,
+    /// Address of the store that instances use, unless told otherwise.
+    pub door: Door,
+    /// Servers by number.
+    pub servers: Vec<Server>,
+    /// Instances by number.
+    pub instances: Vec<Instance>,
+    folder: PathBuf,
+    number: u16,
+    sequence: u64,
+}
+
+impl Fleet {
+    /// Starts a store with a configuration, and a server of the service `tables` for each of
+    /// `options`.
+    pub fn open(options: Vec<ServerOptions>) -> Fleet {
+        let number = NEXT_FLEET.fetch_add(1, Ordering::SeqCst);
+        let name = format!("pollenshed-steer-{}-{number}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        fs::create_dir_all(&folder).unwrap();
+        let store = Store::open();
+        let door = store.bind().unwrap();
+        store.put("op", "config", config(1).to_string().as_bytes());
+        let servers: Vec<_> = options.into_iter().map(|o| Server::bind(o).unwrap()).collect();
+        let instances = Vec::new();
+        let mut fleet = Fleet { store, door, servers, instances, folder, number, sequence: 0 };
+        for server in 0..fleet.servers.len() {
+            fleet.announce(server, "ready");
+        }
+        fleet
+    }
+
+    /// Starts servers named `i-0` on in `palermo-a` and as many instances.
+    pub fn with(servers: usize, instances: usize) -> Fleet {
+        let options = |number| ServerOptions { name: format!("i-{number}"), ..Default::default() };
+        let mut fleet = Fleet::open((0..servers).map(options).collect());
+        for _ in 0..instances {
+            fleet.start("palermo-a");
+        }
+        fleet.wait_until_ready();
+        fleet
+    }
+
+    /// Writes the announcement of a server.
+    pub fn announce(&mut self, server: usize, state: &str) {
+        self.sequence += 1;
+        let server = &self.servers[server];
+        let announcement = server.announcement(state, 0, self.sequence);
+        self.store.put("servers", server.name(), &announcement);
+    }
+
+    /// Starts an instance.
+    pub fn start(&mut self, failure_domain: &str) {
+        let store = self.door.address();
+        self.start_with(failure_domain, store);
+    }
+
+    /// Starts an instance that uses another address of the store.
+    pub fn start_with(&mut self, failure_domain: &str, store: SocketAddr) {
+        let number = self.instances.len();
+        let name = format!("front-{number}");
+        let file = self.folder.join(format!("{name}.json"));
+        let ip = self.ip(number);
+        let mut settings = settings(&name, failure_domain, ip, store);
+        settings["seeds"] = json!([format!("{}:8649", self.ip(0))]);
+        fs::write(&file, serde_json::to_string_pretty(&settings).unwrap()).unwrap();
+        let child = spawn(&file);
+        self.instances.push(Instance { name, ip: ip.into(), file, child });
+    }
+
+    /// Starts an instance again that has ended.
+    pub fn restart(&mut self, number: usize) {
+        let _ = self.instances[number].child.kill();
+        let _ = self.instances[number].child.wait();
+        let child = spawn(&self.instances[number].file);
+        self.instances[number].child = child;
+    }
+
+    /// Waits until all instances are ready and have heard each other.
+    pub fn wait_until_ready(&self) {
+        for instance in &self.instances {
+            wait_for("readiness", || (instance.ready() == Some(200)).then_some(()));
+            wait_for("membership", || {
+                let answer = instance.lookup("name=calendar.example&region=palermo")?;
+                let known = answer.body.matches("8641").count();
+                (known == self.instances.len()).then_some(())
+            });
+        }
+    }
+
+    /// Each instance has a loopback address of its own, so that ports can be alike in all of them,
+    /// as on the users' machines.
+    fn ip(&self, instance: usize) -> Ipv4Addr {
+        let process = std::process::id() % (1 << 14);
+        let number = u32::from(self.number) % (1 << 6);
+        let host = (process << 10) | (number << 4) | (instance as u32 + 1);
+        Ipv4Addr::from((127 << 24) | host)
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.instances.clear();
+        if std::env::var_os("KEEP_TEST_FOLDERS").is_none() {
+            let _ = fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+fn spawn(file: &PathBuf) -> Child {
+    let log =
+        fs::OpenOptions::new().create(true).append(true).open(file.with_extension("log")).unwrap();
+    Command::new(env!("CARGO_BIN_EXE_pollenshed"))
+        .arg("steer")
+        .arg(file)
+        .env("POLLENSHED_NODE_FILE", file)
+        .stdout(Stdio::from(log.try_clone().unwrap()))
+        .stderr(log)
+        .spawn()
+        .unwrap()
+}
+
+/// Returns the settings of an instance.
+pub fn settings(name: &str, failure_domain: &str, ip: Ipv4Addr, store: SocketAddr) -> Value {
+    json!({
+        "instance": name,
+        "failure_domain": failure_domain,
+        "failure_domains": {
+            "palermo-a": "palermo", "palermo-b": "palermo", "catania-a": "catania",
+        },
+        "callers_address": format!("{ip}:{CALLERS_PORT}"),
+        "lookup_address": format!("{ip}:{LOOKUP_PORT}"),
+        "ready_address": format!("{ip}:{READY_PORT}"),
+        "peer_ip": ip.to_string(),
+        "first_peer_port": PEER_PORT,
+        "store_address": store.to_string(),
+        "memory_mb": 260,
+        "max_descriptors": 4100,
+        "bounds": { "drain": "2000ms", "grace": "6s", "config_apply": "2000ms" },
+    })
+}
+
+/// Returns a configuration with an idempotent route `/read/`, and routes `/file/` and `/scan/` that
+/// run at most once.
+pub fn config(version: u64) -> Value {
+    let route = |name: &str, kind: &str, priority: u32| {
+        json!({
+            "name": name, "prefix": format!("/{name}/"), "kind": kind, "timeout": "3000ms",
+            "target_latency": "500ms", "priority": priority, "service": "tables",
+            "max_attempts": 2, "session_affinity": true, "allowed_regions": [],
+        })
+    };
+    json!({
+        "version": version,
+        "services": [{
+            "name": "tables", "health_path": "/healthz", "max_connections": 360, "protocol": "h1",
+            "tls": false, "cold_start": "3s", "cold_per_s": 1.9,
+        }],
+        "limits": {
+            "max_header_bytes": 16384, "max_body_bytes": 4_000_000, "header_timeout": "3000ms",
+            "idle_timeout": "15000ms",
+        },
+        "virtual_hosts": [{
+            "host": HOST,
+            "paths": [route("read", "safe", 0), route("file", "unsafe", 1), route("scan", "upload", 1)],
+        }],
+    })
+}
