--- a/crates/coordination/src/steering/mod.rs
+++ b/crates/coordination/src/steering/mod.rs
@@ -19,7 +19,7 @@
 pub use fleet::{Fleet, ServerKey, server_key};
 pub use homes::{Claim, Homes};
 pub use observe::Ended;
-pub use place::{Choice, ColdLimits, RefusalReason, Request, object_key};
+pub use place::{Choice, ColdLimits, RefusalReason, Request, content_digest, object_key};
 pub use retry_budget::RetryBudget;
 pub use run_time::RunTimes;
 pub use server::Server;
--- a/crates/coordination/src/steering/observe.rs
+++ b/crates/coordination/src/steering/observe.rs
@@ -86,6 +86,13 @@
         }
     }
 
+    /// Records that a server could not be reached, without a request.
+    pub fn found_unreachable(&mut self, name: &BackendServerName, now: Instant) {
+        if let Some(server) = self.servers.get_mut(name) {
+            server.unreachable(now);
+        }
+    }
+
     /// Records the load that a server reported with an answer.
     pub fn reported(&mut self, name: &BackendServerName, load: u32, now: Instant) {
         if let Some(server) = self.servers.get_mut(name) {
@@ -99,12 +106,4 @@
             server.cold_at_least_until(now.plus_ms(remaining_ms));
         }
     }
-
-    /// Records that a server that could not be reached answers again. It may have started anew, so
-    /// it is taken for cold for `cold_start_ms`.
-    pub fn came_back(&mut self, name: &BackendServerName, cold_start_ms: u64, now: Instant) {
-        if let Some(server) = self.servers.get_mut(name) {
-            server.cold_at_least_until(now.plus_ms(cold_start_ms));
-        }
-    }
 }
--- a/crates/coordination/src/steering/place.rs
+++ b/crates/coordination/src/steering/place.rs
@@ -9,7 +9,7 @@
 use std::fmt;
 
 use pollenshed_state::{
-    ids::{BackendServerName, InstanceName, RegionName, ServiceName},
+    ids::{BackendServerName, Digest, InstanceName, RegionName, ServiceName},
     time::Instant,
 };
 
@@ -18,7 +18,7 @@
     fleet::{Fleet, server_key},
     server::Server,
 };
-use crate::membership::hash::{hash_of, mix};
+use crate::membership::hash::{hash_of, mix, next_random};
 
 /// Requests that wait at a server at most; servers shed more than a few.
 const MAX_WAITING: u32 = 8;
@@ -418,3 +418,14 @@
 pub fn object_key(route: &str, key: &str) -> u64 {
     hash_of(&[b"object", route.as_bytes(), key.as_bytes()])
 }
+
+/// Identifies the content of a request, alike in all instances, to recognise one that crashes
+/// servers. It is no protection against content that is made to collide.
+pub fn content_digest(parts: &[&[u8]]) -> Digest {
+    let mut state = hash_of(parts);
+    let mut bytes = [0; 32];
+    for chunk in bytes.chunks_mut(8) {
+        chunk.copy_from_slice(&next_random(&mut state).to_be_bytes());
+    }
+    Digest::from_bytes(bytes)
+}
--- a/crates/pollenshed/src/steer/attempt.rs
+++ b/crates/pollenshed/src/steer/attempt.rs
@@ -7,7 +7,7 @@
 use pollenshed_coordination::steering::{Choice, ColdLimits, Ended, RefusalReason, RetryBudget};
 use pollenshed_platform::heads::{self, CallerHead};
 use pollenshed_state::{
-    ids::{BackendServerName, ServiceName},
+    ids::{BackendServerName, Digest, ServiceName},
     routes::{Route, RoutePlan},
     time::Instant,
 };
@@ -17,7 +17,7 @@
 use super::{
     callers::{Outcome, copy_of, forwarded_head, passed_on},
     core::Core,
-    keys,
+    crashes, keys,
 };
 
 /// Longest time to connect to a backend server.
@@ -39,6 +39,9 @@
 /// When callers come back whose request was shed by its backend server.
 const SHED_RETRY_AFTER_MS: u64 = 200;
 
+/// When callers come back whose request crashes backend servers.
+const CRASHING_RETRY_AFTER_MS: u64 = 10_000;
+
 /// Time before which a request must be sent to be worth it.
 const MIN_LEFT_MS: u64 = 5;
 
@@ -78,6 +81,7 @@
 struct Running<'a> {
     core: &'a Core,
     server: BackendServerName,
+    service: ServiceName,
     work: u64,
     key: Option<u64>,
     waits: bool,
@@ -87,6 +91,18 @@
 impl Drop for Running<'_> {
     fn drop(&mut self) {
         let now = self.core.now();
+        let (end, took) = match self.end {
+            Ended::Answered { took_ms, .. } => {
+                ("answered", Some(Duration::from_micros((took_ms * 1_000.0) as u64)))
+            }
+            Ended::Shed => ("shed", None),
+            Ended::OtherServer => ("other-server", None),
+            Ended::Unreachable => ("unreachable", None),
+            Ended::BrokenOff => ("broken-off", None),
+            Ended::Silent => ("silent", None),
+            Ended::Abandoned => ("abandoned", None),
+        };
+        self.core.metrics.send(self.service.as_str(), end, took);
         let mut fleet = self.core.fleet.borrow_mut();
         fleet.ended(&self.server, self.work, self.key, self.waits, self.end, now);
     }
@@ -99,10 +115,15 @@
     let work = keys::work(&outgoing.route.name, &service);
     core.fleet.borrow_mut().run_times.expect(work, outgoing.route.target_ms);
     let body_bytes = body.size_hint().lower();
+    let content = keys::content(&outgoing.parts, copy_of(&body).flatten().as_deref());
+    if core.quarantine.borrow().is_refused(&content, core.now()) {
+        return Outcome::refused("crashes-servers", CRASHING_RETRY_AFTER_MS, 0);
+    }
     let mut attempts = Attempts {
         core,
         work,
         body_bytes,
+        content,
         key: keys::object(outgoing.route, outgoing.caller.affinity_key.as_deref()),
         head: forwarded_head(&outgoing.parts),
         service,
@@ -113,7 +134,9 @@
         planned: RefCell::new(None),
         outgoing,
     };
-    attempts.run(body).await
+    let mut outcome = attempts.run(body).await;
+    outcome.service = Some((attempts.service, attempts.outgoing.route.rank));
+    outcome
 }
 
 fn destination(core: &Core, route: &Route) -> ServiceName {
@@ -145,6 +168,7 @@
     work: u64,
     key: Option<u64>,
     body_bytes: u64,
+    content: Digest,
     head: (Method, String, HeaderMap),
     tried: Vec<BackendServerName>,
     /// Servers that the request was sent to.
@@ -184,6 +208,7 @@
             let mut running = Running {
                 core: self.core,
                 server: server.clone(),
+                service: self.service.clone(),
                 work: self.work,
                 key: self.key,
                 waits,
@@ -199,7 +224,12 @@
                     let failed = status.is_server_error();
                     if !failed || self.at_most_once() || !may_repeat || !self.plan_retry(&server) {
                         let response = passed_on(status, headers, answer);
-                        return Outcome { response, reason: "answered", attempts: self.sent };
+                        return Outcome {
+                            response,
+                            reason: "answered",
+                            attempts: self.sent,
+                            service: None,
+                        };
                     }
                     self.may_have_run = true;
                 }
@@ -403,6 +433,7 @@
                     running.server
                 );
                 running.end = Ended::BrokenOff;
+                crashes::broke_off(core, &running.server, self.content);
                 Attempted::BrokenOff("broken-off")
             }
         }
@@ -491,6 +522,7 @@
         match answer.read(keeps).await {
             Ok(body) => {
                 running.end = Ended::Answered { failed: status.is_server_error(), took_ms };
+                core.quarantine.borrow_mut().completed(self.content, now);
                 Attempted::Answered(status, headers, body)
             }
             Err(e) => {
@@ -500,6 +532,7 @@
                     running.server
                 );
                 running.end = Ended::BrokenOff;
+                crashes::broke_off(core, &running.server, self.content);
                 Attempted::BrokenOff("broken-off")
             }
         }
--- a/crates/pollenshed/src/steer/callers.rs
+++ b/crates/pollenshed/src/steer/callers.rs
@@ -8,7 +8,8 @@
 use hyper::body::{Body, Incoming};
 use pollenshed_platform::heads::{self, CallerHead};
 use pollenshed_state::{
-    routes::{MatchError, Route, RoutePlan},
+    ids::ServiceName,
+    routes::{MatchError, Route, RoutePlan, RouteRank},
     time::Instant,
 };
 use pollenshed_transport::{
@@ -44,12 +45,14 @@
     pub reason: &'static str,
     /// Backend servers that the request was sent to.
     pub attempts: u32,
+    /// Service and rank of the route, if one was found.
+    pub service: Option<(ServiceName, RouteRank)>,
 }
 
 impl Outcome {
     /// An answer of this instance itself.
     pub fn own(status: StatusCode, reason: &'static str, attempts: u32) -> Outcome {
-        Outcome { response: plain(status), reason, attempts }
+        Outcome { response: plain(status), reason, attempts, service: None }
     }
 
     /// A refusal of a request that has not run.
@@ -59,7 +62,7 @@
         if let Ok(value) = HeaderValue::from_str(&seconds) {
             response.headers_mut().insert(header::RETRY_AFTER, value);
         }
-        Outcome { response, reason, attempts }
+        Outcome { response, reason, attempts, service: None }
     }
 }
 
@@ -96,6 +99,12 @@
         core.now().since_ms(start),
         core.plan_version(),
     );
+    let took = Duration::from_micros(core.now().since_us(start));
+    let (service, rank) = match &outcome.service {
+        Some((service, rank)) => (service.as_str(), rank.to_string()),
+        None => ("none", String::new()),
+    };
+    core.metrics.request(service, &rank, outcome.reason, took);
     if core.stop_phase() > StopPhase::Serving {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
--- a/crates/pollenshed/src/steer/core.rs
+++ b/crates/pollenshed/src/steer/core.rs
@@ -8,17 +8,29 @@
     time,
 };
 
-use pollenshed_coordination::steering::{Fleet, RetryBudget, WeightedSplit};
+use pollenshed_coordination::{
+    limits::Quarantine,
+    steering::{Fleet, RetryBudget, Server, WeightedSplit},
+};
 use pollenshed_state::{
-    ids::{ConfigVersion, Incarnation, InstanceName, ServiceName},
+    ids::{BackendServerName, ConfigVersion, Digest, Incarnation, InstanceName, ServiceName},
     routes::{Bounds, RoutePlan},
     time::Instant,
 };
-use pollenshed_transport::{forward::Pool, listen::StopPhase};
+use pollenshed_transport::{
+    forward::Pool,
+    listen::StopPhase,
+    logs,
+    scrape::{Levels, Scrape},
+};
 use tokio::sync::watch;
 
 use super::{members::Members, settings::SteerSettings, tables::Tables};
 
+/// Time for which content that crashed two backend servers is refused. A caller that sends it again
+/// does so within its own deadline, at most 20 s on the users' routes.
+const CRASHING_CONTENT_MS: u64 = 60_000;
+
 /// Time without a failed call after which the store counts as steady.
 const STEADY_MS: u64 = 4_000;
 
@@ -52,6 +64,12 @@
     pub store_failed_at: Cell<Option<Instant>>,
     /// When a peer that is current answered last.
     pub fed_at: Cell<Option<Instant>>,
+    /// Content that crashes backend servers.
+    pub quarantine: RefCell<Quarantine>,
+    /// Answers that broke off lately, whose servers may have crashed.
+    pub broken: RefCell<Vec<(Instant, BackendServerName, Digest)>>,
+    /// Metrics.
+    pub metrics: Scrape,
     /// Connections to backend servers.
     pub pool: Pool,
     /// Requests of callers that are not answered yet.
@@ -64,7 +82,7 @@
 
 impl Core {
     /// Creates the state of an instance that knows nothing yet.
-    pub fn new(settings: SteerSettings) -> Core {
+    pub fn new(settings: SteerSettings, metrics: Scrape) -> Core {
         let fleet = Fleet::new(settings.failure_domain.clone(), settings.failure_domains.clone());
         Core {
             bounds: settings.bounds(),
@@ -78,6 +96,9 @@
             changed: watch::Sender::new(0),
             store_failed_at: Cell::new(None),
             fed_at: Cell::new(None),
+            quarantine: RefCell::new(Quarantine::new(CRASHING_CONTENT_MS)),
+            broken: RefCell::default(),
+            metrics,
             pool: Pool::default(),
             in_flight: Cell::new(0),
             held_bytes: Cell::new(0),
@@ -166,6 +187,25 @@
         )
     }
 
+    /// Returns the values that are read when the metrics are scraped.
+    pub fn levels(&self) -> Levels {
+        let now = self.now();
+        let fleet = self.fleet.borrow();
+        let count = |is: &dyn Fn(&Server) -> bool| fleet.servers().filter(|s| is(s)).count();
+        Levels {
+            config_version: self.plan_version().0,
+            servers_ready: count(&|s| s.is_ready() && !s.is_suspect()),
+            servers_cold: count(&|s| s.is_cold(now)),
+            servers_suspect: count(&Server::is_suspect),
+            servers_leaving: count(&|s| !s.is_ready()),
+            members_live: self.members.borrow().live_count(now),
+            in_flight: self.in_flight.get(),
+            held_bytes: self.held_bytes.get(),
+            store_current: self.is_current(),
+            log_lines_dropped: logs::dropped_lines(),
+        }
+    }
+
     /// Returns the live instances of this instance's region, this one included.
     pub fn instances_in_region(&self) -> Vec<InstanceName> {
         self.members.borrow().live_in(
--- a/crates/pollenshed/src/steer/gossip.rs
+++ b/crates/pollenshed/src/steer/gossip.rs
@@ -2,8 +2,8 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use pollenshed_coordination::steering::Claim;
-use pollenshed_state::ids::Incarnation;
+use pollenshed_coordination::{limits::QuarantineEntry, steering::Claim};
+use pollenshed_state::ids::{Digest, Incarnation};
 use pollenshed_transport::listen::StopPhase;
 use prost::Message;
 use tokio::net::UdpSocket;
@@ -23,6 +23,9 @@
 /// Homes of objects in one datagram.
 const MAX_CLAIMS: usize = 80;
 
+/// Crashing contents in one datagram.
+const MAX_CRASHES: usize = 16;
+
 /// State of an instance as its peers receive it.
 #[derive(Clone, PartialEq)]
 #[derive(Message)]
@@ -59,6 +62,31 @@
     /// The store answers the calls of the instance.
     #[prost(bool, tag = "14")]
     steady: bool,
+    /// Content that crashes backend servers.
+    #[prost(message, repeated, tag = "15")]
+    crashes: Vec<Crashes>,
+}
+
+/// Content and the backend servers that it crashed.
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+struct Crashes {
+    #[prost(bytes = "vec", tag = "1")]
+    content: Vec<u8>,
+    #[prost(string, repeated, tag = "2")]
+    servers: Vec<String>,
+    #[prost(uint64, tag = "3")]
+    ttl_left_ms: u64,
+}
+
+impl Crashes {
+    fn entry(&self) -> Option<QuarantineEntry> {
+        Some(QuarantineEntry {
+            content: Digest::from_bytes(self.content.as_slice().try_into().ok()?),
+            crashed: self.servers.iter().filter_map(|name| name.parse().ok()).collect(),
+            ttl_left_ms: self.ttl_left_ms,
+        })
+    }
 }
 
 /// Sends and receives heartbeats until the process ends.
@@ -99,6 +127,8 @@
     let mut claims = core.fleet.borrow_mut().homes.recent(core.now());
     // The newest ones, if they do not all fit.
     claims.drain(..claims.len().saturating_sub(MAX_CLAIMS));
+    let mut crashes = core.quarantine.borrow().export(core.now());
+    crashes.truncate(MAX_CRASHES);
     Heartbeat {
         instance: record.instance.to_string(),
         incarnation: record.incarnation.0,
@@ -114,6 +144,14 @@
         home_servers: claims.iter().map(|claim| claim.server).collect(),
         home_moves: claims.iter().map(|claim| claim.moves).collect(),
         steady: core.store_is_steady(),
+        crashes: crashes
+            .into_iter()
+            .map(|entry| Crashes {
+                content: entry.content.as_bytes().to_vec(),
+                servers: entry.crashed.iter().map(ToString::to_string).collect(),
+                ttl_left_ms: entry.ttl_left_ms,
+            })
+            .collect(),
     }
 }
 
@@ -155,6 +193,8 @@
         heartbeat.home_objects.iter().zip(&heartbeat.home_servers).zip(&heartbeat.home_moves).map(
             |((object, server), moves)| Claim { object: *object, server: *server, moves: *moves },
         );
+    let crashes: Vec<_> = heartbeat.crashes.iter().filter_map(Crashes::entry).collect();
+    core.quarantine.borrow_mut().merge(&crashes, now);
     let mut fleet = core.fleet.borrow_mut();
     fleet.peer_counts(&instance, counts, now);
     fleet.homes.merge(claims, now);
--- a/crates/pollenshed/src/steer/mod.rs
+++ b/crates/pollenshed/src/steer/mod.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod callers;
 mod core;
+mod crashes;
 mod gossip;
 mod keys;
 mod lookup;
@@ -24,7 +25,11 @@
 use http::Request;
 use hyper::body::Incoming;
 use pollenshed_state::routes::CallerLimits;
-use pollenshed_transport::listen::{self, ListenLimits};
+use pollenshed_transport::{
+    forward::AnswerBody,
+    listen::{self, ListenLimits},
+    scrape::Scrape,
+};
 use tokio::{net::UdpSocket, task::spawn_local};
 
 use self::{core::Core, reader::Table, settings::SteerSettings};
@@ -45,11 +50,13 @@
 
 /// Runs one instance until a signal ends it.
 pub async fn run(settings: SteerSettings) -> Result<()> {
-    let core = Rc::new(Core::new(settings));
+    let metrics = Scrape::open().wrap_err("cannot create the metrics")?;
+    let core = Rc::new(Core::new(settings, metrics));
     let settings = &core.settings;
     let callers = bind(settings.callers_address)?;
     let lookups = bind(settings.lookup_address)?;
     let ready = bind(settings.ready_address)?;
+    let scrapes = bind(settings.metrics_address)?;
     let peers = bind(settings.peer_address())?;
     let gossip = UdpSocket::bind(settings.peer_address())
         .await
@@ -74,6 +81,9 @@
     spawn_local(gossip::run(core.clone(), gossip.clone()));
     spawn_local(serve_side(core.clone(), lookups, |core, request| lookup::answer(core, request)));
     spawn_local(serve_side(core.clone(), ready, lookup::ready));
+    spawn_local(serve_side(core.clone(), scrapes, |core, _| {
+        http::Response::new(AnswerBody::from(core.metrics.text(core.levels())))
+    }));
     let limits = {
         let core = core.clone();
         move || caller_limits(&core)
@@ -111,12 +121,7 @@
 async fn serve_side(
     core: Rc<Core>,
     listener: tokio::net::TcpListener,
-    answer: impl Fn(
-        &Rc<Core>,
-        &Request<Incoming>,
-    ) -> http::Response<pollenshed_transport::forward::AnswerBody>
-    + Copy
-    + 'static,
+    answer: impl Fn(&Rc<Core>, &Request<Incoming>) -> http::Response<AnswerBody> + Copy + 'static,
 ) {
     let stop = core.watch_stop();
     let handler = move |request: Request<Incoming>, _| {
--- a/crates/pollenshed/src/steer/reader.rs
+++ b/crates/pollenshed/src/steer/reader.rs
@@ -164,6 +164,8 @@
     async fn get(&mut self, target: &str, wait_ms: u64) -> Result<Option<Rows>, String> {
         let limit = ANSWER_TIMEOUT + Duration::from_millis(wait_ms);
         let answer = self.caller.call(Method::GET, target, Bytes::new(), limit).await;
+        let succeeded = answer.as_ref().is_ok_and(|(status, _)| status.is_success());
+        self.core.metrics.store_call(self.table.name(), succeeded);
         let (status, body) = answer.map_err(|e| e.to_string())?;
         match status.as_u16() {
             200 => store::rows(&body).map(Some).ok_or_else(|| "unreadable answer".to_owned()),
--- a/crates/pollenshed/src/steer/settings.rs
+++ b/crates/pollenshed/src/steer/settings.rs
@@ -33,8 +33,10 @@
     pub ready_address: SocketAddr,
     /// Address of this instance for its peers.
     pub peer_ip: IpAddr,
-    /// First of the ports that are free for peers and metrics.
-    pub first_peer_port: u16,
+    /// Port for gossip and calls of peers, alike in all instances.
+    pub peer_port: u16,
+    /// Where the metrics are read.
+    pub metrics_address: SocketAddr,
     /// The platform's store.
     pub store_address: SocketAddr,
     /// Addresses of other instances that may be reached before the store was read.
@@ -85,11 +87,6 @@
 
     /// Returns the address for gossip and for calls of peers.
     pub fn peer_address(&self) -> SocketAddr {
-        SocketAddr::new(self.peer_ip, self.first_peer_port)
-    }
-
-    /// Returns the address of the metrics.
-    pub fn metrics_address(&self) -> SocketAddr {
-        SocketAddr::new(self.peer_ip, self.first_peer_port + 1)
+        SocketAddr::new(self.peer_ip, self.peer_port)
     }
 }
--- a/crates/pollenshed/tests/steer_support/mod.rs
+++ b/crates/pollenshed/tests/steer_support/mod.rs
@@ -25,6 +25,7 @@
 const LOOKUP_PORT: u16 = 8644;
 const READY_PORT: u16 = 8640;
 const PEER_PORT: u16 = 7620;
+const METRICS_PORT: u16 = 9464;
 
 static NEXT_FLEET: AtomicU16 = AtomicU16::new(0);
 
@@ -153,6 +154,13 @@
         caller.read().map(|answer| answer.status)
     }
 
+    /// Reads the metrics.
+    pub fn metrics(&self) -> String {
+        let mut caller = Caller::connect(SocketAddr::new(self.ip, METRICS_PORT));
+        caller.send("GET /metrics HTTP/1.1\r\nHost: metrics\r\n\r\n");
+        caller.read().unwrap().body
+    }
+
     /// Asks which instances to use.
     pub fn lookup(&self, query: &str) -> Option<Answer> {
         let mut caller = Caller::connect(SocketAddr::new(self.ip, LOOKUP_PORT));
@@ -322,7 +330,8 @@
         "lookup_address": format!("{ip}:{LOOKUP_PORT}"),
         "ready_address": format!("{ip}:{READY_PORT}"),
         "peer_ip": ip.to_string(),
-        "first_peer_port": PEER_PORT,
+        "peer_port": PEER_PORT,
+        "metrics_address": format!("{ip}:{METRICS_PORT}"),
         "store_address": store.to_string(),
         "memory_mb": 260,
         "max_descriptors": 4100,
--- a/crates/transport/src/forward/pool.rs
+++ b/crates/transport/src/forward/pool.rs
@@ -126,8 +126,9 @@
 }
 
 impl Lease {
-    /// Gives the connection back after a whole answer.
-    pub(super) fn give_back(self, keep_alive: Option<Duration>) {
+    /// Gives a connection back on which no answer is due. `keep_alive` is the idle time that its
+    /// server allows, if known.
+    pub fn give_back(self, keep_alive: Option<Duration>) {
         let Lease { connection, address, pool, .. } = self;
         if !connection.sender.is_closed() {
             pool.put(address, connection, keep_alive);
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod metrics;
 pub mod peers;
 pub mod platform;
+pub mod scrape;
