--- a/crates/pollenshed/tests/steer_failures.rs
+++ b/crates/pollenshed/tests/steer_failures.rs
@@ -317,3 +317,44 @@
     let used: HashSet<_> = (0..12).map(|n| server_of(format!("a-{n}"))).collect();
     expect_that!(used.len(), eq(3));
 }
+
+/// Guards against a request that crashes each server that runs it and is sent again by its caller
+/// to any instance.
+#[googletest::test]
+fn content_that_crashes_servers_is_refused_everywhere() {
+    let fleet = Fleet::with(4, 2);
+    for server in &fleet.servers {
+        server.crash_on("crash");
+    }
+    for round in 0..8 {
+        let instance = &fleet.instances[round % 2];
+        instance.post("/file/a", &format!("crash-{round}"), "crash");
+        std::thread::sleep(std::time::Duration::from_millis(600));
+    }
+    let crashed = fleet.servers.iter().filter(|server| server.has_crashed()).count();
+    expect_that!(crashed, eq(2));
+    let answer = fleet.instances[0].post("/file/a", "crash-9", "crash").unwrap();
+    expect_that!(answer.status, eq(503));
+    let answer = fleet.instances[0].post("/file/a", "good", "good").unwrap();
+    expect_that!(answer.status, eq(200));
+}
+
+/// Guards against metrics that are missing or do not count what callers got.
+#[googletest::test]
+fn metrics_count_requests_and_sends() {
+    let fleet = Fleet::with(1, 1);
+    fleet.instances[0].get("/read/1", "r-1");
+    fleet.instances[0].get("/none/1", "r-2");
+    let metrics = fleet.instances[0].metrics();
+    for line in [
+        r#"pollenshed_requests_total{rank="0",reason="answered",service="tables"} 1"#,
+        r#"pollenshed_requests_total{rank="",reason="unknown-path",service="none"} 1"#,
+        r#"pollenshed_sends_total{end="answered",service="tables"} 1"#,
+        r#"pollenshed_request_seconds_count{rank="0",service="tables"} 1"#,
+        "pollenshed_config_version 1",
+        r#"pollenshed_servers{state="ready"} 1"#,
+        "pollenshed_store_current 1",
+    ] {
+        expect_that!(metrics, contains_substring(line));
+    }
+}
--- a/crates/standins/src/steered/server.rs
+++ b/crates/standins/src/steered/server.rs
@@ -105,6 +105,9 @@
     state: Mutex<State>,
     freed: Condvar,
     fault: Mutex<Fault>,
+    /// Body of the requests that crash the server.
+    crash_on: Mutex<Option<Vec<u8>>>,
+    address: SocketAddr,
     stopped: AtomicBool,
 }
 
@@ -129,6 +132,8 @@
             state: Mutex::default(),
             freed: Condvar::new(),
             fault: Mutex::new(Fault::None),
+            crash_on: Mutex::default(),
+            address,
             stopped: AtomicBool::new(false),
         });
         let accepting = shared.clone();
@@ -177,6 +182,17 @@
         *self.shared.fault.lock().unwrap_or_else(|e| e.into_inner()) = fault;
     }
 
+    /// Lets requests with this body crash the server: it ends all connections and takes no more.
+    pub fn crash_on(&self, body: &str) {
+        let mut crash_on = self.shared.crash_on.lock().unwrap_or_else(|e| e.into_inner());
+        *crash_on = Some(body.as_bytes().to_vec());
+    }
+
+    /// Returns whether a request has crashed the server.
+    pub fn has_crashed(&self) -> bool {
+        self.shared.stopped.load(Ordering::SeqCst)
+    }
+
     /// Returns the requests that began to run, in that order.
     pub fn runs(&self) -> Vec<Run> {
         self.shared.state().runs.clone()
@@ -195,13 +211,17 @@
 
 impl Drop for Server {
     fn drop(&mut self) {
-        self.shared.stopped.store(true, Ordering::SeqCst);
-        // Wakes the thread that accepts.
-        let _ = TcpStream::connect(self.address);
+        self.shared.stop();
     }
 }
 
 impl Shared {
+    fn stop(&self) {
+        self.stopped.store(true, Ordering::SeqCst);
+        // Wakes the thread that accepts.
+        let _ = TcpStream::connect(self.address);
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(|e| e.into_inner())
     }
@@ -240,7 +260,14 @@
                 .with_header("X-Server-Load", &load);
             return send(stream, &answer, head);
         }
+        let crashes = {
+            let crash_on = self.crash_on.lock().unwrap_or_else(|e| e.into_inner());
+            crash_on.as_ref() == Some(&body)
+        };
         let number = self.begin(head, &id, body);
+        if crashes {
+            self.stop();
+        }
         let object = head.header("x-affinity-key").unwrap_or_default().to_owned();
         let finished = self.run(stream, &object, fault);
         let load = self.end(number, object, finished);
