Keep servers whose announcement lapsed and came back in one answer of the store

Removals that were held back did not reach peers that follow this instance. Ruled out: servers that did not come back; their announcements are in the store's answers. Change: rows are taken in their order, and a version is passed on only up to the first removal that is held back. The stand-in reports each change, as the platform does.

--- a/crates/pollenshed/src/steer/peer_view.rs
+++ b/crates/pollenshed/src/steer/peer_view.rs
@@ -154,7 +154,7 @@
             value: row.value,
             version: row.version,
         });
-        Some(Changes { version: view.version, rows: rows.collect() })
+        Some(Changes { version: view.published_version(), rows: rows.collect() })
     };
     let homes = if question.homes { core.fleet.borrow().homes.all() } else { Vec::new() };
     View {
--- a/crates/pollenshed/src/steer/reader.rs
+++ b/crates/pollenshed/src/steer/reader.rs
@@ -80,6 +80,7 @@
     let mut pause = RETRY_PAUSE.0;
     loop {
         if !follower.core.needs_store() {
+            follower.remove_missing();
             tokio::time::sleep(IDLE_PAUSE).await;
             continue;
         }
@@ -209,20 +210,26 @@
     }
 
     fn take(&mut self, rows: Vec<Row>) {
-        let now = self.core.now();
-        if self.table == Table::Servers && self.may_have_lapsed(now) {
-            // Announcements that lapsed while the store was away come back soon.
-            let (removed, rows) = rows.into_iter().partition(|row| row.value.is_none());
-            let removed: Vec<Row> = removed;
-            let rows: Vec<Row> = rows;
-            for row in &rows {
+        let lapsed = self.table == Table::Servers && self.may_have_lapsed(self.core.now());
+        let mut taken = Vec::with_capacity(rows.len());
+        // An answer can hold the removal of a row and its return, in this order.
+        for row in rows {
+            if lapsed && row.value.is_none() {
+                // Announcements that lapsed while the store was away come back soon.
+                self.missing.insert(row.key.clone(), row);
+            } else {
                 self.missing.remove(&row.key);
+                taken.push(row);
             }
-            self.missing.extend(removed.into_iter().map(|row| (row.key.clone(), row)));
-            take(&self.core, self.table, rows);
-        } else {
-            take(&self.core, self.table, rows);
         }
+        self.note_held();
+        take(&self.core, self.table, taken);
+    }
+
+    /// Keeps peers from taking a version as known whose removals are still held back here.
+    fn note_held(&self) {
+        let held_from = self.missing.values().map(|row| row.version).min();
+        self.core.tables.borrow_mut().get_mut(self.table).held_from = held_from;
     }
 
     /// Returns whether the store was away so lately that announcements may have lapsed meanwhile.
@@ -236,6 +243,7 @@
     fn remove_missing(&mut self) {
         if !self.missing.is_empty() && !self.may_have_lapsed(self.core.now()) {
             let missing = std::mem::take(&mut self.missing).into_values().collect();
+            self.note_held();
             take(&self.core, self.table, missing);
         }
     }
--- a/crates/pollenshed/src/steer/tables.rs
+++ b/crates/pollenshed/src/steer/tables.rs
@@ -20,6 +20,8 @@
     removed: usize,
     /// Version up to which the table is known; `None` before the first whole read.
     pub version: Option<StoreVersion>,
+    /// Version of the first removal that is held back, as its row may come back.
+    pub held_from: Option<StoreVersion>,
 }
 
 impl TableView {
@@ -63,6 +65,12 @@
             .collect()
     }
 
+    /// Returns the version up to which peers may take the table as known.
+    pub fn published_version(&self) -> Option<StoreVersion> {
+        let version = self.version?;
+        Some(self.held_from.map_or(version, |held| version.min(held.saturating_sub(1))))
+    }
+
     /// Returns the keys of the rows that are not removed.
     pub fn keys(&self) -> impl Iterator<Item = &String> {
         self.rows.iter().filter(|(_, (_, value))| value.is_some()).map(|(key, _)| key)
--- a/crates/pollenshed/tests/steer_failures.rs
+++ b/crates/pollenshed/tests/steer_failures.rs
@@ -358,3 +358,59 @@
         expect_that!(metrics, contains_substring(line));
     }
 }
+
+/// Guards against servers that are taken for gone because their announcement lapsed while the store
+/// was away, though they announce themselves again right after.
+#[googletest::test]
+fn announcements_that_lapse_with_the_store_take_no_server_away() {
+    let mut fleet = Fleet::with(3, 1);
+    fleet.door.set_fault(DoorFault::Busy);
+    wait_for("the loss of the store", || {
+        fleet.instances[0].log().contains("store: lost; table=servers").then_some(())
+    });
+    fleet.store.remove("servers", "i-0");
+    fleet.store.remove("servers", "i-1");
+    fleet.store.remove("servers", "i-2");
+    // The first read after the return holds both the removal and the return of this one.
+    fleet.announce(2, "ready");
+    fleet.door.set_fault(DoorFault::None);
+    wait_for("the return of the store", || {
+        fleet.instances[0].log().contains("store: regained; table=servers").then_some(())
+    });
+    // Servers are back within about two seconds, which can be after the last read before the end of
+    // the time in which they are waited for.
+    std::thread::sleep(std::time::Duration::from_millis(2_050));
+    fleet.announce(0, "ready");
+    // Time for the announcement that is still missing to be taken for gone.
+    let log = || fleet.instances[0].log();
+    wait_for("the loss of the other", || log().contains("gone; server=i-1").then_some(()));
+    std::thread::sleep(std::time::Duration::from_millis(1_000));
+    expect_that!(log(), not(contains_substring("gone; server=i-0")));
+    expect_that!(log(), not(contains_substring("gone; server=i-2")));
+    expect_that!(fleet.instances[0].get("/read/1", "r-1").unwrap().status, eq(200));
+}
+
+/// Guards against an instance that was cut off from the store and takes a server that has left
+/// meanwhile for one whose announcement lapsed.
+#[googletest::test]
+fn a_server_that_left_while_an_instance_was_cut_off_is_gone_at_once() {
+    let mut fleet = Fleet::with(1, 1);
+    let other_door = fleet.store.bind().unwrap();
+    fleet.start_with("catania-a", other_door.address());
+    wait_for("readiness", || (fleet.instances[1].ready() == Some(200)).then_some(()));
+    wait_for("the peer", || {
+        fleet.instances[1].log().contains("heard; instance=front-0").then_some(())
+    });
+    other_door.set_fault(DoorFault::Busy);
+    fleet.instances[0].signal("STOP");
+    wait_for("the loss of the store", || {
+        fleet.instances[1].log().contains("store: lost; table=servers").then_some(())
+    });
+    fleet.store.remove("servers", "i-0");
+    std::thread::sleep(std::time::Duration::from_millis(1_500));
+    fleet.instances[0].signal("CONT");
+    other_door.set_fault(DoorFault::None);
+    let start = std::time::Instant::now();
+    wait_for("the removal", || fleet.instances[1].log().contains("gone; server=i-0").then_some(()));
+    expect_that!(start.elapsed().as_millis(), lt(2_000));
+}
--- a/crates/standins/src/steered/store.rs
+++ b/crates/standins/src/steered/store.rs
@@ -40,6 +40,8 @@
 #[derive(Default)]
 struct Tables {
     rows: BTreeMap<(String, String), Row>,
+    /// All changes in their order.
+    history: Vec<(String, String, Row)>,
     version: u64,
     /// Versions up to this one are no longer in the history.
     forgotten: u64,
@@ -95,6 +97,13 @@
     key: String,
 }
 
+impl Tables {
+    fn put(&mut self, table: &str, key: &str, row: Row) {
+        self.history.push((table.to_owned(), key.to_owned(), row.clone()));
+        self.rows.insert((table.to_owned(), key.to_owned()), row);
+    }
+}
+
 impl Store {
     /// Creates an empty store.
     pub fn open() -> Store {
@@ -145,6 +154,7 @@
     pub fn forget_history(&self) {
         let mut tables = self.tables();
         tables.forgotten = tables.version;
+        tables.history.clear();
         tables.rows.retain(|_, row| row.value.is_some());
     }
 
@@ -161,7 +171,7 @@
         let mut tables = self.tables();
         tables.version += 1;
         let version = tables.version;
-        tables.rows.insert((table.to_owned(), key.to_owned()), Row { value, version });
+        tables.put(table, key, Row { value, version });
         self.shared.changed.notify_all();
         version
     }
@@ -235,16 +245,15 @@
             if after < tables.forgotten {
                 return Answer::text(410, "the history is gone");
             }
-            let mut changed: Vec<_> = tables
-                .rows
+            // Each change is reported, also those that a later one has replaced.
+            let rows: Vec<Value> = tables
+                .history
                 .iter()
-                .filter(|((t, _), row)| t == table && row.version > after)
+                .filter(|(t, _, row)| t == table && row.version > after)
+                .map(|(t, key, row)| json(t, key, row))
                 .collect();
             let left = end.saturating_duration_since(Instant::now());
-            if !changed.is_empty() || left.is_zero() {
-                changed.sort_by_key(|(_, row)| row.version);
-                let rows: Vec<Value> =
-                    changed.into_iter().map(|((t, key), row)| json(t, key, row)).collect();
+            if !rows.is_empty() || left.is_zero() {
                 return Answer::json(&json!({ "rows": rows, "ver": tables.version, "now": "0ms" }));
             }
             let waited = self.shared.changed.wait_timeout(tables, left);
@@ -272,11 +281,11 @@
         let version = tables.version;
         for write in &transaction.writes {
             let row = Row { value: Some(write.value.clone()), version };
-            tables.rows.insert((write.table.clone(), write.key.clone()), row);
+            tables.put(&write.table, &write.key, row);
         }
         for key in &transaction.remove {
             let row = Row { value: None, version };
-            tables.rows.insert((key.table.clone(), key.key.clone()), row);
+            tables.put(&key.table, &key.key, row);
         }
         self.shared.changed.notify_all();
         Answer::json(&json!({ "ver": version, "now": "0ms" }))
