Keep the homes of objects in the store

Change: one instance writes the homes into one row every 3 s if they changed; instances read it at their start. Claims have one form in gossip, calls of peers and the store.

--- a/crates/pollenshed/src/steer/core.rs
+++ b/crates/pollenshed/src/steer/core.rs
@@ -162,6 +162,14 @@
         first == self.settings.instance
     }
 
+    /// Returns whether this instance is the first by name of those that the store answers, which
+    /// does what one instance is enough for.
+    pub fn is_first(&self) -> bool {
+        let now = self.now();
+        let members = self.members.borrow();
+        members.usable(now).all(|m| !m.steady || m.record.instance > self.settings.instance)
+    }
+
     /// Returns whether this instance has to call the store itself.
     pub fn needs_store(&self) -> bool {
         let now = self.now();
--- a/crates/pollenshed/src/steer/gossip.rs
+++ b/crates/pollenshed/src/steer/gossip.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use pollenshed_coordination::{limits::QuarantineEntry, steering::Claim};
+use pollenshed_coordination::limits::QuarantineEntry;
 use pollenshed_state::ids::{Digest, Incarnation};
 use pollenshed_transport::listen::StopPhase;
 use prost::Message;
@@ -10,6 +10,7 @@
 
 use super::{
     core::Core,
+    homes::ClaimList,
     members::{MemberRecord, PeerState},
     reader::own_record,
 };
@@ -52,18 +53,14 @@
     /// Requests that run, one number for each of `servers`.
     #[prost(uint32, repeated, tag = "10")]
     counts: Vec<u32>,
-    /// Objects whose home the instance chose lately, with `home_servers` and `home_moves`.
-    #[prost(fixed64, repeated, tag = "11")]
-    home_objects: Vec<u64>,
-    #[prost(fixed32, repeated, tag = "12")]
-    home_servers: Vec<u32>,
-    #[prost(uint32, repeated, tag = "13")]
-    home_moves: Vec<u32>,
+    /// Homes that the instance chose lately.
+    #[prost(message, optional, tag = "11")]
+    homes: Option<ClaimList>,
     /// The store answers the calls of the instance.
-    #[prost(bool, tag = "14")]
+    #[prost(bool, tag = "12")]
     steady: bool,
     /// Content that crashes backend servers.
-    #[prost(message, repeated, tag = "15")]
+    #[prost(message, repeated, tag = "13")]
     crashes: Vec<Crashes>,
 }
 
@@ -140,9 +137,7 @@
         config_version: core.plan_version().0,
         servers: counts.iter().map(|(server, _)| *server).collect(),
         counts: counts.iter().map(|(_, count)| *count).collect(),
-        home_objects: claims.iter().map(|claim| claim.object).collect(),
-        home_servers: claims.iter().map(|claim| claim.server).collect(),
-        home_moves: claims.iter().map(|claim| claim.moves).collect(),
+        homes: (!claims.is_empty()).then(|| ClaimList::new(&claims)),
         steady: core.store_is_steady(),
         crashes: crashes
             .into_iter()
@@ -189,14 +184,12 @@
         log::info!("members: heard; instance={instance} config={}", heartbeat.config_version);
     }
     let counts = heartbeat.servers.iter().copied().zip(heartbeat.counts.iter().copied()).collect();
-    let claims =
-        heartbeat.home_objects.iter().zip(&heartbeat.home_servers).zip(&heartbeat.home_moves).map(
-            |((object, server), moves)| Claim { object: *object, server: *server, moves: *moves },
-        );
     let crashes: Vec<_> = heartbeat.crashes.iter().filter_map(Crashes::entry).collect();
     core.quarantine.borrow_mut().merge(&crashes, now);
     let mut fleet = core.fleet.borrow_mut();
     fleet.peer_counts(&instance, counts, now);
-    fleet.homes.merge(claims, now);
+    if let Some(homes) = &heartbeat.homes {
+        fleet.homes.merge(homes.claims(), now);
+    }
     Some(())
 }
--- a/crates/pollenshed/src/steer/mod.rs
+++ b/crates/pollenshed/src/steer/mod.rs
@@ -10,6 +10,7 @@
 mod core;
 mod crashes;
 mod gossip;
+mod homes;
 mod keys;
 mod lookup;
 mod members;
@@ -76,6 +77,8 @@
     }
     spawn_local(peer_view::follow(core.clone()));
     spawn_local(serve_peers(core.clone(), peers));
+    spawn_local(homes::restore(core.clone()));
+    spawn_local(homes::keep(core.clone()));
     spawn_local(reader::register(core.clone()));
     spawn_local(reader::remove_silent(core.clone()));
     spawn_local(gossip::run(core.clone(), gossip.clone()));
--- a/crates/pollenshed/src/steer/peer_view.rs
+++ b/crates/pollenshed/src/steer/peer_view.rs
@@ -10,7 +10,6 @@
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use pollenshed_coordination::steering::Claim;
 use pollenshed_platform::store::Row;
 use pollenshed_transport::{call::Caller, forward::AnswerBody};
 use prost::Message;
@@ -18,6 +17,7 @@
 
 use super::{
     core::Core,
+    homes::ClaimList,
     lookup::plain,
     reader::{self, Table},
 };
@@ -74,17 +74,6 @@
     rows: Vec<ChangedRow>,
 }
 
-#[derive(Clone, PartialEq)]
-#[derive(Message)]
-struct Home {
-    #[prost(fixed64, tag = "1")]
-    object: u64,
-    #[prost(fixed32, tag = "2")]
-    server: u32,
-    #[prost(uint32, tag = "3")]
-    moves: u32,
-}
-
 #[derive(Clone, PartialEq)]
 #[derive(Message)]
 struct View {
@@ -94,8 +83,8 @@
     servers: Option<Changes>,
     #[prost(message, optional, tag = "3")]
     instances: Option<Changes>,
-    #[prost(message, repeated, tag = "4")]
-    homes: Vec<Home>,
+    #[prost(message, optional, tag = "4")]
+    homes: Option<ClaimList>,
     /// The peer reads the store or follows one that does.
     #[prost(bool, tag = "5")]
     current: bool,
@@ -156,15 +145,12 @@
         });
         Some(Changes { version: view.published_version(), rows: rows.collect() })
     };
-    let homes = if question.homes { core.fleet.borrow().homes.all() } else { Vec::new() };
+    let homes = question.homes.then(|| ClaimList::new(&core.fleet.borrow().homes.all()));
     View {
         operator: changes(Table::Operator, question.operator),
         servers: changes(Table::Servers, question.servers),
         instances: changes(Table::Instances, question.instances),
-        homes: homes
-            .into_iter()
-            .map(|c| Home { object: c.object, server: c.server, moves: c.moves })
-            .collect(),
+        homes,
         current: core.is_current(),
     }
 }
@@ -224,9 +210,9 @@
         return Err(format!("status {status}"));
     }
     let view = View::decode(body).map_err(|e| e.to_string())?;
-    let claims =
-        view.homes.iter().map(|h| Claim { object: h.object, server: h.server, moves: h.moves });
-    core.fleet.borrow_mut().homes.merge(claims, core.now());
+    if let Some(homes) = &view.homes {
+        core.fleet.borrow_mut().homes.merge(homes.claims(), core.now());
+    }
     for (table, changes) in [
         (Table::Operator, view.operator),
         (Table::Servers, view.servers),
--- a/crates/pollenshed/tests/steer_stop.rs
+++ b/crates/pollenshed/tests/steer_stop.rs
@@ -150,3 +150,40 @@
     std::fs::remove_dir_all(&folder).unwrap();
     insta::assert_snapshot!(shown.join("\n"));
 }
+
+/// Guards against objects that all move when all instances start again, although the servers still
+/// remember them.
+#[googletest::test]
+fn objects_keep_their_homes_when_all_instances_start_again() {
+    let mut fleet = Fleet::with(3, 2);
+    let send = |fleet: &Fleet, round: &str| {
+        for number in 0..12 {
+            let headers = format!("X-Affinity-Key: {number}\r\n");
+            let text = request("GET", "/read/1", &format!("{round}-{number}"), &headers, "");
+            fleet.instances[0].call(&text);
+        }
+    };
+    let homes = |fleet: &Fleet, round: &str| {
+        let server =
+            |id: String| fleet.servers.iter().position(|s| s.runs().iter().any(|run| run.id == id));
+        (0..12).map(|number| server(format!("{round}-{number}"))).collect::<Vec<_>>()
+    };
+    send(&fleet, "before");
+    wait_for("the kept homes", || fleet.store.get("homes", "all"));
+    for instance in &fleet.instances {
+        instance.signal("KILL");
+    }
+    for number in 0..2 {
+        fleet.restart(number);
+    }
+    fleet.wait_until_ready();
+    for instance in &fleet.instances {
+        wait_for("the homes", || {
+            let log = instance.log();
+            let since_start = log.rsplit("instance: started").next()?.to_owned();
+            since_start.contains("homes: restored; objects=12").then_some(())
+        });
+    }
+    send(&fleet, "after");
+    expect_that!(homes(&fleet, "after"), eq(&homes(&fleet, "before")));
+}
