Let the pace of heartbeats follow the region, split the exchange from the attempts

Cause: a full mesh of heartbeats grows with the square of the fleet. Change: the pause is announced in each heartbeat, so silence is judged by it; the pace is halved only above 40 near peers, which no deployment has. RetryShare has a name of its own; one attempt has its own file.

--- a/crates/coordination/src/steering/homes.rs
+++ b/crates/coordination/src/steering/homes.rs
@@ -16,8 +16,8 @@
 /// Objects whose homes are kept. Those that were not used for longest are forgotten first.
 const MAX_OBJECTS: usize = 16_384;
 
-/// Time for which a claim is repeated to peers, as a datagram can be lost.
-const ANNOUNCE_MS: u64 = 800;
+/// Time for which claims are kept to tell peers.
+const ANNOUNCE_MS: u64 = 8_000;
 
 /// A claim that an object lives on a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -77,12 +77,13 @@
         }
     }
 
-    /// Returns the claims of this instance that peers may not know.
-    pub fn recent(&mut self, now: Instant) -> Vec<Claim> {
+    /// Returns the claims of this instance in the last `age_ms`, which peers may not know.
+    pub fn recent(&mut self, age_ms: u64, now: Instant) -> Vec<Claim> {
         while self.recent.front().is_some_and(|(at, _)| now.since_ms(*at) >= ANNOUNCE_MS) {
             self.recent.pop_front();
         }
-        self.recent.iter().map(|(_, claim)| *claim).collect()
+        let young = self.recent.iter().filter(|(at, _)| now.since_ms(*at) < age_ms);
+        young.map(|(_, claim)| *claim).collect()
     }
 
     /// Returns all claims, for an instance that has just started.
--- a/crates/coordination/src/steering/retry_budget.rs
+++ b/crates/coordination/src/steering/retry_share.rs
@@ -24,17 +24,17 @@
 
 /// Counts requests and further attempts of one service at one instance.
 #[derive(Debug, Clone)]
-pub struct RetryBudget {
+pub struct RetryShare {
     ratio: f64,
     extra: f64,
     window_ms: u64,
     steps: VecDeque<Step>,
 }
 
-impl RetryBudget {
+impl RetryShare {
     /// Creates a budget for a window of `window_ms`.
-    pub fn new(ratio: f64, extra: f64, window_ms: u64) -> RetryBudget {
-        RetryBudget { ratio, extra, window_ms: window_ms.max(STEP_MS), steps: VecDeque::new() }
+    pub fn new(ratio: f64, extra: f64, window_ms: u64) -> RetryShare {
+        RetryShare { ratio, extra, window_ms: window_ms.max(STEP_MS), steps: VecDeque::new() }
     }
 
     /// Counts a request of a caller.
--- a/crates/coordination/tests/steering_homes.rs
+++ b/crates/coordination/tests/steering_homes.rs
@@ -57,7 +57,7 @@
     let (mut here, mut there) = (Homes::default(), Homes::default());
     here.settle(1, 10, at(0));
     there.settle(1, 20, at(0));
-    let (from_here, from_there) = (here.recent(at(1)), there.recent(at(1)));
+    let (from_here, from_there) = (here.recent(800, at(1)), there.recent(800, at(1)));
     here.merge(from_there, at(5));
     there.merge(from_here, at(5));
     expect_that!(here.home(1, at(6)), eq(there.home(1, at(6))));
@@ -68,7 +68,7 @@
 fn a_later_move_wins_over_an_earlier_one() {
     let mut homes = Homes::default();
     homes.settle(1, 10, at(0));
-    let old = homes.recent(at(0));
+    let old = homes.recent(800, at(0));
     homes.settle(1, 20, at(1));
     homes.merge(old, at(2));
     expect_that!(homes.home(1, at(3)), some(eq(20)));
--- a/crates/coordination/tests/steering_load.rs
+++ b/crates/coordination/tests/steering_load.rs
@@ -6,7 +6,7 @@
 
 use googletest::prelude::*;
 use pollenshed_coordination::steering::{
-    Choice, Ended, Fleet, RefusalReason, Request, RetryBudget, RunTimes, WeightedSplit,
+    Choice, Ended, Fleet, RefusalReason, Request, RetryShare, RunTimes, WeightedSplit,
 };
 use pollenshed_state::{ids::BackendServerName, routes::Destination};
 use steering_support::*;
@@ -228,7 +228,7 @@
 #[googletest::test]
 fn retries_of_all_instances_keep_the_budget_in_every_window() {
     let (ratio, extra, window_ms) = (0.2, 60.0, 10_000);
-    let mut budgets = vec![RetryBudget::new(ratio, extra, window_ms); 10];
+    let mut budgets = vec![RetryShare::new(ratio, extra, window_ms); 10];
     let mut requests: Vec<u64> = Vec::new();
     let mut retries: Vec<u64> = Vec::new();
     for now_ms in (0..40_000).step_by(10) {
@@ -254,7 +254,7 @@
 /// Guards against a budget that is never used.
 #[googletest::test]
 fn a_few_retries_are_allowed_without_traffic() {
-    let mut budget = RetryBudget::new(0.2, 60.0, 10_000);
+    let mut budget = RetryShare::new(0.2, 60.0, 10_000);
     let taken = (0..100).filter(|_| budget.try_retry(10, at(0))).count();
     expect_that!(taken, all!(ge(2), le(6)));
 }
--- a/crates/pollenshed/src/steer/core.rs
+++ b/crates/pollenshed/src/steer/core.rs
@@ -10,7 +10,7 @@
 
 use pollenshed_coordination::{
     limits::Quarantine,
-    steering::{Fleet, RetryBudget, Server, WeightedSplit},
+    steering::{Fleet, RetryShare, Server, WeightedSplit},
 };
 use pollenshed_state::{
     ids::{BackendServerName, ConfigVersion, Digest, Incarnation, InstanceName, ServiceName},
@@ -53,7 +53,7 @@
     /// Other instances.
     pub members: RefCell<Members>,
     /// Further attempts by service.
-    pub budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
+    pub budgets: RefCell<HashMap<ServiceName, RetryShare>>,
     /// Positions of routes that are split.
     pub splits: RefCell<HashMap<String, WeightedSplit>>,
     /// Tables of the store as far as they are known.
--- a/crates/pollenshed/src/steer/gossip.rs
+++ b/crates/pollenshed/src/steer/gossip.rs
@@ -11,13 +11,23 @@
 use super::{
     core::Core,
     homes::ClaimList,
-    members::{MemberRecord, PeerState},
+    members::{Member, MemberRecord, PeerState},
     reader::own_record,
 };
 
-/// Pause between two datagrams to a peer.
+/// Shortest pause between two heartbeats to a peer of the own region.
 const PERIOD: Duration = Duration::from_millis(250);
 
+/// Peers in the own region up to which the shortest pause is kept and far peers are told as often.
+/// Balance suffers where loads are told late, so only regions whose bytes need it do with less.
+const NEAR_AT_FULL_PACE: usize = 40;
+
+/// Heartbeats to near peers for each one to a peer of another region, in a large region.
+const FAR_TURNS: u32 = 4;
+
+/// Heartbeats that repeat a claim, as a datagram can be lost.
+const CLAIM_REPEATS: u64 = 3;
+
 /// Longest datagram.
 const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
 
@@ -62,6 +72,9 @@
     /// Content that crashes backend servers.
     #[prost(message, repeated, tag = "13")]
     crashes: Vec<Crashes>,
+    /// Time until the next heartbeat to the same peer.
+    #[prost(uint64, tag = "14")]
+    pause_ms: u64,
 }
 
 /// Content and the backend servers that it crashed.
@@ -86,42 +99,91 @@
     }
 }
 
+/// Pauses between two heartbeats to a peer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Pace {
+    near: Duration,
+    /// Heartbeats to near peers for each one to a far peer.
+    far_turns: u32,
+}
+
+impl Pace {
+    /// Returns the pauses in a region with `near` other instances. They grow with the region, so
+    /// that the bytes of an instance stay bounded.
+    fn new(near: usize) -> Pace {
+        if near <= NEAR_AT_FULL_PACE {
+            return Pace { near: PERIOD, far_turns: 1 };
+        }
+        Pace { near: 2 * PERIOD, far_turns: FAR_TURNS }
+    }
+
+    fn far(self) -> Duration {
+        self.near * self.far_turns
+    }
+}
+
 /// Sends and receives heartbeats until the process ends.
 pub async fn run(core: Rc<Core>, socket: Rc<UdpSocket>) {
     tokio::task::spawn_local(receive(core.clone(), socket.clone()));
+    let mut turn = 0_usize;
     loop {
         core.fleet.borrow_mut().expire_peers(core.now());
         core.pool.expire();
-        send(&core, &socket).await;
-        tokio::time::sleep(PERIOD).await;
+        let (near, far) = addresses(&core);
+        let pace = Pace::new(near.len());
+        send(&core, &socket, &near, pace.near).await;
+        // Each turn serves a part of the far peers.
+        let turns = pace.far_turns as usize;
+        let part: Vec<_> = far.into_iter().skip(turn % turns).step_by(turns).collect();
+        send(&core, &socket, &part, pace.far()).await;
+        turn += 1;
+        tokio::time::sleep(pace.near).await;
     }
 }
 
 /// Tells all peers the state of this instance at once.
-pub async fn send(core: &Core, socket: &UdpSocket) {
-    let datagram = heartbeat(core).encode_to_vec();
-    for peer in addresses(core) {
+pub async fn send_to_all(core: &Core, socket: &UdpSocket) {
+    let (near, far) = addresses(core);
+    let pace = Pace::new(near.len());
+    send(core, socket, &near, pace.near).await;
+    send(core, socket, &far, pace.far()).await;
+}
+
+async fn send(core: &Core, socket: &UdpSocket, peers: &[SocketAddr], pause: Duration) {
+    if peers.is_empty() {
+        return;
+    }
+    let datagram = heartbeat(core, pause).encode_to_vec();
+    for peer in peers {
         // A datagram that is lost is followed by the next one.
         let _ = socket.send_to(&datagram, peer).await;
     }
 }
 
-fn addresses(core: &Core) -> Vec<SocketAddr> {
+/// Returns the peers of the own region and the others.
+fn addresses(core: &Core) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+    let settings = &core.settings;
     let members = core.members.borrow();
-    let mut addresses: Vec<_> = members.peers().map(|m| m.record.peer_address).collect();
-    if addresses.is_empty() {
+    let region = |m: &Member| settings.failure_domains.get(&m.record.failure_domain);
+    let (near, far): (Vec<&Member>, Vec<&Member>) =
+        members.peers().partition(|m| region(m) == Some(settings.region()));
+    let address = |m: &Member| m.record.peer_address;
+    let mut near: Vec<_> = near.into_iter().map(address).collect();
+    let far: Vec<_> = far.into_iter().map(address).collect();
+    if near.is_empty() && far.is_empty() {
         // Seeds are other ports of machines that run an instance; peers use one port everywhere.
-        let port = core.settings.peer_address().port();
-        let seeds = core.settings.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port));
-        addresses.extend(seeds.filter(|a| *a != core.settings.peer_address()));
+        let port = settings.peer_address().port();
+        let seeds = settings.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port));
+        near.extend(seeds.filter(|a| *a != settings.peer_address()));
     }
-    addresses
+    (near, far)
 }
 
-fn heartbeat(core: &Core) -> Heartbeat {
+fn heartbeat(core: &Core, pause: Duration) -> Heartbeat {
+    let pause_ms = pause.as_millis() as u64;
     let record = own_record(core);
     let counts = core.fleet.borrow().own_counts();
-    let mut claims = core.fleet.borrow_mut().homes.recent(core.now());
+    let mut claims = core.fleet.borrow_mut().homes.recent(CLAIM_REPEATS * pause_ms, core.now());
     // The newest ones, if they do not all fit.
     claims.drain(..claims.len().saturating_sub(MAX_CLAIMS));
     let mut crashes = core.quarantine.borrow().export(core.now());
@@ -139,6 +201,7 @@
         counts: counts.iter().map(|(_, count)| *count).collect(),
         homes: (!claims.is_empty()).then(|| ClaimList::new(&claims)),
         steady: core.store_is_steady(),
+        pause_ms,
         crashes: crashes
             .into_iter()
             .map(|entry| Crashes {
@@ -177,8 +240,12 @@
     };
     let now = core.now();
     let instance = record.instance.clone();
-    let state =
-        PeerState { leaving: heartbeat.leaving, ready: heartbeat.ready, steady: heartbeat.steady };
+    let state = PeerState {
+        leaving: heartbeat.leaving,
+        ready: heartbeat.ready,
+        steady: heartbeat.steady,
+        pause_ms: heartbeat.pause_ms,
+    };
     let is_new = core.members.borrow_mut().heard(record, state, now);
     if is_new {
         log::info!("members: heard; instance={instance} config={}", heartbeat.config_version);
--- a/crates/pollenshed/src/steer/members.rs
+++ b/crates/pollenshed/src/steer/members.rs
@@ -8,8 +8,14 @@
 };
 use serde::{Deserialize, Serialize};
 
-/// Silence after which an instance is not named to callers any more.
-pub const SILENT_MS: u64 = 1_200;
+/// Heartbeats that may be lost before an instance counts as silent.
+const LOST_HEARTBEATS: u64 = 3;
+
+/// Time that a heartbeat may be late beyond that, with two transfers between regions.
+const LATE_MS: u64 = 450;
+
+/// Longest pause that a peer can announce.
+const MAX_PAUSE_MS: u64 = 2_000;
 
 /// Silence after which the entry of an instance in the store is removed.
 pub const GONE_MS: u64 = 20_000;
@@ -46,12 +52,14 @@
     pub ready: bool,
     /// The store answers its calls.
     pub steady: bool,
+    /// Silence after which it is not named to callers any more.
+    pub silent_ms: u64,
 }
 
 impl Member {
     /// Returns whether the peer was heard lately.
     pub fn is_live(&self, now: Instant) -> bool {
-        self.heard_at.is_some_and(|at| now.since_ms(at) < SILENT_MS)
+        self.heard_at.is_some_and(|at| now.since_ms(at) < self.silent_ms)
     }
 }
 
@@ -64,6 +72,8 @@
     pub ready: bool,
     /// The store answers its calls.
     pub steady: bool,
+    /// Time until its next heartbeat.
+    pub pause_ms: u64,
 }
 
 /// All other instances that are known.
@@ -94,6 +104,7 @@
                     leaving: false,
                     ready: false,
                     steady: false,
+                    silent_ms: 0,
                 };
                 match known {
                     Some(known) => *known = member,
@@ -122,6 +133,7 @@
         member.leaving = state.leaving;
         member.ready = state.ready;
         member.steady = state.steady;
+        member.silent_ms = LOST_HEARTBEATS * state.pause_ms.min(MAX_PAUSE_MS) + LATE_MS;
         !was_live
     }
 
--- a/crates/pollenshed/src/steer/mod.rs
+++ b/crates/pollenshed/src/steer/mod.rs
@@ -9,6 +9,7 @@
 mod callers;
 mod core;
 mod crashes;
+mod exchange;
 mod gossip;
 mod homes;
 mod keys;
--- a/crates/pollenshed/src/steer/stop.rs
+++ b/crates/pollenshed/src/steer/stop.rs
@@ -73,7 +73,7 @@
     let start = Instant::now();
     core.set_stop_phase(StopPhase::Leaving);
     log::info!("instance: stopping; in_flight={}", core.in_flight.get());
-    gossip::send(core, gossip).await;
+    gossip::send_to_all(core, gossip).await;
     let end = start + Duration::from_millis(core.bounds.stop_ms).saturating_sub(STOP_MARGIN);
     let unregister = reader::unregister(core);
     let leaving = sleep(LEAVING_TIME);
