Serve requests that cross the end of a planned stop

Ruled out: requests that were read; the callers' requests do not show in the instance's log. Change: connections in the backlog are accepted, and open ones are kept for 150 ms more.

--- a/crates/pollenshed/src/steer/stop.rs
+++ b/crates/pollenshed/src/steer/stop.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use eyre::{Result, WrapErr};
-use pollenshed_transport::listen::StopPhase;
+use pollenshed_transport::listen::{LINGER, StopPhase};
 use tokio::{
     net::UdpSocket,
     signal::unix::{Signal, SignalKind, signal},
@@ -79,6 +79,8 @@
     let leaving = sleep(LEAVING_TIME);
     tokio::join!(unregister, leaving);
     core.set_stop_phase(StopPhase::Closing);
+    // Requests that arrive in this time are finished like those before.
+    sleep(LINGER + POLL_PERIOD).await;
     while core.in_flight.get() > 0 && Instant::now() < end {
         sleep(POLL_PERIOD).await;
     }
--- a/crates/transport/src/listen/mod.rs
+++ b/crates/transport/src/listen/mod.rs
@@ -9,6 +9,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{Semaphore, watch},
+    time::timeout,
 };
 
 use crate::forward::{AnswerBody, guard};
@@ -19,6 +20,10 @@
 /// Pause after a connection could not be accepted, such as for lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Time for which open connections are kept at the end of a stop, as a request may be under way on
+/// them: one transfer between the users' regions and their callers, with some margin.
+pub const LINGER: Duration = Duration::from_millis(150);
+
 /// Smallest buffer that the HTTP library takes.
 const MIN_HEAD_BYTES: usize = 8_192;
 
@@ -87,6 +92,16 @@
             drop(place);
         });
     }
+    // Connections that were established before the end are served, as their callers may have sent
+    // a request already.
+    while let Ok(Ok((stream, peer))) = timeout(Duration::ZERO, listener.accept()).await {
+        let Ok(place) = places.clone().try_acquire_owned() else { break };
+        let connection = serve_connection(stream, peer, limits(), handler.clone(), stop.clone());
+        tokio::task::spawn_local(async move {
+            connection.await;
+            drop(place);
+        });
+    }
     drop(listener);
     // Connections end by themselves in this phase.
     while places.available_permits() < max {
@@ -94,6 +109,12 @@
     }
 }
 
+/// Waits until idle connections may be closed.
+async fn linger(stop: &mut watch::Receiver<StopPhase>) {
+    let _ = stop.wait_for(|phase| *phase >= StopPhase::Closing).await;
+    tokio::time::sleep(LINGER).await;
+}
+
 async fn serve_connection<H, F>(
     stream: TcpStream,
     peer: SocketAddr,
@@ -117,7 +138,7 @@
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        _ = stop.wait_for(|phase| *phase >= StopPhase::Closing) => {
+        _ = linger(&mut stop) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
