Forget what belongs to routes that are gone, and keep only bounds that are used

Cause: estimates of run times and retry budgets were kept for every route and service ever seen; four bounds were decoded and used by nothing, which a reader would take for enforced. Change: a new configuration drops estimates and budgets that it does not name; the pause between two reads of the servers follows the bound for leaving servers where that is stricter than today's.

--- a/crates/pollenshed/src/steer/reader.rs
+++ b/crates/pollenshed/src/steer/reader.rs
@@ -15,11 +15,16 @@
     config, servers,
     store::{self, Row, Rows, StoreVersion},
 };
-use pollenshed_state::{ids::BackendServerName, routes::ServerState, time::Instant};
+use pollenshed_state::{
+    ids::BackendServerName,
+    routes::{RoutePlan, ServerState},
+    time::Instant,
+};
 use pollenshed_transport::call::Caller;
 
 use super::{
     core::Core,
+    keys,
     members::{GONE_MS, MemberRecord},
 };
 
@@ -33,8 +38,12 @@
 /// Longest time for an answer beyond the time that the store waits.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// Pause between two reads of the backend servers, which change all the time.
-const SERVERS_PERIOD: Duration = Duration::from_millis(800);
+/// Longest pause between two reads of the backend servers, which change all the time.
+const MAX_SERVERS_PERIOD_MS: u64 = 800;
+
+/// Part of the bound for leaving servers that may pass between two reads. The rest is for one call
+/// that fails and for peers that follow.
+const SERVERS_PERIOD_PART: f64 = 0.4;
 
 /// Pauses after a failed call; they double up to the longest.
 const RETRY_PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
@@ -78,6 +87,8 @@
         core,
     };
     let mut pause = RETRY_PAUSE.0;
+    let part_ms = follower.core.bounds.drain_ms as f64 * SERVERS_PERIOD_PART;
+    let servers_period = Duration::from_millis(MAX_SERVERS_PERIOD_MS.min(part_ms as u64));
     loop {
         if !follower.core.needs_store() {
             follower.remove_missing();
@@ -91,7 +102,7 @@
                 follower.regained();
                 if table == Table::Servers {
                     follower.remove_missing();
-                    tokio::time::sleep_until(start + SERVERS_PERIOD).await;
+                    tokio::time::sleep_until(start + servers_period).await;
                 }
             }
             Err(error) => {
@@ -361,7 +372,7 @@
                 plan.hosts.len(),
                 plan.services.len()
             );
-            core.splits.borrow_mut().clear();
+            forget_unused(core, &plan);
             *core.plan.borrow_mut() = Some(Rc::new(plan));
         }
         Ok(_) => {}
@@ -369,6 +380,17 @@
     }
 }
 
+/// Forgets what belongs to routes and services that are not in `plan`, as they come and go.
+fn forget_unused(core: &Core, plan: &RoutePlan) {
+    let routes = plan.hosts.values().flatten();
+    let works: BTreeSet<u64> = routes
+        .flat_map(|r| r.destinations.iter().map(|d| keys::work(&r.name, &d.service)))
+        .collect();
+    core.fleet.borrow_mut().run_times.retain(|work| works.contains(&work));
+    core.budgets.borrow_mut().retain(|service, _| plan.services.contains_key(service));
+    core.splits.borrow_mut().clear();
+}
+
 fn apply_instances(core: &Core, rows: &[Row]) {
     let now = core.now();
     let mut members = core.members.borrow_mut();
--- a/crates/state/src/routes/bounds.rs
+++ b/crates/state/src/routes/bounds.rs
@@ -2,29 +2,21 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Bounds that the operators of a deployment set for the system.
+/// Bounds that the operators of a deployment set for the system and that decisions depend on.
 #[derive(Debug, Clone, Copy, PartialEq)]
 #[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", default)]
 pub struct Bounds {
-    /// Longest time from the acceptance of a configuration until it is in force.
-    pub config_in_force_ms: u64,
     /// Longest time that a leaving backend server may get new requests.
     pub drain_ms: u64,
     /// Time between the signal to stop and the end by force.
     pub stop_ms: u64,
-    /// Longest time until an evacuated failure domain gets no more requests.
-    pub evacuation_ms: u64,
-    /// Time without contact after which an instance counts as cut off.
-    pub contact_ms: u64,
     /// Further attempts that a service may get, relative to the requests for it.
     pub retry_ratio: f64,
     /// Further attempts that a service may get beyond the ratio in a window.
     pub retry_extra: f64,
     /// Length of the sliding window for further attempts.
     pub retry_window_ms: u64,
-    /// Factor on the rate of requests that a cold backend server tolerates.
-    pub cold_overage: f64,
     /// Requests that a cold backend server tolerates in a second beyond that.
     pub cold_slack: f64,
     /// Longest time for which callers may keep the answer of a lookup.
@@ -35,15 +27,11 @@
     /// The strictest figures of the users' deployments, for settings that name none.
     fn default() -> Bounds {
         Bounds {
-            config_in_force_ms: 2_000,
             drain_ms: 2_000,
             stop_ms: 6_000,
-            evacuation_ms: 5_000,
-            contact_ms: 3_000,
             retry_ratio: 0.2,
             retry_extra: 60.0,
             retry_window_ms: 10_000,
-            cold_overage: 1.5,
             cold_slack: 5.0,
             lookup_ttl_max_ms: 5_000,
         }
