--- a/crates/pollenshed/src/steer/core.rs
+++ b/crates/pollenshed/src/steer/core.rs
@@ -141,7 +141,10 @@
 
     /// Returns whether callers may be sent here.
     pub fn is_ready(&self) -> bool {
-        self.plan.borrow().is_some() && self.stop_phase() == StopPhase::Serving
+        // Without the backend servers each request would be refused.
+        self.plan.borrow().is_some()
+            && self.tables.borrow().servers.version.is_some()
+            && self.stop_phase() == StopPhase::Serving
     }
 
     /// Returns whether the store has answered all calls of this instance lately.
--- a/crates/pollenshed/tests/steer_failures.rs
+++ b/crates/pollenshed/tests/steer_failures.rs
@@ -414,3 +414,22 @@
     wait_for("the removal", || fleet.instances[1].log().contains("gone; server=i-0").then_some(()));
     expect_that!(start.elapsed().as_millis(), lt(2_000));
 }
+
+/// Guards against an instance that says it is ready before it knows any backend server, and then
+/// refuses its callers.
+#[googletest::test]
+fn an_instance_is_not_ready_before_it_knows_the_servers() {
+    let mut fleet = Fleet::open(vec![Default::default()]);
+    fleet.door.set_fault(DoorFault::WithoutServers);
+    fleet.start("palermo-a");
+    wait_for("the configuration", || {
+        fleet.instances[0].log().contains("config: in force").then_some(())
+    });
+    wait_for("the lost table", || {
+        fleet.instances[0].log().contains("store: lost; table=servers").then_some(())
+    });
+    expect_that!(fleet.instances[0].ready(), some(eq(503)));
+    fleet.door.set_fault(DoorFault::None);
+    wait_for("readiness", || (fleet.instances[0].ready() == Some(200)).then_some(()));
+    expect_that!(fleet.instances[0].get("/read/1", "r-1").unwrap().status, eq(200));
+}
--- a/crates/standins/src/steered/store.rs
+++ b/crates/standins/src/steered/store.rs
@@ -29,6 +29,8 @@
     Silent,
     /// It performs calls and closes the connection without an answer.
     LoseAnswers,
+    /// It answers calls for the backend servers with 503 and serves the others.
+    WithoutServers,
 }
 
 #[derive(Debug, Clone)]
@@ -185,6 +187,9 @@
             }
             let present = || *fault.lock().unwrap_or_else(|e| e.into_inner());
             let answer = match present() {
+                DoorFault::WithoutServers if head.target.contains("table=servers") => {
+                    Answer::text(503, "busy")
+                }
                 DoorFault::Busy => Answer::text(503, "busy"),
                 DoorFault::Silent => {
                     while present() == DoorFault::Silent {
@@ -192,10 +197,12 @@
                     }
                     return;
                 }
-                DoorFault::None | DoorFault::LoseAnswers => self.answer(&head, &body),
+                DoorFault::None | DoorFault::LoseAnswers | DoorFault::WithoutServers => {
+                    self.answer(&head, &body)
+                }
             };
             // A fault that began while a call waited for changes loses its answer too.
-            if !matches!(present(), DoorFault::None | DoorFault::Busy) {
+            if matches!(present(), DoorFault::Silent | DoorFault::LoseAnswers) {
                 return;
             }
             let mut writer = stream;
