Prefer a free server that remembers an object to its busy home

Ruled out: uneven popularity of objects (the most popular one has twice the median) and uneven load of servers. Change: among the servers that remember the object, the quickest is chosen unless the home has a free slot.

--- a/crates/coordination/src/steering/place.rs
+++ b/crates/coordination/src/steering/place.rs
@@ -1,7 +1,7 @@
 //! Chooses the backend server of a request, or refuses it.
 //!
-//! A request goes to the home of its object as long as it can be answered there within its target.
-//! Otherwise it takes a free slot elsewhere, if even a first run there is in time. A request that
+//! A request goes to the home of its object while that has a free slot, or to the quickest server that
+//! remembers the object, as long as it can be answered there within its target. Otherwise it takes a free slot elsewhere, if even a first run there is in time. A request that
 //! can't be answered within its target anywhere takes a free slot or is refused, since a queue of
 //! late requests would make those behind it late as well. This answers load above the capacity of
 //! the fleet, and objects that one server can't bear.
@@ -198,9 +198,11 @@
         let feasible = |c: &&Candidate| c.total_ms * NEEDED_PART <= request.left_ms;
         let home = candidates.iter().find(|c| c.is_home);
         let remembers = |c: &&Candidate| c.remembers;
+        let is_warm = |c: &&Candidate| c.is_home || c.remembers;
         let chosen = home
+            .filter(is_free)
             .filter(in_time)
-            .or_else(|| candidates.iter().filter(remembers).find(in_time))
+            .or_else(|| candidates.iter().filter(is_warm).find(in_time))
             .or_else(|| home.filter(is_free).filter(feasible))
             .or_else(|| candidates.iter().filter(remembers).filter(is_free).find(feasible));
         let chosen = match (chosen, home, request.key) {
--- a/crates/coordination/tests/steering_load.rs
+++ b/crates/coordination/tests/steering_load.rs
@@ -111,6 +111,23 @@
     expect_that!(played.most_waiting, le(4), "{played:?}");
 }
 
+/// Load: a home whose slots are all taken, while another server that remembers the object is idle.
+/// Guards against a queue at the home beside free slots, in which a further request is late.
+#[googletest::test]
+fn a_free_server_that_remembers_goes_before_a_busy_home() {
+    let mut fleet = fleet(&["palermo-a", "palermo-a"]);
+    let service = service();
+    let wanted = request(&service, Some(object(1)));
+    let home = sent_to(&choose(&mut fleet, &wanted, at(0))).unwrap();
+    let other = [server_name(0), server_name(1)].into_iter().find(|name| *name != home).unwrap();
+    answered(&mut fleet, &other, Some(object(1)), at(0), FIRST_MS);
+    expect_that!(sent_to(&choose(&mut fleet, &wanted, at(1_000))), some(eq(&home)));
+    for _ in 0..3 {
+        fleet.started(&home, f64::INFINITY, at(1_000));
+    }
+    expect_that!(sent_to(&choose(&mut fleet, &wanted, at(1_001))), some(eq(&other)));
+}
+
 /// Load: a server that sheds everything. Guards against requests that are sent to it all the same.
 #[googletest::test]
 fn a_server_that_sheds_without_load_loses_its_objects() {
