Let connections rest as long as servers say, and learn from lost ones

Ruled out: connections closed by servers (no NotSent after a shorter rest) and too small pools (16 a server). Change: a connection whose server names its time carries a request that may run only once after up to 7.5 s of rest and others up to the named time less 800 ms.

--- a/crates/coordination/src/steering/run_time.rs
+++ b/crates/coordination/src/steering/run_time.rs
@@ -18,6 +18,12 @@
 /// Runs longer than this many first runs are the fault of the server and no measure.
 const MAX_PART: f64 = 2.5;
 
+/// Runs shorter than this part of the usual ones did not happen: their spread is much smaller.
+const TOO_SOON_PART: f64 = 0.25;
+
+/// Uncertainty of a measured run time: the delay of a link varies, and so does that of this process.
+const TIMING_MS: f64 = 20.0;
+
 /// Run time of a route without a target before anything was observed.
 const UNKNOWN_MS: f64 = 500.0;
 
@@ -66,6 +72,13 @@
         }
     }
 
+    /// Returns whether an answer after `ran_ms` would be much sooner than any that was observed.
+    pub fn is_too_soon(&self, work: u64, ran_ms: f64) -> bool {
+        let Some(estimate) = self.by_work.get(&work) else { return false };
+        let seen_ms = estimate.first_seen.then_some(estimate.first_ms);
+        estimate.warm_ms.or(seen_ms).is_some_and(|ms| ran_ms + TIMING_MS < TOO_SOON_PART * ms)
+    }
+
     /// Forgets work that is not in `known`, since routes come and go.
     pub fn retain(&mut self, known: impl Fn(u64) -> bool) {
         self.by_work.retain(|work, _| known(*work));
--- a/crates/pollenshed/src/steer/core.rs
+++ b/crates/pollenshed/src/steer/core.rs
@@ -10,10 +10,10 @@
 
 use pollenshed_coordination::{
     limits::Quarantine,
-    steering::{Fleet, RetryShare, Server, WeightedSplit},
+    steering::{Fleet, RestLimit, RetryShare, Server, WeightedSplit},
 };
 use pollenshed_state::{
-    ids::{BackendServerName, ConfigVersion, Digest, Incarnation, InstanceName, ServiceName},
+    ids::{ConfigVersion, Incarnation, InstanceName, ServiceName},
     routes::{Bounds, RoutePlan},
     time::Instant,
 };
@@ -25,7 +25,7 @@
 };
 use tokio::sync::watch;
 
-use super::{members::Members, settings::SteerSettings, tables::Tables};
+use super::{crashes::Broken, members::Members, settings::SteerSettings, tables::Tables};
 
 /// Time for which content that crashed two backend servers is refused. A caller that sends it again
 /// does so within its own deadline, at most 20 s on the users' routes.
@@ -67,11 +67,13 @@
     /// Content that crashes backend servers.
     pub quarantine: RefCell<Quarantine>,
     /// Answers that broke off lately, whose servers may have crashed.
-    pub broken: RefCell<Vec<(Instant, BackendServerName, Digest)>>,
+    pub broken: RefCell<Vec<Broken>>,
     /// Metrics.
     pub metrics: Scrape,
     /// Connections to backend servers.
     pub pool: Pool,
+    /// How long they may rest.
+    pub rest: RefCell<RestLimit>,
     /// Requests of callers that are not answered yet.
     pub in_flight: Cell<usize>,
     /// Bytes of request bodies that are held.
@@ -100,6 +102,7 @@
             broken: RefCell::default(),
             metrics,
             pool: Pool::default(),
+            rest: RefCell::default(),
             in_flight: Cell::new(0),
             held_bytes: Cell::new(0),
             stop: watch::Sender::new(StopPhase::Serving),
--- a/crates/pollenshed/src/steer/crashes.rs
+++ b/crates/pollenshed/src/steer/crashes.rs
@@ -2,11 +2,16 @@
 //!
 //! An answer that breaks off tells little, as answers are lost for many reasons. If the server
 //! can't be reached right after it, the server has crashed, and what it ran is suspect. Content that
-//! crashed two servers is refused everywhere, as its caller sends it again to any instance.
+//! crashed two servers is refused everywhere, as its caller sends it again to any instance. If the
+//! server can be reached and reset the request at once, it had forgotten the connection.
 
 use std::{rc::Rc, time::Duration};
 
-use pollenshed_state::ids::{BackendServerName, Digest};
+use pollenshed_state::{
+    ids::{BackendServerName, Digest},
+    time::Instant,
+};
+use pollenshed_transport::forward::MaxIdle;
 
 use super::core::Core;
 
@@ -19,15 +24,30 @@
 /// Time in which a server that lives takes a connection.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// An answer that broke off.
+#[derive(Debug, Clone)]
+pub struct Broken {
+    /// The server.
+    pub server: BackendServerName,
+    /// What it ran.
+    pub content: Digest,
+    /// When that was.
+    pub at: Instant,
+    /// How long the connection had been idle, if it was not new.
+    pub rested_ms: Option<u64>,
+    /// It broke off sooner than the request could have run.
+    pub is_too_soon: bool,
+}
+
 /// Records an answer that broke off, and finds out whether its server has crashed.
-pub fn broke_off(core: &Rc<Core>, server: &BackendServerName, content: Digest) {
-    let now = core.now();
+pub fn broke_off(core: &Rc<Core>, answer: Broken) {
+    let server = answer.server.clone();
     let mut broken = core.broken.borrow_mut();
-    broken.retain(|(at, ..)| now.since_ms(*at) < CRASH_WINDOW_MS);
-    let is_checked = broken.iter().any(|(_, known, _)| known == server);
-    broken.push((now, server.clone(), content));
+    broken.retain(|known| answer.at.since_ms(known.at) < CRASH_WINDOW_MS);
+    let is_checked = broken.iter().any(|known| known.server == server);
+    broken.push(answer);
     if !is_checked {
-        tokio::task::spawn_local(check(core.clone(), server.clone()));
+        tokio::task::spawn_local(check(core.clone(), server));
     }
 }
 
@@ -35,20 +55,41 @@
     tokio::time::sleep(CHECK_PAUSE).await;
     let address = core.fleet.borrow().server(&server).map(|s| s.record.address);
     let Some(address) = address else { return };
-    match core.pool.lease(address, Duration::ZERO, CHECK_TIMEOUT).await {
-        Ok((lease, _)) => lease.give_back(None),
+    match core.pool.lease(address, MaxIdle::NONE, CHECK_TIMEOUT).await {
+        Ok((lease, _)) => {
+            lease.give_back(None);
+            learn_rest(&core, &server);
+        }
         Err(error) => crashed(&core, &server, &error),
     }
 }
 
+/// Learns from connections that a live server had forgotten.
+fn learn_rest(core: &Core, server: &BackendServerName) {
+    let now = core.now();
+    let mut rest = core.rest.borrow_mut();
+    let broken = core.broken.borrow();
+    for answer in broken.iter().filter(|b| b.server == *server && b.is_too_soon) {
+        let before_ms = rest.max_ms(now);
+        rest.lost(answer.rested_ms, now);
+        let limit_ms = rest.max_ms(now);
+        if limit_ms != before_ms {
+            log::info!(
+                "connections: may rest; server={server} rested_ms={:?} limit_ms={limit_ms:?}",
+                answer.rested_ms
+            );
+        }
+    }
+}
+
 fn crashed(core: &Core, server: &BackendServerName, error: &std::io::Error) {
     let now = core.now();
     let contents: Vec<Digest> = {
         let mut broken = core.broken.borrow_mut();
-        let (here, others) = broken.drain(..).partition(|(_, known, _)| known == server);
+        let (here, others): (Vec<_>, Vec<_>) =
+            broken.drain(..).partition(|known| known.server == *server);
         *broken = others;
-        let here: Vec<_> = here;
-        here.into_iter().map(|(_, _, content)| content).collect()
+        here.into_iter().map(|known| known.content).collect()
     };
     let mut quarantine = core.quarantine.borrow_mut();
     let was_alone = contents.len() == 1 && quarantine.is_suspect(&contents[0], now);
--- a/crates/pollenshed/src/steer/exchange.rs
+++ b/crates/pollenshed/src/steer/exchange.rs
@@ -6,28 +6,33 @@
 use pollenshed_coordination::steering::Ended;
 use pollenshed_platform::heads;
 use pollenshed_state::{
-    ids::{BackendServerName, ServiceName},
+    ids::{BackendServerName, FailureDomainName, ServiceName},
     time::Instant,
 };
-use pollenshed_transport::forward::{Answer, AnswerBody, ExchangeError, RequestBody, exchange};
+use pollenshed_transport::forward::{
+    Answer, AnswerBody, ExchangeError, MaxIdle, RequestBody, exchange,
+};
 use tokio::time::timeout;
 
 use super::{
     attempt::{Attempts, MIN_LEFT_MS},
     callers::copy_of,
     core::Core,
-    crashes,
+    crashes::{self, Broken},
 };
 
 /// Longest time to connect to a backend server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Idle time up to which a connection carries a request that may run only once. A server can close
-/// an idle connection at any time, and a request sent meanwhile is lost.
-const FRESH_IDLE: Duration = Duration::from_millis(2_000);
+/// an idle connection at any time, and a request sent meanwhile is lost. One that names its time is
+/// trusted to keep it.
+const FRESH_IDLE: MaxIdle =
+    MaxIdle { named: Duration::from_millis(7_500), unnamed: Duration::from_millis(2_000) };
 
 /// Idle time up to which a connection carries other requests.
-const ANY_IDLE: Duration = Duration::from_millis(8_000);
+const ANY_IDLE: MaxIdle =
+    MaxIdle { named: Duration::from_secs(30), unnamed: Duration::from_millis(8_000) };
 
 /// Added to the time in which a server is expected to answer anything.
 const PATIENCE_MARGIN_MS: f64 = 300.0;
@@ -116,7 +121,10 @@
         let copy = copy_of(&body);
         let mut body = body;
         let mut max_idle = if self.at_most_once() { FRESH_IDLE } else { ANY_IDLE };
-        let (sent_at, answer) = loop {
+        if let Some(limit_ms) = core.rest.borrow().max_ms(core.now()) {
+            max_idle = max_idle.at_most(Duration::from_millis(limit_ms));
+        }
+        let (sent_at, rested, answer) = loop {
             let lease = core.pool.lease(address, max_idle, CONNECT_TIMEOUT).await;
             let (lease, connected) = match lease {
                 Ok(lease) => lease,
@@ -135,14 +143,15 @@
                 return Attempted::TimedOut;
             }
             let sent_at = core.now();
+            let rested = lease.rested;
             let request = self.request(&running.server, left_ms, body);
             match self.await_head(running, exchange(lease, request), patience_ms, sent_at).await {
-                Some(Err(ExchangeError::NotSent)) if copy.is_some() && !max_idle.is_zero() => {
+                Some(Err(ExchangeError::NotSent)) if copy.is_some() && rested.is_some() => {
                     // Once more on a new connection.
-                    max_idle = Duration::ZERO;
+                    max_idle = MaxIdle::NONE;
                     body = RequestBody::Whole(copy.clone().flatten());
                 }
-                Some(answer) => break (sent_at, answer),
+                Some(answer) => break (sent_at, rested, answer),
                 None => {
                     running.end = Ended::Silent;
                     return Attempted::Silent;
@@ -150,7 +159,7 @@
             }
         };
         match answer {
-            Ok(answer) => self.take(running, answer, sent_at).await,
+            Ok(answer) => self.take(running, &domain, answer, sent_at).await,
             Err(ExchangeError::NotSent) => {
                 running.end = Ended::Unreachable;
                 Attempted::Unreachable
@@ -162,12 +171,37 @@
                     running.server
                 );
                 running.end = Ended::BrokenOff;
-                crashes::broke_off(core, &running.server, self.content);
+                self.broke_off(running, &domain, rested, sent_at);
                 Attempted::BrokenOff("broken-off")
             }
         }
     }
 
+    /// Records an answer that broke off. A server that forgot a connection resets it as soon as the
+    /// first request after its rest arrives.
+    fn broke_off(
+        &self,
+        running: &Running<'_>,
+        domain: &FailureDomainName,
+        rested: Option<Duration>,
+        sent_at: Instant,
+    ) {
+        let now = self.core.now();
+        let is_too_soon = {
+            let fleet = self.core.fleet.borrow();
+            let ran_ms = now.since_ms(sent_at) as f64 - 2.0 * fleet.link_ms(domain);
+            fleet.run_times.is_too_soon(self.work, ran_ms)
+        };
+        let answer = Broken {
+            server: running.server.clone(),
+            content: self.content,
+            at: now,
+            rested_ms: rested.map(|rested| rested.as_millis() as u64),
+            is_too_soon,
+        };
+        crashes::broke_off(self.core, answer);
+    }
+
     /// Waits for the head of the answer. `None` if the server is silent and another one may be
     /// tried.
     async fn await_head(
@@ -214,7 +248,13 @@
         request
     }
 
-    async fn take(&self, running: &mut Running<'_>, answer: Answer, sent_at: Instant) -> Attempted {
+    async fn take(
+        &self,
+        running: &mut Running<'_>,
+        domain: &FailureDomainName,
+        answer: Answer,
+        sent_at: Instant,
+    ) -> Attempted {
         let core = self.core;
         let status = answer.status;
         let head = heads::server(status, &answer.headers);
@@ -264,7 +304,7 @@
                     running.server
                 );
                 running.end = Ended::BrokenOff;
-                crashes::broke_off(core, &running.server, self.content);
+                self.broke_off(running, domain, None, sent_at);
                 Attempted::BrokenOff("broken-off")
             }
         }
--- a/crates/transport/src/forward/mod.rs
+++ b/crates/transport/src/forward/mod.rs
@@ -12,7 +12,7 @@
 use tokio::{net::TcpStream, time::timeout};
 
 pub use exchange::{Answer, AnswerBody, ExchangeError, RequestBody, exchange};
-pub use pool::{Lease, Pool};
+pub use pool::{Lease, MaxIdle, Pool};
 
 /// Time after which the kernel gives up a connection whose bytes are not acknowledged.
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(3);
--- a/crates/transport/src/forward/pool.rs
+++ b/crates/transport/src/forward/pool.rs
@@ -15,11 +15,34 @@
 
 use super::{connect, exchange::RequestBody};
 
-/// Idle time after which a connection is not used again, as long as its server names none.
+/// Idle time after which a connection is closed, as long as its server names none.
 const IDLE_LIMIT: Duration = Duration::from_secs(8);
 
-/// Taken off the idle time that a server names, since its clock started earlier.
-const IDLE_MARGIN: Duration = Duration::from_millis(1_500);
+/// Longest idle time of a connection, whatever its server names.
+const NAMED_IDLE_LIMIT: Duration = Duration::from_secs(30);
+
+/// Taken off the idle time that a server names: its clock started earlier, and a request takes some
+/// time to arrive.
+const IDLE_MARGIN: Duration = Duration::from_millis(800);
+
+/// Idle times up to which a connection carries a further request.
+#[derive(Debug, Clone, Copy)]
+pub struct MaxIdle {
+    /// For a connection whose server names the time after which it closes an idle one.
+    pub named: Duration,
+    /// For other connections.
+    pub unnamed: Duration,
+}
+
+impl MaxIdle {
+    /// No connection is used again.
+    pub const NONE: MaxIdle = MaxIdle { named: Duration::ZERO, unnamed: Duration::ZERO };
+
+    /// Returns the smaller of these times and `limit`.
+    pub fn at_most(self, limit: Duration) -> MaxIdle {
+        MaxIdle { named: self.named.min(limit), unnamed: self.unnamed.min(limit) }
+    }
+}
 
 /// Idle connections kept for one server.
 const MAX_IDLE: usize = 16;
@@ -39,6 +62,8 @@
     connection: Connection,
     since: Instant,
     limit: Duration,
+    /// The server names the time after which it closes idle connections.
+    is_named: bool,
 }
 
 /// Connections to backend servers. Clones share them.
@@ -52,8 +77,8 @@
     pub(super) connection: Connection,
     pub(super) address: SocketAddr,
     pool: Pool,
-    /// The connection served an earlier request.
-    pub reused: bool,
+    /// How long the connection was idle, if it served an earlier request.
+    pub rested: Option<Duration>,
 }
 
 impl Pool {
@@ -62,11 +87,11 @@
     pub async fn lease(
         &self,
         address: SocketAddr,
-        max_idle: Duration,
+        max_idle: MaxIdle,
         connect_limit: Duration,
     ) -> io::Result<(Lease, Option<Duration>)> {
-        if let Some(connection) = self.take_idle(address, max_idle) {
-            let lease = Lease { connection, address, pool: self.clone(), reused: true };
+        if let Some((connection, rested)) = self.take_idle(address, max_idle) {
+            let lease = Lease { connection, address, pool: self.clone(), rested: Some(rested) };
             return Ok((lease, None));
         }
         let start = Instant::now();
@@ -79,7 +104,7 @@
             let _ = connection.await;
         });
         let connection = Connection { sender, task };
-        Ok((Lease { connection, address, pool: self.clone(), reused: false }, Some(took)))
+        Ok((Lease { connection, address, pool: self.clone(), rested: None }, Some(took)))
     }
 
     /// Closes idle connections to an address, whose server has left.
@@ -96,16 +121,18 @@
         });
     }
 
-    fn take_idle(&self, address: SocketAddr, max_idle: Duration) -> Option<Connection> {
+    fn take_idle(&self, address: SocketAddr, max_idle: MaxIdle) -> Option<(Connection, Duration)> {
         let mut pool = self.idle.borrow_mut();
         let idle = pool.get_mut(&address)?;
         let now = Instant::now();
         while let Some(last) = idle.pop() {
-            let fresh = now - last.since < last.limit.min(max_idle);
+            let rested = now - last.since;
+            let max_idle = if last.is_named { max_idle.named } else { max_idle.unnamed };
+            let fresh = rested < last.limit.min(max_idle);
             if fresh && last.connection.sender.is_ready() {
-                return Some(last.connection);
+                return Some((last.connection, rested));
             }
-            if !fresh && now - last.since < last.limit {
+            if !fresh && rested < last.limit {
                 // Older ones are at the front; none of them is fresh enough either.
                 idle.push(last);
                 return None;
@@ -116,11 +143,12 @@
 
     fn put(&self, address: SocketAddr, connection: Connection, keep_alive: Option<Duration>) {
         let limit =
-            keep_alive.map_or(IDLE_LIMIT, |t| t.saturating_sub(IDLE_MARGIN).min(IDLE_LIMIT));
+            keep_alive.map_or(IDLE_LIMIT, |t| t.saturating_sub(IDLE_MARGIN).min(NAMED_IDLE_LIMIT));
         let mut pool = self.idle.borrow_mut();
         let idle = pool.entry(address).or_default();
         if idle.len() < MAX_IDLE && !limit.is_zero() {
-            idle.push(Idle { connection, since: Instant::now(), limit });
+            let is_named = keep_alive.is_some();
+            idle.push(Idle { connection, since: Instant::now(), limit, is_named });
         }
     }
 }
