Explain a request from the logs, and log callers that leave

Cause: engineers on call had grep only; a caller that left had no line, and seven kinds of lines were in no document. Not built: a rate limit for each kind of line; the bound stays one queue with a count.

--- a/crates/pollenshed/src/steer/callers.rs
+++ b/crates/pollenshed/src/steer/callers.rs
@@ -66,49 +66,75 @@
     }
 }
 
-/// Counts a request as long as it is not answered.
-struct InFlight(Rc<Core>);
+/// A request that is not answered yet.
+struct InFlight {
+    core: Rc<Core>,
+    id: String,
+    start: Instant,
+    is_answered: bool,
+}
 
 impl InFlight {
-    fn new(core: &Rc<Core>) -> InFlight {
+    fn new(core: &Rc<Core>, id: String) -> InFlight {
         core.in_flight.set(core.in_flight.get() + 1);
-        InFlight(core.clone())
+        InFlight { core: core.clone(), id, start: core.now(), is_answered: false }
+    }
+
+    fn took(&self) -> Duration {
+        Duration::from_micros(self.core.now().since_us(self.start))
+    }
+
+    /// Records the answer.
+    fn answered(mut self, outcome: &Outcome) {
+        self.is_answered = true;
+        let took = self.took();
+        log::info!(
+            "request: answered; id={} status={} reason={} attempts={} took_ms={} config={}",
+            self.id,
+            outcome.response.status().as_u16(),
+            outcome.reason,
+            outcome.attempts,
+            took.as_millis(),
+            self.core.plan_version(),
+        );
+        let (service, rank) = match &outcome.service {
+            Some((service, rank)) => (service.as_str(), rank.to_string()),
+            None => ("none", String::new()),
+        };
+        self.core.metrics.request(service, &rank, outcome.reason, took);
     }
 }
 
 impl Drop for InFlight {
+    /// Records a request whose caller left, as its handler is dropped then.
     fn drop(&mut self) {
-        self.0.in_flight.set(self.0.in_flight.get() - 1);
+        self.core.in_flight.set(self.core.in_flight.get() - 1);
+        if self.is_answered {
+            return;
+        }
+        let took = self.took();
+        let config = self.core.plan_version();
+        log::info!(
+            "request: cancelled; id={} took_ms={} config={config}",
+            self.id,
+            took.as_millis()
+        );
+        self.core.metrics.request("none", "", "cancelled", took);
     }
 }
 
 /// Answers a request of a caller.
 pub async fn answer(core: Rc<Core>, request: Request<Incoming>) -> Response<AnswerBody> {
-    let start = core.now();
-    let in_flight = InFlight::new(&core);
     let (parts, body) = request.into_parts();
     let caller = heads::caller(&parts.headers);
     let id = caller.request_id.clone().unwrap_or_else(|| "-".to_owned());
-    let outcome = serve(&core, parts, body, caller, start).await;
+    let in_flight = InFlight::new(&core, id);
+    let outcome = serve(&core, parts, body, caller, in_flight.start).await;
+    in_flight.answered(&outcome);
     let mut response = outcome.response;
-    log::info!(
-        "request: answered; id={id} status={} reason={} attempts={} took_ms={} config={}",
-        response.status().as_u16(),
-        outcome.reason,
-        outcome.attempts,
-        core.now().since_ms(start),
-        core.plan_version(),
-    );
-    let took = Duration::from_micros(core.now().since_us(start));
-    let (service, rank) = match &outcome.service {
-        Some((service, rank)) => (service.as_str(), rank.to_string()),
-        None => ("none", String::new()),
-    };
-    core.metrics.request(service, &rank, outcome.reason, took);
     if core.stop_phase() > StopPhase::Serving {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
-    drop(in_flight);
     response
 }
 
--- a/crates/pollenshedctl/src/cmd/explain.rs
+++ b/crates/pollenshedctl/src/cmd/explain.rs
@@ -1,40 +1,65 @@
-use std::net::IpAddr;
+use std::{net::IpAddr, path::PathBuf};
 
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use eyre::eyre;
 use pollenshed_protocol::operator::{ExplainBody, ExplainedFailureDomain};
 use pollenshed_state::ids::ServiceName;
 
 use crate::{
     instances,
+    logs::{self, Story},
     options::Options,
     util::{self, Exit},
 };
 
 const USAGE: &str = "\
-Asks an instance where a request of a service would go now, and why.";
+Asks an instance where a request of a service would go now, and why; or, with --log,
+tells from the logs of instances of the users' platform what became of a request.";
 
 const EXAMPLE: &str = "\
 Example:
     pollenshedctl explain --instance 127.0.0.1:8002 --client 192.0.2.7 tavole
 
-With --json the output is the instance's answer.";
+    pollenshedctl explain --log front-1.log --log front-2.log 9c41d07be2a35f68
+
+With --json the output is the instance's answer, or the lines and the cause. The exit code
+is 1 if no log names the request.";
 
 pub fn command() -> Command {
     let client = Arg::new("client").long("client").value_name("IP");
-    let service = Arg::new("SERVICE").required(true).value_parser(value_parser!(ServiceName));
+    let about = Arg::new("SERVICE|ID").required(true);
+    let log = Arg::new("log")
+        .long("log")
+        .value_name("FILE")
+        .action(ArgAction::Append)
+        .value_parser(value_parser!(PathBuf))
+        .conflicts_with_all(["client", "instance"]);
     Command::new("explain")
         .about("Explains where a request would go")
         .long_about(USAGE)
         .after_help(format!("{EXAMPLE}\n\n{}", util::EXIT_CODES))
-        .arg(service.help("Service that the request is for"))
+        .arg(about.help("Service that the request is for, or the request's id with --log"))
+        .arg(log.help("Log of an instance; give those of all instances"))
         .arg(client.value_parser(value_parser!(IpAddr)).help("Address of the client"))
-        .arg(instances::argument("Operators' address of the instance").required(true))
+        .arg(
+            instances::argument("Operators' address of the instance")
+                .required_unless_present("log"),
+        )
 }
 
 pub fn run(args: &ArgMatches, options: &Options) -> eyre::Result<Exit> {
-    let service: &ServiceName =
-        args.get_one("SERVICE").ok_or_else(|| eyre!("SERVICE is missing"))?;
+    let about: &String =
+        args.get_one("SERVICE|ID").ok_or_else(|| eyre!("SERVICE or ID is missing"))?;
+    if let Some(files) = args.get_many::<PathBuf>("log") {
+        return request(options, files, about);
+    }
+    let service: ServiceName = match about.parse() {
+        Ok(service) => service,
+        Err(error) => {
+            eprintln!("{about}: {error}");
+            return Ok(Exit::Usage);
+        }
+    };
     let client = args.get_one::<IpAddr>("client");
     let client = client.map_or_else(String::new, |client| format!("&client={client}"));
     let path = format!("/v1/explain?service={service}{client}");
@@ -45,6 +70,20 @@
     Ok(Exit::Success)
 }
 
+fn request<'a>(
+    options: &Options,
+    files: impl Iterator<Item = &'a PathBuf>,
+    id: &str,
+) -> eyre::Result<Exit> {
+    let files: Vec<_> = files.map(|file| options.read(file)).collect::<eyre::Result<_>>()?;
+    let Some(story) = Story::find(&logs::read(&files), id) else {
+        eprintln!("no log names {id}: no instance read it, or its lines were left out");
+        return Ok(Exit::Negative);
+    };
+    options.print(vec![&story], |_| &story)?;
+    Ok(Exit::Success)
+}
+
 fn lines(body: &ExplainBody) -> Vec<String> {
     let mut lines = vec![format!("{} obeys version {}", body.instance, body.config_version)];
     lines.extend(
--- a/crates/pollenshedctl/src/main.rs
+++ b/crates/pollenshedctl/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cmd;
 mod instances;
+mod logs;
 mod options;
 mod submission;
 mod util;
