Play random faults against real processes

A soak of the steered path: four instances in three failure domains, four servers, callers of both kinds; kills, planned stops, freezes, reloads, and faults of the store and of servers by seed; it checks at most one run, true refusals, whole answers, that nothing runs unasked, and recovery.

--- /dev/null
+++ b/crates/pollenshed/tests/steer_soak.rs
@@ -0,0 +1,210 @@
+//! Random faults against real processes, and what callers and backend servers see.
+//!
+//! `SOAK_SEED` and `SOAK_SECONDS` choose the faults and how long they last; without them, one short
+//! run with a fresh seed. A failure prints its seed; `KEEP_TEST_FOLDERS` keeps the logs.
+
+mod steer_support;
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use googletest::prelude::*;
+use pollenshed_standins::steered::{DoorFault, Fault, Server};
+use steer_support::*;
+
+/// Instances, in three failure domains.
+const DOMAINS: [&str; 4] = ["palermo-a", "palermo-a", "palermo-b", "catania-a"];
+
+/// Callers that send one request after another.
+const CALLERS: usize = 6;
+
+/// Objects that they ask for.
+const OBJECTS: u64 = 12;
+
+/// Longest time that a caller waits: the time of its request, and a second.
+const CALLER_PATIENCE: Duration = Duration::from_secs(5);
+
+/// Time after the last fault within which callers are served again; the users give 15 s.
+const RECOVERY: Duration = Duration::from_secs(15);
+
+/// What a caller sent and got.
+struct Called {
+    id: String,
+    path: String,
+    at_most_once: bool,
+    answer: Option<Answer>,
+}
+
+/// Sends requests until `stopped`, on a connection for some of them.
+fn call(addresses: &[SocketAddr], seed: u64, number: usize, stopped: &AtomicBool) -> Vec<Called> {
+    let mut rng = fastrand::Rng::with_seed(seed ^ (number as u64 + 1));
+    let mut called = Vec::new();
+    let mut caller = None;
+    while !stopped.load(Ordering::SeqCst) {
+        let at_most_once = rng.bool();
+        let (method, route) = if at_most_once { ("POST", "file") } else { ("GET", "read") };
+        let object = rng.u64(..OBJECTS);
+        let path = format!("/{route}/{object}");
+        let id = format!("s{number}-{}", called.len());
+        let affinity = format!("X-Affinity-Key: {object}\r\n");
+        let text = request(method, &path, &id, &affinity, if at_most_once { "n=1" } else { "" });
+        let address = addresses[rng.usize(..addresses.len())];
+        let taken = caller.take().filter(|_| rng.u8(..4) > 0);
+        let opened = taken.or_else(|| Caller::open(address, CALLER_PATIENCE).ok());
+        let Some(mut open) = opened else {
+            thread::sleep(Duration::from_millis(20));
+            continue;
+        };
+        // Some callers leave before their answer.
+        if rng.u8(..20) == 0 {
+            open.send_only(&text);
+            called.push(Called { id, path, at_most_once, answer: None });
+            continue;
+        }
+        let answer = open.exchange(&text);
+        let closes = answer.as_ref().is_none_or(|a| a.header("connection") == Some("close"));
+        caller = (!closes).then_some(open);
+        called.push(Called { id, path, at_most_once, answer });
+        thread::sleep(Duration::from_millis(rng.u64(..20)));
+    }
+    called
+}
+
+/// Does one thing to the fleet and undoes it. Returns what it was.
+fn disturb(fleet: &mut Fleet, rng: &mut fastrand::Rng) -> String {
+    let instance = rng.usize(..fleet.instances.len());
+    let server = rng.usize(..fleet.servers.len());
+    let pause = Duration::from_millis(rng.u64(100..1_500));
+    match rng.u8(..8) {
+        0 => {
+            fleet.restart(instance);
+            format!("kill {instance}")
+        }
+        1 => {
+            fleet.instances[instance].signal("TERM");
+            wait_for("the end of a planned stop", || fleet.instances[instance].ended());
+            fleet.restart(instance);
+            format!("planned stop {instance}")
+        }
+        2 => {
+            fleet.instances[instance].signal("STOP");
+            thread::sleep(pause);
+            fleet.instances[instance].signal("CONT");
+            format!("freeze {instance} for {pause:?}")
+        }
+        3 => {
+            fleet.instances[instance].signal("HUP");
+            format!("reload {instance}")
+        }
+        4 => {
+            let faults = [DoorFault::Busy, DoorFault::Silent, DoorFault::LoseAnswers];
+            let fault = faults[rng.usize(..faults.len())];
+            fleet.door.set_fault(fault);
+            thread::sleep(pause);
+            fleet.door.set_fault(DoorFault::None);
+            format!("store {fault:?} for {pause:?}")
+        }
+        _ => {
+            let faults = [
+                Fault::Shed,
+                Fault::ShedWithRoom,
+                Fault::Fail,
+                Fault::LoseAnswers,
+                Fault::CutAnswers,
+                Fault::WrongId,
+                Fault::ExtraAnswers,
+                Fault::Silent,
+            ];
+            let fault = faults[rng.usize(..faults.len())];
+            fleet.servers[server].set_fault(fault);
+            thread::sleep(pause);
+            fleet.servers[server].set_fault(Fault::None);
+            format!("server {server} {fault:?} for {pause:?}")
+        }
+    }
+}
+
+/// Plays faults for `seconds` and checks what was promised.
+fn soak(seed: u64, seconds: u64) {
+    let mut fleet = Fleet::with(4, 0);
+    for domain in DOMAINS {
+        fleet.start(domain);
+    }
+    fleet.wait_until_ready();
+    let addresses: Vec<_> = fleet.instances.iter().map(Instance::callers).collect();
+    let stopped = Arc::new(AtomicBool::new(false));
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|number| {
+            let (addresses, stopped) = (addresses.clone(), stopped.clone());
+            thread::spawn(move || call(&addresses, seed, number, &stopped))
+        })
+        .collect();
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let start = Instant::now();
+    let mut faults = Vec::new();
+    while start.elapsed() < Duration::from_secs(seconds) {
+        faults.push(disturb(&mut fleet, &mut rng));
+        thread::sleep(Duration::from_millis(rng.u64(..600)));
+    }
+    let calm = Instant::now();
+    for (number, instance) in fleet.instances.iter().enumerate() {
+        wait_for("a served request after the faults", || {
+            let id = format!("after-{number}-{}", calm.elapsed().as_millis());
+            let text = request("GET", "/read/1", &id, "X-Affinity-Key: 1\r\n", "");
+            let answer = Caller::open(instance.callers(), CALLER_PATIENCE).ok()?.exchange(&text)?;
+            (answer.status == 200).then_some(())
+        });
+    }
+    expect_that!(calm.elapsed(), lt(RECOVERY), "seed {seed}");
+    stopped.store(true, Ordering::SeqCst);
+    let called: Vec<Called> = callers.into_iter().flat_map(|c| c.join().unwrap()).collect();
+    check(&fleet.servers, &called, seed);
+    let served = called.iter().filter(|c| c.answer.as_ref().is_some_and(|a| a.status == 200));
+    println!("seed {seed}: {} of {} served; {faults:?}", served.count(), called.len());
+}
+
+/// Checks the promises: at most one run, true refusals, whole answers of the request itself, and no
+/// run that nobody asked for.
+fn check(servers: &[Server], called: &[Called], seed: u64) {
+    let mut runs: HashMap<String, usize> = HashMap::new();
+    for run in servers.iter().flat_map(Server::runs) {
+        let is_known = called.iter().any(|c| c.id == run.id) || run.id.starts_with("after-");
+        expect_true!(is_known, "seed {seed}: {} was sent by nobody", run.id);
+        *runs.entry(run.id).or_default() += 1;
+    }
+    for Called { id, path, at_most_once, answer } in called {
+        let ran = runs.get(id).copied().unwrap_or(0);
+        if *at_most_once {
+            expect_that!(ran, le(1), "seed {seed}: {id}");
+        }
+        let Some(answer) = answer else { continue };
+        match answer.status {
+            200 => {
+                expect_that!(ran, ge(1), "seed {seed}: {id}");
+                expect_that!(answer.header("x-request-id"), some(eq(id.as_str())), "seed {seed}");
+                expect_that!(answer.body, eq(&format!("{path} from tables")), "seed {seed}: {id}");
+            }
+            408 | 421 | 429 | 503 if *at_most_once => expect_that!(ran, eq(0), "seed {seed}: {id}"),
+            status => {
+                expect_that!(status, any!(eq(500), eq(502), eq(503), eq(504)), "seed {seed}: {id}")
+            }
+        }
+    }
+}
+
+/// Guards against promises that are broken by faults which overlap in ways that no other test plays.
+#[gtest]
+fn promises_hold_under_random_faults() {
+    let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse().ok());
+    let seed = number("SOAK_SEED").unwrap_or_else(|| fastrand::u64(..1_000_000));
+    println!("SOAK_SEED={seed}");
+    soak(seed, number("SOAK_SECONDS").unwrap_or(12));
+}
--- a/crates/pollenshed/tests/steer_support/mod.rs
+++ b/crates/pollenshed/tests/steer_support/mod.rs
@@ -65,9 +65,20 @@
 impl Caller {
     /// Connects to an address.
     pub fn connect(address: SocketAddr) -> Caller {
-        let stream = TcpStream::connect(address).unwrap();
-        stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        Caller(BufReader::new(stream))
+        Caller::open(address, PATIENCE).unwrap()
+    }
+
+    /// Connects to an address that may have no listener. Answers are waited for at most `patience`.
+    pub fn open(address: SocketAddr, patience: Duration) -> std::io::Result<Caller> {
+        let stream = TcpStream::connect_timeout(&address, patience)?;
+        stream.set_read_timeout(Some(patience))?;
+        Ok(Caller(BufReader::new(stream)))
+    }
+
+    /// Sends the bytes of a request and returns the answer, if the connection lasts as long.
+    pub fn exchange(&mut self, text: &str) -> Option<Answer> {
+        self.0.get_mut().write_all(text.as_bytes()).ok()?;
+        self.read()
     }
 
     /// Sends the bytes of a request.
@@ -75,6 +86,11 @@
         self.0.get_mut().write_all(text.as_bytes()).unwrap();
     }
 
+    /// Sends the bytes of a request, whose connection may have ended.
+    pub fn send_only(&mut self, text: &str) {
+        let _ = self.0.get_mut().write_all(text.as_bytes());
+    }
+
     /// Reads an answer; `None` if the connection ends without a whole one.
     pub fn read(&mut self) -> Option<Answer> {
         let mut lines = Vec::new();
