Take an answer that breaks off in its body for no forgotten connection

Cause: read as a newcomer: an answer whose head had arrived could lift the limit of rests, as if a new connection had been lost. Change: only requests without any answer are judged.

--- a/crates/coordination/src/steering/place.rs
+++ b/crates/coordination/src/steering/place.rs
@@ -1,7 +1,8 @@
 //! Chooses the backend server of a request, or refuses it.
 //!
 //! A request goes to the home of its object while that has a free slot, or to the quickest server that
-//! remembers the object, as long as it can be answered there within its target. Otherwise it takes a free slot elsewhere, if even a first run there is in time. A request that
+//! remembers the object, as long as it can be answered there within its target. Otherwise it takes a
+//! free slot elsewhere, if even a first run there is in time. A request that
 //! can't be answered within its target anywhere takes a free slot or is refused, since a queue of
 //! late requests would make those behind it late as well. This answers load above the capacity of
 //! the fleet, and objects that one server can't bear.
--- a/crates/pollenshed/src/steer/exchange.rs
+++ b/crates/pollenshed/src/steer/exchange.rs
@@ -159,7 +159,7 @@
             }
         };
         match answer {
-            Ok(answer) => self.take(running, &domain, answer, sent_at).await,
+            Ok(answer) => self.take(running, answer, sent_at).await,
             Err(ExchangeError::NotSent) => {
                 running.end = Ended::Unreachable;
                 Attempted::Unreachable
@@ -171,31 +171,26 @@
                     running.server
                 );
                 running.end = Ended::BrokenOff;
-                self.broke_off(running, &domain, rested, sent_at);
+                self.broke_off(running, rested, self.ended_too_soon(&domain, sent_at));
                 Attempted::BrokenOff("broken-off")
             }
         }
     }
 
-    /// Records an answer that broke off. A server that forgot a connection resets it as soon as the
-    /// first request after its rest arrives.
-    fn broke_off(
-        &self,
-        running: &Running<'_>,
-        domain: &FailureDomainName,
-        rested: Option<Duration>,
-        sent_at: Instant,
-    ) {
-        let now = self.core.now();
-        let is_too_soon = {
-            let fleet = self.core.fleet.borrow();
-            let ran_ms = now.since_ms(sent_at) as f64 - 2.0 * fleet.link_ms(domain);
-            fleet.run_times.is_too_soon(self.work, ran_ms)
-        };
+    /// Returns whether a request ended sooner than it could have run. A server that forgot a
+    /// connection resets it as soon as the first request after its rest arrives.
+    fn ended_too_soon(&self, domain: &FailureDomainName, sent_at: Instant) -> bool {
+        let fleet = self.core.fleet.borrow();
+        let took_ms = self.core.now().since_ms(sent_at) as f64;
+        fleet.run_times.is_too_soon(self.work, took_ms - 2.0 * fleet.link_ms(domain))
+    }
+
+    /// Records an answer that broke off.
+    fn broke_off(&self, running: &Running<'_>, rested: Option<Duration>, is_too_soon: bool) {
         let answer = Broken {
             server: running.server.clone(),
             content: self.content,
-            at: now,
+            at: self.core.now(),
             rested_ms: rested.map(|rested| rested.as_millis() as u64),
             is_too_soon,
         };
@@ -248,13 +243,7 @@
         request
     }
 
-    async fn take(
-        &self,
-        running: &mut Running<'_>,
-        domain: &FailureDomainName,
-        answer: Answer,
-        sent_at: Instant,
-    ) -> Attempted {
+    async fn take(&self, running: &mut Running<'_>, answer: Answer, sent_at: Instant) -> Attempted {
         let core = self.core;
         let status = answer.status;
         let head = heads::server(status, &answer.headers);
@@ -304,7 +293,8 @@
                     running.server
                 );
                 running.end = Ended::BrokenOff;
-                self.broke_off(running, domain, None, sent_at);
+                // The connection carried the head of the answer, so it was not forgotten.
+                self.broke_off(running, None, false);
                 Attempted::BrokenOff("broken-off")
             }
         }
