Split the reader of the store, and name and reuse what a newcomer trips over

Left: RetryShare and limits::RetryBudget have the same shape and different rules (a part of a budget of all instances, and a share of one entry); imports and test scaffolding that look alike; generated code.

--- a/crates/coordination/src/steering/place.rs
+++ b/crates/coordination/src/steering/place.rs
@@ -7,7 +7,7 @@
 //! late requests would make those behind it late as well. This answers load above the capacity of
 //! the fleet, and objects that one server can't bear.
 
-use std::fmt;
+use std::{cell::LazyCell, fmt};
 
 use pollenshed_state::{
     ids::{BackendServerName, Digest, InstanceName, RegionName, ServiceName},
@@ -297,9 +297,12 @@
         now: Instant,
     ) -> Option<BackendServerName> {
         let known = self.homes.home(object, now).and_then(|key| self.by_key.get(&key)).cloned();
-        let max_failures = self.max_home_failures(request.service, now);
+        // Only a server that fails needs to be compared with all others.
+        let max_failures = LazyCell::new(|| self.max_home_failures(request.service, now));
         let is_fit = |server: &Server| {
-            server.failure_rate(now) <= max_failures && server.pace() <= MAX_HOME_PACE
+            let failures = server.failure_rate(now);
+            (failures <= MAX_HOME_FAILURES || failures <= *max_failures)
+                && server.pace() <= MAX_HOME_PACE
         };
         let candidates = usable
             .iter()
--- a/crates/coordination/src/steering/server.rs
+++ b/crates/coordination/src/steering/server.rs
@@ -143,6 +143,9 @@
 
     /// Returns the part of the latest answers that failed, from 0 to 1.
     pub fn failure_rate(&self, now: Instant) -> f64 {
+        if self.failure_rate == 0.0 {
+            return 0.0;
+        }
         let age_ms = now.since_ms(self.failure_at) as f64;
         self.failure_rate * 0.5_f64.powf(age_ms / FAILURE_HALF_LIFE_MS)
     }
--- /dev/null
+++ b/crates/pollenshed/src/steer/apply.rs
@@ -0,0 +1,165 @@
+//! Applies rows of the store's tables to what this instance knows, from wherever they came.
+
+use std::{collections::BTreeSet, rc::Rc};
+
+use pollenshed_platform::{
+    config, servers,
+    store::{self, Row, StoreVersion},
+};
+use pollenshed_state::{
+    ids::BackendServerName,
+    routes::{RoutePlan, ServerRecord, ServerState},
+    time::Instant,
+};
+
+use super::{core::Core, keys, members::MemberRecord, tables::Table};
+
+/// Takes rows of a table into this instance's view of it and applies what is new.
+pub(super) fn take(core: &Rc<Core>, table: Table, rows: Vec<Row>) {
+    let rows = core.tables.borrow_mut().get_mut(table).take(table, rows);
+    if rows.is_empty() {
+        return;
+    }
+    match table {
+        Table::Operator => apply_operator(core, &rows),
+        Table::Servers => apply_servers(core, &rows),
+        Table::Instances => apply_instances(core, &rows),
+    }
+    core.changed.send_modify(|count| *count += 1);
+}
+
+/// Takes the changes of a table that a peer has read up to `version`.
+pub fn take_from_peer(
+    core: &Rc<Core>,
+    table: Table,
+    rows: Vec<Row>,
+    version: Option<StoreVersion>,
+) {
+    take(core, table, rows);
+    let mut tables = core.tables.borrow_mut();
+    let view = tables.get_mut(table);
+    view.version = view.version.max(version);
+}
+
+fn apply_servers(core: &Core, rows: &[Row]) {
+    let now = core.now();
+    for row in rows {
+        let Ok(name) = row.key.parse::<BackendServerName>() else {
+            log::warn!("servers: unusable name; key={:?}", row.key);
+            continue;
+        };
+        match row.value.as_deref().map(|value| servers::decode(&row.key, value)) {
+            Some(Some(record)) => announce(core, record, now),
+            Some(None) => {
+                log::warn!("servers: unreadable announcement; server={name}");
+                remove(core, &name, "unreadable");
+            }
+            None => remove(core, &name, "removed"),
+        }
+    }
+}
+
+fn announce(core: &Core, record: ServerRecord, now: Instant) {
+    let mut fleet = core.fleet.borrow_mut();
+    let old = fleet.server(&record.name).map(|s| s.record.clone());
+    let changed = old.as_ref().is_none_or(|old| {
+        old.state != record.state
+            || old.address != record.address
+            || old.started_at_ms != record.started_at_ms
+    });
+    if changed {
+        log::info!(
+            "servers: {} server={} service={} failure_domain={} address={} cold_ms={} sequence={}",
+            if record.state == ServerState::Draining { "draining;" } else { "ready;" },
+            record.name,
+            record.service,
+            record.failure_domain,
+            record.address,
+            record.cold_remaining_ms,
+            record.sequence
+        );
+    }
+    fleet.announce(record, now);
+}
+
+fn remove(core: &Core, name: &BackendServerName, reason: &str) {
+    if let Some(record) = core.fleet.borrow_mut().remove(name) {
+        core.pool.forget(record.address);
+        log::info!("servers: gone; server={name} service={} reason={reason}", record.service);
+    }
+}
+
+fn apply_operator(core: &Core, rows: &[Row]) {
+    let mut evacuated = core.fleet.borrow().evacuated().clone();
+    for row in rows {
+        if row.key == store::CONFIG_KEY {
+            if let Some(value) = &row.value {
+                take_config(core, value);
+            }
+        } else if let Some(domain) = store::evacuated(&row.key) {
+            let Ok(domain) = domain.parse() else { continue };
+            let changed = match &row.value {
+                Some(_) => evacuated.insert(domain),
+                None => evacuated.remove(&domain),
+            };
+            if changed {
+                log::info!("evacuation: changed; key={} version={}", row.key, row.version);
+            }
+        }
+    }
+    if *core.fleet.borrow().evacuated() != evacuated {
+        let plan = core.plan();
+        let cold_start_ms = |service: &_| {
+            plan.as_ref().and_then(|p| p.services.get(service)).map_or(0, |s| s.cold_start_ms)
+        };
+        core.fleet.borrow_mut().set_evacuated(evacuated, cold_start_ms, core.now());
+    }
+}
+
+fn take_config(core: &Core, value: &[u8]) {
+    match config::decode(value) {
+        Ok(plan) if plan.version > core.plan_version() => {
+            log::info!(
+                "config: in force; version={} before={} hosts={} services={}",
+                plan.version,
+                core.plan_version(),
+                plan.hosts.len(),
+                plan.services.len()
+            );
+            forget_unused(core, &plan);
+            *core.plan.borrow_mut() = Some(Rc::new(plan));
+        }
+        Ok(_) => {}
+        Err(e) => log::error!("config: refused; error={:?}", e.to_string()),
+    }
+}
+
+/// Forgets what belongs to routes and services that are not in `plan`, as they come and go.
+fn forget_unused(core: &Core, plan: &RoutePlan) {
+    let routes = plan.hosts.values().flatten();
+    let works: BTreeSet<u64> = routes
+        .flat_map(|r| r.destinations.iter().map(|d| keys::work(&r.name, &d.service)))
+        .collect();
+    core.fleet.borrow_mut().run_times.retain(|work| works.contains(&work));
+    core.budgets.borrow_mut().retain(|service, _| plan.services.contains_key(service));
+    core.splits.borrow_mut().clear();
+}
+
+fn apply_instances(core: &Core, rows: &[Row]) {
+    let now = core.now();
+    let mut members = core.members.borrow_mut();
+    for row in rows {
+        let record = row.value.as_deref().map(serde_json::from_slice::<MemberRecord>);
+        match record {
+            Some(Ok(record)) => members.announce(record, now),
+            Some(Err(e)) => {
+                log::warn!("members: unreadable entry; key={:?} error={e}", row.key);
+            }
+            None => {
+                if let Ok(name) = row.key.parse() {
+                    members.remove(&name, now);
+                }
+            }
+        }
+    }
+}
--- a/crates/pollenshed/src/steer/core.rs
+++ b/crates/pollenshed/src/steer/core.rs
@@ -10,7 +10,7 @@
 
 use pollenshed_coordination::{
     limits::Quarantine,
-    steering::{Fleet, RestLimit, RetryShare, Server, WeightedSplit},
+    steering::{Fleet, IdleLimit, RetryShare, Server, WeightedSplit},
 };
 use pollenshed_state::{
     ids::{ConfigVersion, Incarnation, InstanceName, ServiceName},
@@ -78,8 +78,8 @@
     pub metrics: Scrape,
     /// Connections to backend servers.
     pub pool: Pool,
-    /// How long they may rest.
-    pub rest: RefCell<RestLimit>,
+    /// How long they may be idle.
+    pub idle_limit: RefCell<IdleLimit>,
     /// Requests of callers that are not answered yet.
     pub in_flight: Cell<usize>,
     /// Bytes of request bodies that are held.
@@ -109,7 +109,7 @@
             broken: RefCell::default(),
             metrics,
             pool: Pool::default(),
-            rest: RefCell::default(),
+            idle_limit: RefCell::default(),
             in_flight: Cell::new(0),
             held_bytes: Cell::new(0),
             stop: watch::Sender::new(StopPhase::Serving),
--- a/crates/pollenshed/src/steer/crashes.rs
+++ b/crates/pollenshed/src/steer/crashes.rs
@@ -34,7 +34,7 @@
     /// When that was.
     pub at: Instant,
     /// How long the connection had been idle, if it was not new.
-    pub rested_ms: Option<u64>,
+    pub idle_ms: Option<u64>,
     /// It broke off sooner than the request could have run.
     pub is_too_soon: bool,
 }
@@ -58,25 +58,25 @@
     match core.pool.lease(address, MaxIdle::NONE, CHECK_TIMEOUT).await {
         Ok((lease, _)) => {
             lease.give_back(None);
-            learn_rest(&core, &server);
+            learn_idle_limit(&core, &server);
         }
         Err(error) => crashed(&core, &server, &error),
     }
 }
 
 /// Learns from connections that a live server had forgotten.
-fn learn_rest(core: &Core, server: &BackendServerName) {
+fn learn_idle_limit(core: &Core, server: &BackendServerName) {
     let now = core.now();
-    let mut rest = core.rest.borrow_mut();
+    let mut limit = core.idle_limit.borrow_mut();
     let broken = core.broken.borrow();
     for answer in broken.iter().filter(|b| b.server == *server && b.is_too_soon) {
-        let before_ms = rest.max_ms(now);
-        rest.lost(answer.rested_ms, now);
-        let limit_ms = rest.max_ms(now);
+        let before_ms = limit.max_ms(now);
+        limit.lost(answer.idle_ms, now);
+        let limit_ms = limit.max_ms(now);
         if limit_ms != before_ms {
             log::info!(
-                "connections: may rest; server={server} rested_ms={:?} limit_ms={limit_ms:?}",
-                answer.rested_ms
+                "connections: idle limit; server={server} idle_ms={:?} limit_ms={limit_ms:?}",
+                answer.idle_ms
             );
         }
     }
--- a/crates/pollenshed/src/steer/exchange.rs
+++ b/crates/pollenshed/src/steer/exchange.rs
@@ -121,10 +121,10 @@
         let copy = copy_of(&body);
         let mut body = body;
         let mut max_idle = if self.at_most_once() { FRESH_IDLE } else { ANY_IDLE };
-        if let Some(limit_ms) = core.rest.borrow().max_ms(core.now()) {
+        if let Some(limit_ms) = core.idle_limit.borrow().max_ms(core.now()) {
             max_idle = max_idle.at_most(Duration::from_millis(limit_ms));
         }
-        let (sent_at, rested, answer) = loop {
+        let (sent_at, idle, answer) = loop {
             let lease = core.pool.lease(address, max_idle, CONNECT_TIMEOUT).await;
             let (lease, connected) = match lease {
                 Ok(lease) => lease,
@@ -143,15 +143,15 @@
                 return Attempted::TimedOut;
             }
             let sent_at = core.now();
-            let rested = lease.rested;
+            let idle = lease.idle_for;
             let request = self.request(&running.server, left_ms, body);
             match self.await_head(running, exchange(lease, request), patience_ms, sent_at).await {
-                Some(Err(ExchangeError::NotSent)) if copy.is_some() && rested.is_some() => {
+                Some(Err(ExchangeError::NotSent)) if copy.is_some() && idle.is_some() => {
                     // Once more on a new connection.
                     max_idle = MaxIdle::NONE;
                     body = RequestBody::Whole(copy.clone().flatten());
                 }
-                Some(answer) => break (sent_at, rested, answer),
+                Some(answer) => break (sent_at, idle, answer),
                 None => {
                     running.end = Ended::Silent;
                     return Attempted::Silent;
@@ -171,14 +171,14 @@
                     running.server
                 );
                 running.end = Ended::BrokenOff;
-                self.broke_off(running, rested, self.ended_too_soon(&domain, sent_at));
+                self.broke_off(running, idle, self.ended_too_soon(&domain, sent_at));
                 Attempted::BrokenOff("broken-off")
             }
         }
     }
 
     /// Returns whether a request ended sooner than it could have run. A server that forgot a
-    /// connection resets it as soon as the first request after its rest arrives.
+    /// connection resets it as soon as the first request after its idle time arrives.
     fn ended_too_soon(&self, domain: &FailureDomainName, sent_at: Instant) -> bool {
         let fleet = self.core.fleet.borrow();
         let took_ms = self.core.now().since_ms(sent_at) as f64;
@@ -186,12 +186,12 @@
     }
 
     /// Records an answer that broke off.
-    fn broke_off(&self, running: &Running<'_>, rested: Option<Duration>, is_too_soon: bool) {
+    fn broke_off(&self, running: &Running<'_>, idle: Option<Duration>, is_too_soon: bool) {
         let answer = Broken {
             server: running.server.clone(),
             content: self.content,
             at: self.core.now(),
-            rested_ms: rested.map(|rested| rested.as_millis() as u64),
+            idle_ms: idle.map(|idle| idle.as_millis() as u64),
             is_too_soon,
         };
         crashes::broke_off(self.core, answer);
--- a/crates/pollenshed/src/steer/gossip.rs
+++ b/crates/pollenshed/src/steer/gossip.rs
@@ -12,7 +12,7 @@
     core::Core,
     homes::ClaimList,
     members::{Member, MemberRecord, PeerState},
-    reader::own_record,
+    registration::own_record,
 };
 
 /// Shortest pause between two heartbeats to a peer of the own region.
--- a/crates/pollenshed/src/steer/mod.rs
+++ b/crates/pollenshed/src/steer/mod.rs
@@ -5,6 +5,7 @@
 //! learns from its peers how busy the servers are. All parts run on one thread, since the machines
 //! have a fraction of a core.
 
+mod apply;
 mod attempt;
 mod callers;
 mod core;
@@ -17,6 +18,7 @@
 mod members;
 mod peer_view;
 mod reader;
+mod registration;
 pub mod settings;
 mod stop;
 mod tables;
@@ -34,7 +36,7 @@
 };
 use tokio::{net::UdpSocket, task::spawn_local};
 
-use self::{core::Core, reader::Table, settings::SteerSettings};
+use self::{core::Core, settings::SteerSettings, tables::Table};
 
 /// Limits of callers before a configuration is known.
 const FIRST_LIMITS: CallerLimits = CallerLimits {
@@ -80,8 +82,8 @@
     spawn_local(serve_peers(core.clone(), peers));
     spawn_local(homes::restore(core.clone()));
     spawn_local(homes::keep(core.clone()));
-    spawn_local(reader::register(core.clone()));
-    spawn_local(reader::remove_silent(core.clone()));
+    spawn_local(registration::register(core.clone()));
+    spawn_local(registration::remove_silent(core.clone()));
     spawn_local(gossip::run(core.clone(), gossip.clone()));
     spawn_local(serve_side(core.clone(), lookups, |core, request| lookup::answer(core, request)));
     spawn_local(serve_side(core.clone(), ready, lookup::ready));
--- a/crates/pollenshed/src/steer/peer_view.rs
+++ b/crates/pollenshed/src/steer/peer_view.rs
@@ -15,12 +15,7 @@
 use prost::Message;
 use tokio::time::timeout;
 
-use super::{
-    core::Core,
-    homes::ClaimList,
-    lookup::plain,
-    reader::{self, Table},
-};
+use super::{apply, core::Core, homes::ClaimList, lookup::plain, tables::Table};
 
 /// Path of the call for changes.
 const CHANGES_PATH: &str = "/v1/changes";
@@ -224,7 +219,7 @@
             .into_iter()
             .map(|row| Row { key: row.key, value: row.value, version: row.version })
             .collect();
-        reader::take_from_peer(core, table, rows, changes.version);
+        apply::take_from_peer(core, table, rows, changes.version);
     }
     Ok(view.current)
 }
--- a/crates/pollenshed/src/steer/reader.rs
+++ b/crates/pollenshed/src/steer/reader.rs
@@ -11,25 +11,11 @@
 
 use bytes::Bytes;
 use http::Method;
-use pollenshed_platform::{
-    config, servers,
-    store::{self, Row, Rows, StoreVersion},
-};
-use pollenshed_state::{
-    ids::BackendServerName,
-    routes::{RoutePlan, ServerState},
-    time::Instant,
-};
+use pollenshed_platform::store::{self, Row, Rows, StoreVersion};
+use pollenshed_state::time::Instant;
 use pollenshed_transport::call::Caller;
 
-use super::{
-    core::Core,
-    keys,
-    members::{GONE_MS, MemberRecord},
-};
-
-/// Table of the instances.
-pub const INSTANCES_TABLE: &str = "instances";
+use super::{apply, core::Core, tables::Table};
 
 /// Time that the store waits for a change of what operators set. A connection that went silent is
 /// noticed after it, so it stays below the bounds for changes.
@@ -40,7 +26,7 @@
 const INSTANCES_WAIT_MS: u64 = 3_000;
 
 /// Longest time for an answer beyond the time that the store waits.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
+pub(super) const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Longest time for an answer for which the store does not wait. These calls show that a store does
 /// not answer; with [`MAX_SERVERS_PERIOD_MS`] and the way to peers it stays below the 2 s in which a
@@ -55,7 +41,8 @@
 const SERVERS_PERIOD_PART: f64 = 0.4;
 
 /// Pauses after a failed call; they double up to the longest.
-const RETRY_PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
+pub(super) const RETRY_PAUSE: (Duration, Duration) =
+    (Duration::from_millis(100), Duration::from_millis(800));
 
 /// Pause between two looks whether this instance has to read the store.
 const IDLE_PAUSE: Duration = Duration::from_millis(150);
@@ -64,27 +51,6 @@
 /// announce themselves again.
 const LAPSED_MS: u64 = 2_200;
 
-/// A table that is followed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Table {
-    /// Configuration and evacuations.
-    Operator,
-    /// Backend servers.
-    Servers,
-    /// Instances.
-    Instances,
-}
-
-impl Table {
-    fn name(self) -> &'static str {
-        match self {
-            Table::Operator => store::OPERATOR_TABLE,
-            Table::Servers => store::SERVERS_TABLE,
-            Table::Instances => INSTANCES_TABLE,
-        }
-    }
-}
-
 /// Follows a table until the process ends.
 pub async fn follow(core: Rc<Core>, table: Table) {
     let mut follower = Follower {
@@ -251,7 +217,7 @@
             }
         }
         self.note_held();
-        take(&self.core, self.table, taken);
+        apply::take(&self.core, self.table, taken);
     }
 
     /// Keeps peers from taking a version as known whose removals are still held back here.
@@ -272,236 +238,7 @@
         if !self.missing.is_empty() && !self.may_have_lapsed(self.core.now()) {
             let missing = std::mem::take(&mut self.missing).into_values().collect();
             self.note_held();
-            take(&self.core, self.table, missing);
-        }
-    }
-}
-
-/// Takes rows of a table into this instance's view of it and applies what is new.
-fn take(core: &Rc<Core>, table: Table, rows: Vec<Row>) {
-    let rows = core.tables.borrow_mut().get_mut(table).take(table, rows);
-    if rows.is_empty() {
-        return;
-    }
-    match table {
-        Table::Operator => apply_operator(core, &rows),
-        Table::Servers => apply_servers(core, &rows),
-        Table::Instances => apply_instances(core, &rows),
-    }
-    core.changed.send_modify(|count| *count += 1);
-}
-
-/// Takes the changes of a table that a peer has read up to `version`.
-pub fn take_from_peer(
-    core: &Rc<Core>,
-    table: Table,
-    rows: Vec<Row>,
-    version: Option<StoreVersion>,
-) {
-    take(core, table, rows);
-    let mut tables = core.tables.borrow_mut();
-    let view = tables.get_mut(table);
-    view.version = view.version.max(version);
-}
-
-fn apply_servers(core: &Core, rows: &[Row]) {
-    let now = core.now();
-    for row in rows {
-        let Ok(name) = row.key.parse::<BackendServerName>() else {
-            log::warn!("servers: unusable name; key={:?}", row.key);
-            continue;
-        };
-        match row.value.as_deref().map(|value| servers::decode(&row.key, value)) {
-            Some(Some(record)) => announce(core, record, now),
-            Some(None) => {
-                log::warn!("servers: unreadable announcement; server={name}");
-                remove(core, &name, "unreadable");
-            }
-            None => remove(core, &name, "removed"),
-        }
-    }
-}
-
-fn announce(core: &Core, record: pollenshed_state::routes::ServerRecord, now: Instant) {
-    let mut fleet = core.fleet.borrow_mut();
-    let old = fleet.server(&record.name).map(|s| s.record.clone());
-    let changed = old.as_ref().is_none_or(|old| {
-        old.state != record.state
-            || old.address != record.address
-            || old.started_at_ms != record.started_at_ms
-    });
-    if changed {
-        log::info!(
-            "servers: {} server={} service={} failure_domain={} address={} cold_ms={} sequence={}",
-            if record.state == ServerState::Draining { "draining;" } else { "ready;" },
-            record.name,
-            record.service,
-            record.failure_domain,
-            record.address,
-            record.cold_remaining_ms,
-            record.sequence
-        );
-    }
-    fleet.announce(record, now);
-}
-
-fn remove(core: &Core, name: &BackendServerName, reason: &str) {
-    if let Some(record) = core.fleet.borrow_mut().remove(name) {
-        core.pool.forget(record.address);
-        log::info!("servers: gone; server={name} service={} reason={reason}", record.service);
-    }
-}
-
-fn apply_operator(core: &Core, rows: &[Row]) {
-    let mut evacuated = core.fleet.borrow().evacuated().clone();
-    for row in rows {
-        if row.key == store::CONFIG_KEY {
-            if let Some(value) = &row.value {
-                take_config(core, value);
-            }
-        } else if let Some(domain) = store::evacuated(&row.key) {
-            let Ok(domain) = domain.parse() else { continue };
-            let changed = match &row.value {
-                Some(_) => evacuated.insert(domain),
-                None => evacuated.remove(&domain),
-            };
-            if changed {
-                log::info!("evacuation: changed; key={} version={}", row.key, row.version);
-            }
-        }
-    }
-    if *core.fleet.borrow().evacuated() != evacuated {
-        let plan = core.plan();
-        let cold_start_ms = |service: &_| {
-            plan.as_ref().and_then(|p| p.services.get(service)).map_or(0, |s| s.cold_start_ms)
-        };
-        core.fleet.borrow_mut().set_evacuated(evacuated, cold_start_ms, core.now());
-    }
-}
-
-fn take_config(core: &Core, value: &[u8]) {
-    match config::decode(value) {
-        Ok(plan) if plan.version > core.plan_version() => {
-            log::info!(
-                "config: in force; version={} before={} hosts={} services={}",
-                plan.version,
-                core.plan_version(),
-                plan.hosts.len(),
-                plan.services.len()
-            );
-            forget_unused(core, &plan);
-            *core.plan.borrow_mut() = Some(Rc::new(plan));
-        }
-        Ok(_) => {}
-        Err(e) => log::error!("config: refused; error={:?}", e.to_string()),
-    }
-}
-
-/// Forgets what belongs to routes and services that are not in `plan`, as they come and go.
-fn forget_unused(core: &Core, plan: &RoutePlan) {
-    let routes = plan.hosts.values().flatten();
-    let works: BTreeSet<u64> = routes
-        .flat_map(|r| r.destinations.iter().map(|d| keys::work(&r.name, &d.service)))
-        .collect();
-    core.fleet.borrow_mut().run_times.retain(|work| works.contains(&work));
-    core.budgets.borrow_mut().retain(|service, _| plan.services.contains_key(service));
-    core.splits.borrow_mut().clear();
-}
-
-fn apply_instances(core: &Core, rows: &[Row]) {
-    let now = core.now();
-    let mut members = core.members.borrow_mut();
-    for row in rows {
-        let record = row.value.as_deref().map(serde_json::from_slice::<MemberRecord>);
-        match record {
-            Some(Ok(record)) => members.announce(record, now),
-            Some(Err(e)) => {
-                log::warn!("members: unreadable entry; key={:?} error={e}", row.key);
-            }
-            None => {
-                if let Ok(name) = row.key.parse() {
-                    members.remove(&name, now);
-                }
-            }
-        }
-    }
-}
-
-/// Returns the announcement of this instance.
-pub fn own_record(core: &Core) -> MemberRecord {
-    MemberRecord {
-        instance: core.settings.instance.clone(),
-        incarnation: core.incarnation,
-        failure_domain: core.settings.failure_domain.clone(),
-        callers_address: core.settings.callers_address,
-        peer_address: core.settings.peer_address(),
-    }
-}
-
-/// Enters this instance into the store, with as many tries as it takes.
-pub async fn register(core: Rc<Core>) {
-    let mut caller = Caller::new(core.settings.store_address);
-    let record = serde_json::to_vec(&own_record(&core)).expect("a record is always JSON");
-    let key = core.settings.instance.to_string();
-    let mut pause = RETRY_PAUSE.0;
-    loop {
-        let body = store::write_body(INSTANCES_TABLE, &key, &record);
-        match caller.call(Method::POST, store::WRITE_TARGET, body, ANSWER_TIMEOUT).await {
-            Ok((status, _)) if status.is_success() => {
-                log::info!("members: registered; instance={key}");
-                return;
-            }
-            Ok((status, _)) => log::debug!("members: not registered; status={status}"),
-            Err(e) => log::debug!("members: not registered; error={e}"),
-        }
-        tokio::time::sleep(pause.mul_f64(0.5 + fastrand::f64())).await;
-        pause = (pause * 2).min(RETRY_PAUSE.1);
-    }
-}
-
-/// Removes the entry of this instance at a planned stop. It is tried once, since peers remove it
-/// otherwise.
-pub async fn unregister(core: &Core) {
-    let mut caller = Caller::new(core.settings.store_address);
-    let key = core.settings.instance.to_string();
-    remove_entry(&mut caller, &key).await;
-}
-
-async fn remove_entry(caller: &mut Caller, key: &str) {
-    let target = store::read_target(INSTANCES_TABLE, Some(key));
-    let Ok((_, body)) = caller.call(Method::GET, &target, Bytes::new(), ANSWER_TIMEOUT).await
-    else {
-        return;
-    };
-    let rows = store::rows(&body).unwrap_or_default().rows;
-    let Some(row) = rows.into_iter().find(|row| row.key == key) else { return };
-    let body = store::remove_body(INSTANCES_TABLE, key, row.version);
-    if let Err(e) = caller.call(Method::POST, store::WRITE_TARGET, body, ANSWER_TIMEOUT).await {
-        log::debug!("members: entry not removed; key={key} error={e}");
-    }
-}
-
-/// Removes entries of instances that have been silent for long. One instance does so, so that the
-/// store is not called by all of them.
-pub async fn remove_silent(core: Rc<Core>) {
-    let period = Duration::from_millis(GONE_MS / 4);
-    let mut caller = Caller::new(core.settings.store_address);
-    loop {
-        tokio::time::sleep(period).await;
-        let now = core.now();
-        let silent: Vec<String> = {
-            let members = core.members.borrow();
-            let first = members
-                .peers()
-                .filter(|m| m.is_live(now))
-                .all(|m| m.record.instance > core.settings.instance);
-            let is_gone = |at: Instant| now.since_ms(at) >= GONE_MS;
-            let gone = members.peers().filter(|m| is_gone(m.heard_at.unwrap_or(m.known_at)));
-            if first { gone.map(|m| m.record.instance.to_string()).collect() } else { Vec::new() }
-        };
-        for key in silent {
-            log::info!("members: removing the entry of a silent instance; instance={key}");
-            remove_entry(&mut caller, &key).await;
+            apply::take(&self.core, self.table, missing);
         }
     }
 }
--- a/crates/pollenshed/src/steer/stop.rs
+++ b/crates/pollenshed/src/steer/stop.rs
@@ -10,7 +10,7 @@
     time::{Instant, sleep},
 };
 
-use super::{core::Core, gossip, reader, settings::SteerSettings};
+use super::{core::Core, gossip, registration, settings::SteerSettings};
 
 /// Time in which callers get new addresses before an idle instance stops taking requests.
 const LEAVING_TIME: Duration = Duration::from_millis(2_500);
@@ -75,7 +75,7 @@
     log::info!("instance: stopping; in_flight={}", core.in_flight.get());
     gossip::send_to_all(core, gossip).await;
     let end = start + Duration::from_millis(core.bounds.stop_ms).saturating_sub(STOP_MARGIN);
-    let unregister = reader::unregister(core);
+    let unregister = registration::unregister(core);
     let leaving = sleep(LEAVING_TIME);
     tokio::join!(unregister, leaving);
     core.set_stop_phase(StopPhase::Closing);
--- a/crates/pollenshed/src/steer/tables.rs
+++ b/crates/pollenshed/src/steer/tables.rs
@@ -5,14 +5,37 @@
 use bytes::Bytes;
 use pollenshed_platform::{
     servers,
-    store::{Row, StoreVersion},
+    store::{self, Row, StoreVersion},
 };
 
-use super::reader::Table;
+/// Table of the instances.
+pub const INSTANCES_TABLE: &str = "instances";
 
 /// Removed rows that are kept for peers. A peer that is further behind gets the whole table.
 const MAX_REMOVED: usize = 4_096;
 
+/// A table that is followed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Table {
+    /// Configuration and evacuations.
+    Operator,
+    /// Backend servers.
+    Servers,
+    /// Instances.
+    Instances,
+}
+
+impl Table {
+    /// Returns the name of the table in the store.
+    pub fn name(self) -> &'static str {
+        match self {
+            Table::Operator => store::OPERATOR_TABLE,
+            Table::Servers => store::SERVERS_TABLE,
+            Table::Instances => INSTANCES_TABLE,
+        }
+    }
+}
+
 /// One table.
 #[derive(Debug, Default)]
 pub struct TableView {
--- a/crates/pollenshedctl/src/cmd/explain.rs
+++ b/crates/pollenshedctl/src/cmd/explain.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     instances,
-    logs::{self, Story},
+    logs::{self, Trace},
     options::Options,
     util::{self, Exit},
 };
@@ -76,11 +76,11 @@
     id: &str,
 ) -> eyre::Result<Exit> {
     let files: Vec<_> = files.map(|file| options.read(file)).collect::<eyre::Result<_>>()?;
-    let Some(story) = Story::find(&logs::read(&files), id) else {
+    let Some(trace) = Trace::find(&logs::read(&files), id) else {
         eprintln!("no log names {id}: no instance read it, or its lines were left out");
         return Ok(Exit::Negative);
     };
-    options.print(vec![&story], |_| &story)?;
+    options.print(vec![&trace], |_| &trace)?;
     Ok(Exit::Success)
 }
 
--- a/crates/pollenshedctl/src/logs/mod.rs
+++ b/crates/pollenshedctl/src/logs/mod.rs
@@ -1,12 +1,12 @@
 //! Lines that instances wrote, as `docs/OPERATIONS.md` lists them.
 
-mod story;
+mod trace;
 
 use std::collections::HashMap;
 
 use jiff::Timestamp;
 
-pub use story::Story;
+pub use trace::Trace;
 
 /// A line of a log.
 #[derive(Debug, Clone)]
--- a/crates/pollenshedctl/src/logs/story.rs
+++ b/crates/pollenshedctl/src/logs/trace.rs
@@ -21,7 +21,7 @@
 /// The way of one request.
 #[derive(Debug, Clone)]
 #[derive(Serialize)]
-pub struct Story {
+pub struct Trace {
     /// Lines that name the request, and lines of the servers and instances that it met, in the order
     /// of their times.
     pub lines: Vec<String>,
@@ -29,7 +29,7 @@
     pub cause: String,
 }
 
-impl fmt::Display for Story {
+impl fmt::Display for Trace {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for line in &self.lines {
             writeln!(f, "{line}")?;
@@ -38,13 +38,13 @@
     }
 }
 
-impl Story {
+impl Trace {
     /// Finds the request `id` in the lines of all instances. `None` if no line names it.
-    pub fn find(lines: &[Line], id: &str) -> Option<Story> {
+    pub fn find(lines: &[Line], id: &str) -> Option<Trace> {
         let own: Vec<&Line> = lines.iter().filter(|line| line.field("id") == Some(id)).collect();
         let (first, last) = (*own.first()?, *own.last()?);
         let servers: Vec<&str> = own.iter().filter_map(|line| line.field("server")).collect();
-        let told: Vec<String> = lines
+        let printed: Vec<String> = lines
             .iter()
             .filter(|line| {
                 let is_near = line.since_ms(first) >= -NEAR_MS && line.since_ms(last) <= NEAR_MS;
@@ -53,7 +53,7 @@
             })
             .map(|line| format!("{} {} {}", line.at, line.instance, line.text))
             .collect();
-        Some(Story { lines: told, cause: cause(lines, &own) })
+        Some(Trace { lines: printed, cause: cause(lines, &own) })
     }
 }
 
--- a/crates/transport/src/forward/exchange.rs
+++ b/crates/transport/src/forward/exchange.rs
@@ -41,10 +41,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         match self.get_mut() {
             RequestBody::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
-            RequestBody::Streamed { first, rest } => match first.take() {
-                Some(first) => Poll::Ready(Some(Ok(Frame::data(first)))),
-                None => Pin::new(rest).poll_frame(cx),
-            },
+            RequestBody::Streamed { first, rest } => poll_joined(first, rest, cx),
         }
     }
 
@@ -194,12 +191,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         match self.get_mut() {
             AnswerBody::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
-            AnswerBody::Streamed { first, rest, .. } => {
-                if let Some(first) = first.take() {
-                    return Poll::Ready(Some(Ok(Frame::data(first))));
-                }
-                Pin::new(rest).poll_frame(cx)
-            }
+            AnswerBody::Streamed { first, rest, .. } => poll_joined(first, rest, cx),
         }
     }
 
@@ -220,6 +212,18 @@
     }
 }
 
+/// Returns what was read before, and then what follows.
+fn poll_joined(
+    first: &mut Option<Bytes>,
+    rest: &mut Incoming,
+    cx: &mut Context<'_>,
+) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    match first.take() {
+        Some(first) => Poll::Ready(Some(Ok(Frame::data(first)))),
+        None => Pin::new(rest).poll_frame(cx),
+    }
+}
+
 fn joined(first: Option<&Bytes>, rest: &Incoming) -> SizeHint {
     let first = first.map_or(0, |b| b.len() as u64);
     rest.size_hint().exact().map_or_else(SizeHint::default, |e| SizeHint::with_exact(e + first))
--- a/crates/transport/src/forward/pool.rs
+++ b/crates/transport/src/forward/pool.rs
@@ -78,7 +78,7 @@
     pub(super) address: SocketAddr,
     pool: Pool,
     /// How long the connection was idle, if it served an earlier request.
-    pub rested: Option<Duration>,
+    pub idle_for: Option<Duration>,
 }
 
 impl Pool {
@@ -90,8 +90,8 @@
         max_idle: MaxIdle,
         connect_limit: Duration,
     ) -> io::Result<(Lease, Option<Duration>)> {
-        if let Some((connection, rested)) = self.take_idle(address, max_idle) {
-            let lease = Lease { connection, address, pool: self.clone(), rested: Some(rested) };
+        if let Some((connection, idle_for)) = self.take_idle(address, max_idle) {
+            let lease = Lease { connection, address, pool: self.clone(), idle_for: Some(idle_for) };
             return Ok((lease, None));
         }
         let start = Instant::now();
@@ -104,7 +104,7 @@
             let _ = connection.await;
         });
         let connection = Connection { sender, task };
-        Ok((Lease { connection, address, pool: self.clone(), rested: None }, Some(took)))
+        Ok((Lease { connection, address, pool: self.clone(), idle_for: None }, Some(took)))
     }
 
     /// Closes idle connections to an address, whose server has left.
@@ -126,13 +126,13 @@
         let idle = pool.get_mut(&address)?;
         let now = Instant::now();
         while let Some(last) = idle.pop() {
-            let rested = now - last.since;
+            let idle_for = now - last.since;
             let max_idle = if last.is_named { max_idle.named } else { max_idle.unnamed };
-            let fresh = rested < last.limit.min(max_idle);
+            let fresh = idle_for < last.limit.min(max_idle);
             if fresh && last.connection.sender.is_ready() {
-                return Some((last.connection, rested));
+                return Some((last.connection, idle_for));
             }
-            if !fresh && rested < last.limit {
+            if !fresh && idle_for < last.limit {
                 // Older ones are at the front; none of them is fresh enough either.
                 idle.push(last);
                 return None;
