Answer peers at once when the store is lost, and look in another region first

Cause: the test of the finding on readers that the store turns away passed with its mechanism taken out, in 2.16 s, as calls of the start were still under way. Ruled out: the time to find out (1.45 s, in the log), heartbeats (the log shows the wait at the peer). Change: an instance that loses the store wakes the peers that wait there, and is not current for them; an instance whose source failed, which lost the store itself or reads it for others prefers a peer of another region. The test waits until no other instance calls the store, has five instances turned away, and asks for 2 s instead of 2.5 s. Both sleeps for a time in these tests are conditions now.

--- a/crates/pollenshed/src/steer/core.rs
+++ b/crates/pollenshed/src/steer/core.rs
@@ -208,11 +208,13 @@
 
     /// Returns the address of the peer to follow, other than those in `failed`.
     pub fn feeding_peer(&self, failed: &[SocketAddr]) -> Option<SocketAddr> {
+        // If the reader of the region failed or is this instance, its other followers know no more.
+        let prefers_far = !failed.is_empty() || !self.store_is_steady() || self.reads_store();
         self.members.borrow().feeding_peer(
             self.settings.region(),
             &self.settings.failure_domains,
             failed,
-            self.reads_store(),
+            prefers_far,
             self.now(),
         )
     }
--- a/crates/pollenshed/src/steer/members.rs
+++ b/crates/pollenshed/src/steer/members.rs
@@ -170,20 +170,20 @@
     }
 
     /// Returns the address of the peer to follow, one that the store answers: the reader of the
-    /// region first, or for the reader itself one of another region, since the others of its region
-    /// follow it.
+    /// region first, or, with `prefers_far`, one of another region, as the others of the region may
+    /// follow the same reader.
     pub fn feeding_peer(
         &self,
         region: &RegionName,
         regions: &BTreeMap<FailureDomainName, RegionName>,
         failed: &[SocketAddr],
-        is_reader: bool,
+        prefers_far: bool,
         now: Instant,
     ) -> Option<SocketAddr> {
         let is_far = |m: &Member| regions.get(&m.record.failure_domain) != Some(region);
         self.usable(now)
             .filter(|m| m.steady && !failed.contains(&m.record.peer_address))
-            .min_by_key(|m| (is_far(m) != is_reader, &m.record.instance))
+            .min_by_key(|m| (is_far(m) != prefers_far, &m.record.instance))
             .map(|m| m.record.peer_address)
     }
 
--- a/crates/pollenshed/src/steer/peer_view.rs
+++ b/crates/pollenshed/src/steer/peer_view.rs
@@ -106,7 +106,8 @@
 async fn wait_for_change(core: &Core, question: &Question) {
     let mut changed = core.changed.subscribe();
     let wait = async {
-        while !has_changes(core, question) {
+        // A peer of an instance that has fallen behind looks for another one at once.
+        while !has_changes(core, question) && core.is_current() {
             if changed.changed().await.is_err() {
                 return;
             }
--- a/crates/pollenshed/src/steer/reader.rs
+++ b/crates/pollenshed/src/steer/reader.rs
@@ -171,6 +171,8 @@
 
     fn lost(&mut self, error: &str) {
         self.core.store_failed_at.set(Some(self.core.now()));
+        // Peers that wait here for changes look whether this instance is still current.
+        self.core.changed.send_modify(|count| *count += 1);
         if self.lost_at.is_none() {
             self.lost_at = Some(self.core.now());
             let version = self.core.tables.borrow().get(self.table).version.unwrap_or(0);
--- a/crates/pollenshed/tests/steer_failures.rs
+++ b/crates/pollenshed/tests/steer_failures.rs
@@ -13,6 +13,29 @@
     servers.iter().flat_map(Server::runs).filter(|run| run.id == id).count()
 }
 
+/// Returns how often an instance has called the store for a table, or for any.
+fn store_calls(instance: &Instance, table: &str) -> u64 {
+    let metrics = instance.metrics();
+    let calls = metrics
+        .lines()
+        .filter(|line| line.starts_with("pollenshed_store_calls_total{") && line.contains(table));
+    calls.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok()).sum()
+}
+
+/// Waits until the first of the instances alone calls the store. Four reads of the backend servers
+/// take longer than the longest call, so no call of another instance is under way either.
+fn wait_for_one_reader(instances: &[Instance]) {
+    let calls = || instances[1..].iter().map(|i| store_calls(i, "")).collect::<Vec<_>>();
+    wait_for("one reader", || {
+        let before = calls();
+        let reads = store_calls(&instances[0], "servers");
+        wait_for("four reads", || {
+            (store_calls(&instances[0], "servers") >= reads + 4).then_some(())
+        });
+        (before == calls()).then_some(())
+    });
+}
+
 /// Guards against a second run of a request whose answer was lost, against a refusal that says
 /// that it did not run, and against answers that are cut, foreign or not asked for.
 #[googletest::test]
@@ -292,13 +315,12 @@
     let mut fleet = Fleet::with(1, 0);
     let other_door = fleet.store.bind().unwrap();
     let turned_away = other_door.address();
-    for _ in 0..3 {
+    for _ in 0..5 {
         fleet.start_with("palermo-a", turned_away);
     }
     fleet.start("catania-a");
     fleet.wait_until_ready();
-    // The first of the region reads the store for all, and follows a peer only at its start.
-    std::thread::sleep(std::time::Duration::from_millis(2_500));
+    wait_for_one_reader(&fleet.instances[..5]);
     other_door.set_fault(DoorFault::Silent);
     fleet.store.put("op", "config", config(2).to_string().as_bytes());
     let start = std::time::Instant::now();
@@ -306,9 +328,10 @@
         let in_force = |i: &Instance| i.log().contains("config: in force; version=2");
         fleet.instances.iter().all(in_force).then_some(())
     });
-    // The users give a configuration 2 to 4 s. The reader finds out within 1.5 s of the fault; each
-    // instance that takes over would need another 0.7 s.
-    expect_that!(start.elapsed().as_millis(), lt(2_500));
+    println!("in force after {} ms", start.elapsed().as_millis());
+    // The shortest time that the users give a configuration. The reader finds out within 1.5 s of
+    // the fault; each instance that takes over would need another 0.7 s.
+    expect_that!(start.elapsed().as_millis(), lt(2_000));
 }
 
 /// Guards against instances that all call the store, whose rates are for all of them together.
@@ -316,7 +339,7 @@
 fn the_calls_to_the_store_do_not_grow_with_the_instances() {
     let calls_in_three_seconds = |instances: usize| {
         let fleet = Fleet::with(1, instances);
-        std::thread::sleep(std::time::Duration::from_secs(2));
+        wait_for_one_reader(&fleet.instances);
         let before = fleet.store.calls();
         std::thread::sleep(std::time::Duration::from_secs(3));
         fleet.store.calls() - before
