Let objects live near their callers where the links take much of the time beside the run

Ruled out: busy servers (55 of 815 late runs at a warm far server met taken slots), forgotten objects (28 of 879). Change: the distance of a server grows with the part of the time between run and target that the way there and back takes. Far requests still pay a second way for a new connection.

--- a/crates/coordination/src/steering/place.rs
+++ b/crates/coordination/src/steering/place.rs
@@ -10,7 +10,7 @@
 use std::{cell::LazyCell, fmt};
 
 use pollenshed_state::{
-    ids::{BackendServerName, Digest, InstanceName, RegionName, ServiceName},
+    ids::{BackendServerName, Digest, FailureDomainName, InstanceName, RegionName, ServiceName},
     time::Instant,
 };
 
@@ -46,6 +46,13 @@
 /// Bytes of a request and its answer that add an object to the distance of a region.
 const REGION_BYTES_PER_OBJECT: f64 = 20_000.0;
 
+/// Objects that a server may have more than one to which the links there and back take all the time
+/// that a target leaves beside the run. Near servers bear more objects where a far answer is late.
+const LINK_OBJECTS: f64 = 13.0;
+
+/// Part of the target that the time beside a run is at least, as run times are estimates.
+const MIN_SLACK_PART: f64 = 0.1;
+
 /// Objects that a home must have more than another server before one of them moves.
 const MOVE_DIFFERENCE: f64 = 2.0;
 
@@ -86,7 +93,9 @@
     pub home_regions: &'a [RegionName],
     /// Bytes of the body and, as far as known, of the answer.
     pub bytes: u64,
-    /// Time left until the answer loses value.
+    /// Time from its arrival until the answer loses value.
+    pub target_ms: f64,
+    /// What is left of that time.
     pub target_left_ms: f64,
     /// Time left until the request is given up.
     pub left_ms: f64,
@@ -369,7 +378,16 @@
         } else {
             REGION_DISTANCE + bytes / REGION_BYTES_PER_OBJECT
         };
-        objects * USUAL_SLOTS / slots + distance
+        let link = LINK_OBJECTS * self.link_part(&server.record.failure_domain, request);
+        objects * USUAL_SLOTS / slots + distance + link
+    }
+
+    /// Returns the part of the time between the run and the target of a request that the links to a
+    /// failure domain and back take, at most 1.
+    fn link_part(&self, domain: &FailureDomainName, request: &Request<'_>) -> f64 {
+        let warm_ms = self.run_times.expected_ms(request.work, true);
+        let slack_ms = (request.target_ms - warm_ms).max(MIN_SLACK_PART * request.target_ms);
+        (2.0 * self.link_ms(domain) / slack_ms).min(1.0)
     }
 
     fn candidate(
--- a/crates/coordination/tests/steering_homes.rs
+++ b/crates/coordination/tests/steering_homes.rs
@@ -51,6 +51,26 @@
     expect_that!(near, eq(4));
 }
 
+/// Load: objects of callers near a few servers, while another region has idle servers whose answers
+/// take nearly half of the target on the way. Guards against half of these objects in the other region,
+/// where each answer that needs a new connection or more than the usual run is late.
+#[googletest::test]
+fn objects_stay_near_if_a_far_answer_would_be_late() {
+    let near_of_eight = |one_way_ms: f64| {
+        let mut fleet = fleet(&["palermo-a", "catania-a"]);
+        fleet.measured_link(&"catania-a".parse().unwrap(), one_way_ms);
+        let service = service();
+        let choices = (0..8).map(|number| {
+            let wanted = request(&service, Some(object(number)));
+            sent_to(&choose(&mut fleet, &wanted, at(0)))
+        });
+        choices.filter(|server| *server == Some(server_name(0))).count()
+    };
+    // The run takes some 320 ms of 500 ms.
+    expect_that!(near_of_eight(55.0), ge(7));
+    expect_that!(near_of_eight(5.0), le(5));
+}
+
 /// Guards against instances that send the same object to different servers for good.
 #[googletest::test]
 fn instances_that_claim_at_once_agree() {
--- a/crates/coordination/tests/steering_support/mod.rs
+++ b/crates/coordination/tests/steering_support/mod.rs
@@ -86,6 +86,7 @@
         key: object,
         home_regions: &[],
         bytes: 0,
+        target_ms: 500.0,
         target_left_ms: 500.0,
         left_ms: 4_000.0,
         at_most_once: false,
--- a/crates/pollenshed/src/steer/attempt.rs
+++ b/crates/pollenshed/src/steer/attempt.rs
@@ -271,6 +271,7 @@
             key: self.key,
             bytes: self.body_bytes,
             home_regions: &self.outgoing.route.home_regions,
+            target_ms,
             target_left_ms: target_ms - spent_ms,
             left_ms: left_ms as f64,
             at_most_once: self.at_most_once(),
