Weigh the delay of links by the slots that an object takes

Change: the slots that an object of a service takes are observed from the running requests of all instances, and a delay is worth a part of a server's slots instead.

--- a/crates/coordination/src/steering/fleet.rs
+++ b/crates/coordination/src/steering/fleet.rs
@@ -8,7 +8,7 @@
     time::Instant,
 };
 
-use super::{homes::Homes, run_time::RunTimes, server::Server};
+use super::{homes::Homes, object_load::ObjectLoads, run_time::RunTimes, server::Server};
 use crate::membership::hash::hash_of;
 
 /// Time after which the counts of a silent peer are forgotten.
@@ -53,6 +53,7 @@
     /// Homes of objects.
     pub homes: Homes,
     pub(super) moved_at: Option<Instant>,
+    pub(super) object_loads: ObjectLoads,
     links_ms: HashMap<FailureDomainName, f64>,
     pub(super) by_key: HashMap<ServerKey, BackendServerName>,
     peers: HashMap<InstanceName, PeerCounts>,
@@ -74,6 +75,7 @@
             run_times: RunTimes::default(),
             homes: Homes::default(),
             moved_at: None,
+            object_loads: ObjectLoads::default(),
             links_ms: HashMap::new(),
             by_key: HashMap::new(),
             peers: HashMap::new(),
--- a/crates/coordination/src/steering/mod.rs
+++ b/crates/coordination/src/steering/mod.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod homes;
 mod idle_limit;
+mod object_load;
 mod observe;
 mod place;
 mod retry_share;
--- a/crates/coordination/src/steering/place.rs
+++ b/crates/coordination/src/steering/place.rs
@@ -46,9 +46,9 @@
 /// Bytes of a request and its answer that add an object to the distance of a region.
 const REGION_BYTES_PER_OBJECT: f64 = 20_000.0;
 
-/// Objects that a server may have more than one to which the links there and back take all the time
-/// that a target leaves beside the run. Near servers bear more objects where a far answer is late.
-const LINK_OBJECTS: f64 = 13.0;
+/// Part of the slots that may be taken more at a near server than at one to which the links there and
+/// back take all the time that a target leaves beside the run.
+const LINK_UTILIZATION: f64 = 0.6;
 
 /// Part of the target that the time beside a run is at least, as run times are estimates.
 const MIN_SLACK_PART: f64 = 0.1;
@@ -378,7 +378,9 @@
         } else {
             REGION_DISTANCE + bytes / REGION_BYTES_PER_OBJECT
         };
-        let link = LINK_OBJECTS * self.link_part(&server.record.failure_domain, request);
+        let link_slots =
+            USUAL_SLOTS * LINK_UTILIZATION * self.link_part(&server.record.failure_domain, request);
+        let link = link_slots / self.object_loads.slots(request.service);
         objects * USUAL_SLOTS / slots + distance + link
     }
 
--- a/crates/coordination/tests/steering_homes.rs
+++ b/crates/coordination/tests/steering_homes.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 use googletest::prelude::*;
-use pollenshed_coordination::steering::{Claim, Ended, Homes};
+use pollenshed_coordination::steering::{Claim, Ended, Homes, server_key};
 use steering_support::*;
 
 /// Guards against a server on which several times the objects of others live, which is full while
@@ -71,6 +71,35 @@
     expect_that!(near_of_eight(5.0), le(5));
 }
 
+/// Load: objects that take a tenth of a slot each, and objects that take a whole one. Guards against
+/// objects that leave their region although its servers are nearly idle, and against a region whose
+/// servers are full of them on the heaviest days.
+#[googletest::test]
+fn fewer_objects_stay_near_the_more_slots_each_takes() {
+    let near_of_eight = |requests_per_object: u32| {
+        let mut fleet = fleet(&["palermo-a", "catania-a"]);
+        fleet.measured_link(&"catania-a".parse().unwrap(), 25.0);
+        let service = service();
+        let first = (0..8).map(|number| request(&service, Some(object(number))));
+        for wanted in first {
+            choose(&mut fleet, &wanted, at(0));
+        }
+        let running = [(server_key(&server_name(0)), 8 * requests_per_object / 10)];
+        let peer = "front-2".parse().unwrap();
+        for step in 0..200 {
+            fleet.peer_counts(&peer, running.to_vec(), at(step * 250));
+            fleet.observe_object_loads(at(step * 250));
+        }
+        fleet.peer_counts(&peer, Vec::new(), at(50_000));
+        let later = (10..18).map(|number| request(&service, Some(object(number))));
+        let choices = later.map(|wanted| sent_to(&choose(&mut fleet, &wanted, at(50_000))));
+        choices.filter(|server| *server == Some(server_name(0))).count()
+    };
+    let (light, heavy) = (near_of_eight(1), near_of_eight(10));
+    expect_that!(light, ge(7));
+    expect_that!(heavy, le(5));
+}
+
 /// Guards against instances that send the same object to different servers for good.
 #[googletest::test]
 fn instances_that_claim_at_once_agree() {
--- a/crates/pollenshed/src/steer/gossip.rs
+++ b/crates/pollenshed/src/steer/gossip.rs
@@ -127,7 +127,11 @@
     tokio::task::spawn_local(receive(core.clone(), socket.clone()));
     let mut turn = 0_usize;
     loop {
-        core.fleet.borrow_mut().expire_peers(core.now());
+        {
+            let mut fleet = core.fleet.borrow_mut();
+            fleet.expire_peers(core.now());
+            fleet.observe_object_loads(core.now());
+        }
         core.pool.expire();
         let (near, far) = addresses(&core);
         let pace = Pace::new(near.len());
