Trust a removal only while the store is known to have answered for long enough

At 7.2 s, .1 s after the store's return, all 64 instances dropped 254 of 254 servers whose announcements had lapsed, and all objects lost their homes. The reader was gone with the store, another instance read it for the first time, and as it had not called during the outage it took itself for one whom the store had answered all the time. In a large region most instances never call. Ruled out: the hold of 2.2 s after a lost call works, but starts only at instances that noticed the loss. Change: an instance counts for how long the store has answered it without a failed call or a long pause, and tells its peers. A removal is taken only if the store has answered some live instance for 2.2 s; a new reader goes on with the time of its predecessor. Tests: an_instance_that_did_not_call_the_store_takes_no_server_away_after_its_return, failed before (all three servers gone after 2 ms). a_server_that_left_while_an_instance_was_cut_off_is_gone_at_once keeps its bound of 2 s; its peer now reads the store for some seconds first, and is paused only until the loss is seen, as one paused for more than 3 s can't vouch.

--- a/crates/coordination/src/steering/mod.rs
+++ b/crates/coordination/src/steering/mod.rs
@@ -4,6 +4,7 @@
 //! object lives by hashing, learn from each other how many requests run where, and refuse what
 //! can't be answered in time. See docs/platform.md, "Placing, queueing and refusing".
 
+mod answer_streak;
 mod cold;
 mod fleet;
 mod homes;
@@ -17,6 +18,7 @@
 mod split;
 mod warmth;
 
+pub use answer_streak::AnswerStreak;
 pub use cold::{ColdRate, cold_senders};
 pub use fleet::{Fleet, ServerKey, server_key};
 pub use homes::{Claim, Homes};
--- a/crates/pollenshed/src/steer/core.rs
+++ b/crates/pollenshed/src/steer/core.rs
@@ -10,7 +10,7 @@
 
 use pollenshed_coordination::{
     limits::Quarantine,
-    steering::{Fleet, IdleLimit, RetryShare, Server, WeightedSplit},
+    steering::{AnswerStreak, Fleet, IdleLimit, RetryShare, Server, WeightedSplit},
 };
 use pollenshed_state::{
     ids::{ConfigVersion, Incarnation, InstanceName, ServiceName},
@@ -68,6 +68,8 @@
     pub store_failed_at: Cell<Option<Instant>>,
     /// When the store answered last.
     pub store_answered_at: Cell<Option<Instant>>,
+    /// For how long the store has answered this instance.
+    pub store_streak: Cell<AnswerStreak>,
     /// When a peer that is current answered last.
     pub fed_at: Cell<Option<Instant>>,
     /// Content that crashes backend servers.
@@ -104,6 +106,7 @@
             changed: watch::Sender::new(0),
             store_failed_at: Cell::new(None),
             store_answered_at: Cell::new(None),
+            store_streak: Cell::default(),
             fed_at: Cell::new(None),
             quarantine: RefCell::new(Quarantine::new(CRASHING_CONTENT_MS)),
             broken: RefCell::default(),
@@ -157,6 +160,30 @@
             && self.stop_phase() == StopPhase::Serving
     }
 
+    /// Records an answer of the store.
+    pub fn store_answered(&self) {
+        let now = self.now();
+        self.store_answered_at.set(Some(now));
+        let mut streak = self.store_streak.get();
+        streak.answered(self.members.borrow().store_answered_ms(now), now);
+        self.store_streak.set(streak);
+    }
+
+    /// Records a call that the store did not answer.
+    pub fn store_failed(&self) {
+        self.store_failed_at.set(Some(self.now()));
+        let mut streak = self.store_streak.get();
+        streak.failed();
+        self.store_streak.set(streak);
+    }
+
+    /// Returns the longest time for which the store has answered this instance or a peer.
+    pub fn store_answered_ms(&self) -> u64 {
+        let now = self.now();
+        let own_ms = self.store_streak.get().lasted_ms(now);
+        own_ms.max(self.members.borrow().store_answered_ms(now))
+    }
+
     /// Returns whether the store has answered all calls of this instance lately.
     pub fn store_is_steady(&self) -> bool {
         let now = self.now();
--- a/crates/pollenshed/src/steer/gossip.rs
+++ b/crates/pollenshed/src/steer/gossip.rs
@@ -75,6 +75,9 @@
     /// Time until the next heartbeat to the same peer.
     #[prost(uint64, tag = "14")]
     pause_ms: u64,
+    /// Time for which the store has answered the instance without a break.
+    #[prost(uint64, tag = "15")]
+    store_answered_ms: u64,
 }
 
 /// Content and the backend servers that it crashed.
@@ -205,6 +208,7 @@
         counts: counts.iter().map(|(_, count)| *count).collect(),
         homes: (!claims.is_empty()).then(|| ClaimList::new(&claims)),
         steady: core.store_is_steady(),
+        store_answered_ms: core.store_streak.get().lasted_ms(core.now()),
         pause_ms,
         crashes: crashes
             .into_iter()
@@ -248,6 +252,7 @@
         leaving: heartbeat.leaving,
         ready: heartbeat.ready,
         steady: heartbeat.steady,
+        store_answered_ms: heartbeat.store_answered_ms,
         pause_ms: heartbeat.pause_ms,
     };
     let is_new = core.members.borrow_mut().heard(record, state, now);
--- a/crates/pollenshed/src/steer/members.rs
+++ b/crates/pollenshed/src/steer/members.rs
@@ -52,6 +52,8 @@
     pub ready: bool,
     /// The store answers its calls.
     pub steady: bool,
+    /// Time for which the store has answered it.
+    pub store_answered_ms: u64,
     /// Silence after which it is not named to callers any more.
     pub silent_ms: u64,
 }
@@ -72,6 +74,8 @@
     pub ready: bool,
     /// The store answers its calls.
     pub steady: bool,
+    /// Time for which the store has answered it.
+    pub store_answered_ms: u64,
     /// Time until its next heartbeat.
     pub pause_ms: u64,
 }
@@ -104,6 +108,7 @@
                     leaving: false,
                     ready: false,
                     steady: false,
+                    store_answered_ms: 0,
                     silent_ms: 0,
                 };
                 match known {
@@ -133,6 +138,7 @@
         member.leaving = state.leaving;
         member.ready = state.ready;
         member.steady = state.steady;
+        member.store_answered_ms = state.store_answered_ms;
         member.silent_ms = LOST_HEARTBEATS * state.pause_ms.min(MAX_PAUSE_MS) + LATE_MS;
         !was_live
     }
@@ -147,9 +153,10 @@
         self.peers.values().filter(move |m| m.is_live(now) && m.ready && !m.leaving)
     }
 
-    /// Returns whether the store answers the calls of a live peer.
-    pub fn any_steady(&self, now: Instant) -> bool {
-        self.usable(now).any(|m| m.steady)
+    /// Returns the longest time for which the store has answered a live peer.
+    pub fn store_answered_ms(&self, now: Instant) -> u64 {
+        let live = self.peers.values().filter(|m| m.is_live(now));
+        live.map(|m| m.store_answered_ms).max().unwrap_or(0)
     }
 
     /// Returns the instance of a region that reads the store for all. `own_steady` tells whether
--- a/crates/pollenshed/src/steer/reader.rs
+++ b/crates/pollenshed/src/steer/reader.rs
@@ -48,7 +48,7 @@
 const IDLE_PAUSE: Duration = Duration::from_millis(150);
 
 /// Time after the return of the store in which backend servers whose announcement had lapsed
-/// announce themselves again.
+/// announce themselves again: about two seconds on the users' platform, and a margin for the clock.
 const LAPSED_MS: u64 = 2_200;
 
 /// Follows a table until the process ends.
@@ -57,7 +57,6 @@
         caller: Caller::new(core.settings.store_address),
         table,
         lost_at: None,
-        regained_at: None,
         missing: BTreeMap::new(),
         core,
     };
@@ -74,7 +73,7 @@
         match follower.step().await {
             Ok(()) => {
                 pause = RETRY_PAUSE.0;
-                follower.core.store_answered_at.set(Some(follower.core.now()));
+                follower.core.store_answered();
                 follower.regained();
                 if table == Table::Servers {
                     follower.remove_missing();
@@ -95,7 +94,6 @@
     caller: Caller,
     table: Table,
     lost_at: Option<Instant>,
-    regained_at: Option<Instant>,
     /// Removed announcements that may have lapsed while the store was away.
     missing: BTreeMap<String, Row>,
 }
@@ -170,7 +168,7 @@
     }
 
     fn lost(&mut self, error: &str) {
-        self.core.store_failed_at.set(Some(self.core.now()));
+        self.core.store_failed();
         // Peers that wait here for changes look whether this instance is still current.
         self.core.changed.send_modify(|count| *count += 1);
         if self.lost_at.is_none() {
@@ -187,7 +185,6 @@
         let now = self.core.now();
         if let Some(at) = self.lost_at.take() {
             let lost_ms = now.since_ms(at);
-            self.regained_at = Some(now);
             log::info!("store: regained; table={} lost_ms={lost_ms}", self.table.name());
         }
     }
@@ -206,7 +203,7 @@
     }
 
     fn take(&mut self, rows: Vec<Row>) {
-        let lapsed = self.table == Table::Servers && self.may_have_lapsed(self.core.now());
+        let lapsed = self.table == Table::Servers && self.may_have_lapsed();
         let mut taken = Vec::with_capacity(rows.len());
         // An answer can hold the removal of a row and its return, in this order.
         for row in rows {
@@ -229,15 +226,13 @@
     }
 
     /// Returns whether the store was away so lately that announcements may have lapsed meanwhile.
-    /// They have not if it served a peer all the time.
-    fn may_have_lapsed(&self, now: Instant) -> bool {
-        let is_late = self.lost_at.is_some()
-            || self.regained_at.is_some_and(|at| now.since_ms(at) < LAPSED_MS);
-        is_late && !self.core.members.borrow().any_steady(now)
+    /// They have not if it is known to have answered some instance all the time, this one or a peer.
+    fn may_have_lapsed(&self) -> bool {
+        self.core.store_answered_ms() < LAPSED_MS
     }
 
     fn remove_missing(&mut self) {
-        if !self.missing.is_empty() && !self.may_have_lapsed(self.core.now()) {
+        if !self.missing.is_empty() && !self.may_have_lapsed() {
             let missing = std::mem::take(&mut self.missing).into_values().collect();
             self.note_held();
             apply::take(&self.core, self.table, missing);
--- a/crates/pollenshed/tests/steer_failures.rs
+++ b/crates/pollenshed/tests/steer_failures.rs
@@ -457,6 +457,31 @@
     expect_that!(fleet.instances[0].get("/read/1", "r-1").unwrap().status, eq(200));
 }
 
+/// Guards against an instance that followed a peer while the store was away, so that none of its own
+/// calls failed, and then takes all lapsed announcements for servers that left.
+#[googletest::test]
+fn an_instance_that_did_not_call_the_store_takes_no_server_away_after_its_return() {
+    let mut fleet = Fleet::with(3, 2);
+    wait_for_one_reader(&fleet.instances);
+    // The reader dies with the store, and the other instance calls the store only after its return.
+    fleet.instances[1].signal("STOP");
+    fleet.instances[0].signal("KILL");
+    for server in ["i-0", "i-1", "i-2"] {
+        fleet.store.remove("servers", server);
+    }
+    std::thread::sleep(std::time::Duration::from_millis(3_500));
+    fleet.instances[1].signal("CONT");
+    let calls = store_calls(&fleet.instances[1], "servers");
+    wait_for("a read", || (store_calls(&fleet.instances[1], "servers") > calls).then_some(()));
+    fleet.announce(0, "ready");
+    fleet.announce(1, "ready");
+    let log = || fleet.instances[1].log();
+    // The one that does not come back is gone as soon as the others would be back.
+    wait_for("the loss of the third", || log().contains("gone; server=i-2").then_some(()));
+    expect_that!(log(), not(contains_substring("gone; server=i-0")));
+    expect_that!(log(), not(contains_substring("gone; server=i-1")));
+}
+
 /// Guards against an instance that was cut off from the store and takes a server that has left
 /// meanwhile for one whose announcement lapsed.
 #[googletest::test]
@@ -468,13 +493,17 @@
     wait_for("the peer", || {
         fleet.instances[1].log().contains("heard; instance=front-0").then_some(())
     });
+    // The peer can vouch for the store only after the time in which lapsed announcements come back.
+    wait_for("reads of some seconds", || {
+        (store_calls(&fleet.instances[0], "servers") >= 6).then_some(())
+    });
     other_door.set_fault(DoorFault::Busy);
     fleet.instances[0].signal("STOP");
     wait_for("the loss of the store", || {
         fleet.instances[1].log().contains("store: lost; table=servers").then_some(())
     });
     fleet.store.remove("servers", "i-0");
-    std::thread::sleep(std::time::Duration::from_millis(1_500));
+    // The store answers the peer before and after a pause that is too short for an outage.
     fleet.instances[0].signal("CONT");
     other_door.set_fault(DoorFault::None);
     let start = std::time::Instant::now();
