Pace the moves of objects by the size of the fleet

Cause: after the evacuation on store-troubles of grown Cali nearly all runs of tavole were first runs (466 of 734 a second on servers that had never run the object; 2.6 servers for each object and second), at a demand of half of what remembering servers bear. Each of 64 instances moved an object off a busy home every 250 ms, 256 moves a second for 339 objects; the first runs kept the homes busy, so it never ended. Change: the pauses between moves stand for ten instances and grow with the fleet. Test: a_large_fleet_moves_objects_no_faster_than_a_small_one; without the change 15 moves in 6 s, bound 5.

--- a/crates/coordination/src/steering/fleet.rs
+++ b/crates/coordination/src/steering/fleet.rs
@@ -53,6 +53,8 @@
     /// Homes of objects.
     pub homes: Homes,
     pub(super) moved_at: Option<Instant>,
+    /// Live instances, which all move objects.
+    pub(super) instances: usize,
     pub(super) object_loads: ObjectLoads,
     links_ms: HashMap<FailureDomainName, f64>,
     pub(super) by_key: HashMap<ServerKey, BackendServerName>,
@@ -75,6 +77,7 @@
             run_times: RunTimes::default(),
             homes: Homes::default(),
             moved_at: None,
+            instances: 1,
             object_loads: ObjectLoads::default(),
             links_ms: HashMap::new(),
             by_key: HashMap::new(),
@@ -135,6 +138,11 @@
         &self.evacuated
     }
 
+    /// Sets the number of live instances, this one included.
+    pub fn set_instances(&mut self, instances: usize) {
+        self.instances = instances;
+    }
+
     /// Returns a server by its name.
     pub fn server(&self, name: &BackendServerName) -> Option<&Server> {
         self.servers.get(name)
--- a/crates/coordination/src/steering/place.rs
+++ b/crates/coordination/src/steering/place.rs
@@ -62,16 +62,22 @@
 /// Added time for a server whose slots are all taken, so that free ones go first.
 const LOAD_PENALTY_MS: f64 = 20.0;
 
-/// Pause between two such moves of this instance.
+/// Pause between two such moves of this instance, in a fleet of [`PACED_INSTANCES`].
 const MOVE_PAUSE_MS: u64 = 400;
 
-/// Pause between two moves of this instance away from busy servers.
+/// Pause between two moves of this instance away from busy servers, in a fleet of
+/// [`PACED_INSTANCES`].
 const RELIEF_PAUSE_MS: u64 = 250;
 
+/// Instances for which the pauses between moves stand. They are longer in a larger fleet: each move
+/// costs a first run, and servers whose first runs make them busy lose further objects.
+const PACED_INSTANCES: f64 = 10.0;
+
 /// First runs that a server may take for a request before it is taken for silent.
 const PATIENT_RUNS: f64 = 2.0;
 
-/// Pause between two such moves to another region, which change where traffic runs.
+/// Pause between two moves of this instance to another region, in a fleet of [`PACED_INSTANCES`]. They
+/// change where traffic runs.
 const FAR_MOVE_PAUSE_MS: u64 = 2_000;
 
 /// Part of the expected time that a request must have left, as estimates vary.
@@ -247,7 +253,7 @@
         candidates: &'a [Candidate],
         now: Instant,
     ) -> Option<&'a Candidate> {
-        if self.moved_at.is_some_and(|at| now.since_ms(at) < RELIEF_PAUSE_MS) {
+        if !self.may_move(RELIEF_PAUSE_MS, now) {
             return None;
         }
         let objects = |c: &Candidate| self.homes.objects_on(server_key(&c.name));
@@ -257,6 +263,14 @@
             .min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))
     }
 
+    /// Returns whether the last move of this instance was long enough ago. `pause_ms` stands for a
+    /// fleet of [`PACED_INSTANCES`].
+    fn may_move(&self, pause_ms: u64, now: Instant) -> bool {
+        let fleet_size = (self.instances as f64 / PACED_INSTANCES).max(1.0);
+        let pause_ms = pause_ms as f64 * fleet_size;
+        self.moved_at.is_none_or(|at| now.since_ms(at) as f64 >= pause_ms)
+    }
+
     /// Returns the servers that may be used, with this instance's share of their rate.
     fn usable(
         &self,
@@ -338,8 +352,9 @@
         };
         let is_far = current.region != server.region;
         let pause_ms = if is_far { FAR_MOVE_PAUSE_MS } else { MOVE_PAUSE_MS };
-        let may_move = self.moved_at.is_none_or(|at| now.since_ms(at) >= pause_ms);
-        if may_move && crowding + MOVE_DIFFERENCE <= self.crowding(&home, current, request) {
+        if self.may_move(pause_ms, now)
+            && crowding + MOVE_DIFFERENCE <= self.crowding(&home, current, request)
+        {
             let name = name.clone();
             self.moved_at = Some(now);
             self.homes.settle(object, server_key(&name), now);
--- a/crates/coordination/tests/steering_homes.rs
+++ b/crates/coordination/tests/steering_homes.rs
@@ -100,6 +100,32 @@
     expect_that!(heavy, le(5));
 }
 
+/// Load: a home whose slots are all taken beside an idle server, seen by each of 60 instances. Guards
+/// against a large fleet that moves objects so often that nearly all runs are first runs, which keep
+/// its servers busy for good.
+#[googletest::test]
+fn a_large_fleet_moves_objects_no_faster_than_a_small_one() {
+    let moves_in_six_seconds = |instances: usize| {
+        let mut fleet = fleet(&["palermo-a"]);
+        fleet.set_instances(instances);
+        let service = service();
+        for number in 0..60 {
+            choose(&mut fleet, &request(&service, Some(object(number))), at(0));
+        }
+        let busy = vec![(server_key(&server_name(0)), 3)];
+        fleet.peer_counts(&"front-2".parse().unwrap(), busy, at(0));
+        fleet.announce(record(1, "palermo-a"), at(1_000));
+        for step in 0..600 {
+            let wanted = request(&service, Some(object(step % 60)));
+            choose(&mut fleet, &wanted, at(1_000 + step as u64 * 10));
+        }
+        fleet.homes.objects_on(server_key(&server_name(1)))
+    };
+    let (small, large) = (moves_in_six_seconds(10), moves_in_six_seconds(60));
+    expect_that!(small, ge(12));
+    expect_that!(large, le(5));
+}
+
 /// Guards against instances that send the same object to different servers for good.
 #[googletest::test]
 fn instances_that_claim_at_once_agree() {
--- a/crates/pollenshed/src/steer/gossip.rs
+++ b/crates/pollenshed/src/steer/gossip.rs
@@ -132,6 +132,7 @@
     loop {
         {
             let mut fleet = core.fleet.borrow_mut();
+            fleet.set_instances(core.members.borrow().live_count(core.now()));
             fleet.expire_peers(core.now());
             fleet.observe_object_loads(core.now());
         }
