Tell crashes in heartbeats while they are news, and count the bytes of answers to peers

Ruled out: answers to followers of the tables (10 MB in all, counted by the metrics added here), homes (75 bytes). Change: a heartbeat tells a crash three times, and all that are remembered every 2 s, for peers that started or were cut off. Test: only_young_crashes_are_news, for the new selection; content_that_crashes_servers_is_refused_everywhere holds.

--- a/crates/coordination/src/limits/quarantine.rs
+++ b/crates/coordination/src/limits/quarantine.rs
@@ -233,10 +233,18 @@
 
     /// Returns entries for peers, those with two crashes first.
     pub fn export(&self, now: Instant) -> Vec<QuarantineEntry> {
+        self.export_younger_than(u64::MAX, now)
+    }
+
+    /// Returns the entries whose latest crash became known here less than `age_ms` ago, for peers
+    /// that have the earlier ones, those with two crashes first.
+    pub fn export_younger_than(&self, age_ms: u64, now: Instant) -> Vec<QuarantineEntry> {
+        let is_young = |suspect: &Suspect| now.since_ms(suspect.last_crash) < age_ms;
         let mut entries: Vec<_> = self
             .suspects
             .iter()
             .filter(|(_, suspect)| suspect.until > now && suspect.is_exported())
+            .filter(|(_, suspect)| is_young(suspect))
             .map(|(content, suspect)| QuarantineEntry {
                 content: *content,
                 crashed: suspect.crashed.clone(),
--- a/crates/coordination/tests/limits_quarantine.rs
+++ b/crates/coordination/tests/limits_quarantine.rs
@@ -323,3 +323,19 @@
     quarantine.crashed(&[content(0)], &server(4), true, at(3));
     expect_true!(quarantine.is_refused(&content(0), at(3)));
 }
+
+/// Guards against heartbeats that repeat all crashes of the last minute, which made them eight times as
+/// long, and against a crash that is told for too short a time.
+#[gtest]
+fn only_young_crashes_are_news() {
+    let mut quarantine = Quarantine::new(60_000);
+    quarantine.crashed(&[content(1)], &server(1), false, at(0));
+    quarantine.crashed(&[content(2)], &server(2), false, at(5_000));
+    let young = |age_ms, now_ms| {
+        let entries = quarantine.export_younger_than(age_ms, at(now_ms));
+        entries.into_iter().map(|entry| entry.content).collect::<Vec<_>>()
+    };
+    expect_that!(young(750, 5_700), elements_are![eq(&content(2))]);
+    expect_that!(young(750, 5_800), is_empty());
+    expect_that!(quarantine.export(at(5_800)).len(), eq(2));
+}
--- a/crates/pollenshed/src/steer/crashes.rs
+++ b/crates/pollenshed/src/steer/crashes.rs
@@ -7,11 +7,13 @@
 
 use std::{rc::Rc, time::Duration};
 
+use pollenshed_coordination::limits::QuarantineEntry;
 use pollenshed_state::{
     ids::{BackendServerName, Digest},
     time::Instant,
 };
 use pollenshed_transport::forward::MaxIdle;
+use prost::Message;
 
 use super::core::Core;
 
@@ -24,6 +26,38 @@
 /// Time in which a server that lives takes a connection.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Content and the backend servers that it crashed, as peers receive it.
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+pub struct CrashedContent {
+    #[prost(bytes = "vec", tag = "1")]
+    content: Vec<u8>,
+    #[prost(string, repeated, tag = "2")]
+    servers: Vec<String>,
+    #[prost(uint64, tag = "3")]
+    ttl_left_ms: u64,
+}
+
+impl CrashedContent {
+    /// Returns an entry in the form that peers receive.
+    pub fn new(entry: &QuarantineEntry) -> CrashedContent {
+        CrashedContent {
+            content: entry.content.as_bytes().to_vec(),
+            servers: entry.crashed.iter().map(ToString::to_string).collect(),
+            ttl_left_ms: entry.ttl_left_ms,
+        }
+    }
+
+    /// Returns the entry, or `None` if it names no content.
+    pub fn entry(&self) -> Option<QuarantineEntry> {
+        Some(QuarantineEntry {
+            content: Digest::from_bytes(self.content.as_slice().try_into().ok()?),
+            crashed: self.servers.iter().filter_map(|name| name.parse().ok()).collect(),
+            ttl_left_ms: self.ttl_left_ms,
+        })
+    }
+}
+
 /// An answer that broke off.
 #[derive(Debug, Clone)]
 pub struct Broken {
--- a/crates/pollenshed/src/steer/gossip.rs
+++ b/crates/pollenshed/src/steer/gossip.rs
@@ -2,14 +2,14 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use pollenshed_coordination::limits::QuarantineEntry;
-use pollenshed_state::ids::{Digest, Incarnation};
+use pollenshed_state::ids::Incarnation;
 use pollenshed_transport::listen::StopPhase;
 use prost::Message;
 use tokio::net::UdpSocket;
 
 use super::{
     core::Core,
+    crashes::CrashedContent,
     homes::ClaimList,
     members::{Member, MemberRecord, PeerState},
     registration::own_record,
@@ -25,8 +25,12 @@
 /// Heartbeats to near peers for each one to a peer of another region, in a large region.
 const FAR_TURNS: u32 = 4;
 
-/// Heartbeats that repeat a claim, as a datagram can be lost.
-const CLAIM_REPEATS: u64 = 3;
+/// Heartbeats that repeat a claim or a crash, as a datagram can be lost.
+const NEWS_REPEATS: u64 = 3;
+
+/// Turns after which all crashes are told again, to peers that have started or were cut off. Each one
+/// takes some 50 bytes of a heartbeat of about 110.
+const CRASHES_TURNS: usize = 8;
 
 /// Longest datagram.
 const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
@@ -71,7 +75,7 @@
     steady: bool,
     /// Content that crashes backend servers.
     #[prost(message, repeated, tag = "13")]
-    crashes: Vec<Crashes>,
+    crashes: Vec<CrashedContent>,
     /// Time until the next heartbeat to the same peer.
     #[prost(uint64, tag = "14")]
     pause_ms: u64,
@@ -80,26 +84,12 @@
     store_answered_ms: u64,
 }
 
-/// Content and the backend servers that it crashed.
-#[derive(Clone, PartialEq)]
-#[derive(Message)]
-struct Crashes {
-    #[prost(bytes = "vec", tag = "1")]
-    content: Vec<u8>,
-    #[prost(string, repeated, tag = "2")]
-    servers: Vec<String>,
-    #[prost(uint64, tag = "3")]
-    ttl_left_ms: u64,
-}
-
-impl Crashes {
-    fn entry(&self) -> Option<QuarantineEntry> {
-        Some(QuarantineEntry {
-            content: Digest::from_bytes(self.content.as_slice().try_into().ok()?),
-            crashed: self.servers.iter().filter_map(|name| name.parse().ok()).collect(),
-            ttl_left_ms: self.ttl_left_ms,
-        })
-    }
+/// Which crashes a heartbeat tells.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Crashes {
+    /// Those that its receivers may not know.
+    New,
+    All,
 }
 
 /// Pauses between two heartbeats to a peer.
@@ -139,11 +129,16 @@
         core.pool.expire();
         let (near, far) = addresses(&core);
         let pace = Pace::new(near.len());
-        send(&core, &socket, &near, pace.near).await;
+        let crashes = if turn % CRASHES_TURNS < pace.far_turns as usize {
+            Crashes::All
+        } else {
+            Crashes::New
+        };
+        send(&core, &socket, &near, pace.near, crashes).await;
         // Each turn serves a part of the far peers.
         let turns = pace.far_turns as usize;
         let part: Vec<_> = far.into_iter().skip(turn % turns).step_by(turns).collect();
-        send(&core, &socket, &part, pace.far()).await;
+        send(&core, &socket, &part, pace.far(), crashes).await;
         turn += 1;
         tokio::time::sleep(pace.near).await;
     }
@@ -153,15 +148,21 @@
 pub async fn send_to_all(core: &Core, socket: &UdpSocket) {
     let (near, far) = addresses(core);
     let pace = Pace::new(near.len());
-    send(core, socket, &near, pace.near).await;
-    send(core, socket, &far, pace.far()).await;
+    send(core, socket, &near, pace.near, Crashes::All).await;
+    send(core, socket, &far, pace.far(), Crashes::All).await;
 }
 
-async fn send(core: &Core, socket: &UdpSocket, peers: &[SocketAddr], pause: Duration) {
+async fn send(
+    core: &Core,
+    socket: &UdpSocket,
+    peers: &[SocketAddr],
+    pause: Duration,
+    crashes: Crashes,
+) {
     if peers.is_empty() {
         return;
     }
-    let datagram = heartbeat(core, pause).encode_to_vec();
+    let datagram = heartbeat(core, pause, crashes).encode_to_vec();
     for peer in peers {
         // A datagram that is lost is followed by the next one.
         let _ = socket.send_to(&datagram, peer).await;
@@ -187,14 +188,18 @@
     (near, far)
 }
 
-fn heartbeat(core: &Core, pause: Duration) -> Heartbeat {
+fn heartbeat(core: &Core, pause: Duration, crashes: Crashes) -> Heartbeat {
     let pause_ms = pause.as_millis() as u64;
     let record = own_record(core);
     let counts = core.fleet.borrow().own_counts();
-    let mut claims = core.fleet.borrow_mut().homes.recent(CLAIM_REPEATS * pause_ms, core.now());
+    let mut claims = core.fleet.borrow_mut().homes.recent(NEWS_REPEATS * pause_ms, core.now());
     // The newest ones, if they do not all fit.
     claims.drain(..claims.len().saturating_sub(MAX_CLAIMS));
-    let mut crashes = core.quarantine.borrow().export(core.now());
+    let crashes_age_ms = match crashes {
+        Crashes::All => u64::MAX,
+        Crashes::New => NEWS_REPEATS * pause_ms,
+    };
+    let mut crashes = core.quarantine.borrow().export_younger_than(crashes_age_ms, core.now());
     crashes.truncate(MAX_CRASHES);
     Heartbeat {
         instance: record.instance.to_string(),
@@ -211,14 +216,7 @@
         steady: core.store_is_steady(),
         store_answered_ms: core.store_streak.get().lasted_ms(core.now()),
         pause_ms,
-        crashes: crashes
-            .into_iter()
-            .map(|entry| Crashes {
-                content: entry.content.as_bytes().to_vec(),
-                servers: entry.crashed.iter().map(ToString::to_string).collect(),
-                ttl_left_ms: entry.ttl_left_ms,
-            })
-            .collect(),
+        crashes: crashes.iter().map(CrashedContent::new).collect(),
     }
 }
 
@@ -261,7 +259,7 @@
         log::info!("members: heard; instance={instance} config={}", heartbeat.config_version);
     }
     let counts = heartbeat.servers.iter().copied().zip(heartbeat.counts.iter().copied()).collect();
-    let crashes: Vec<_> = heartbeat.crashes.iter().filter_map(Crashes::entry).collect();
+    let crashes: Vec<_> = heartbeat.crashes.iter().filter_map(CrashedContent::entry).collect();
     core.quarantine.borrow_mut().merge(&crashes, now);
     let mut fleet = core.fleet.borrow_mut();
     fleet.peer_counts(&instance, counts, now);
--- a/crates/pollenshed/src/steer/peer_view.rs
+++ b/crates/pollenshed/src/steer/peer_view.rs
@@ -85,6 +85,13 @@
     current: bool,
 }
 
+impl View {
+    fn has_rows(&self) -> bool {
+        let tables = [&self.operator, &self.servers, &self.instances];
+        tables.into_iter().flatten().any(|changes| !changes.rows.is_empty())
+    }
+}
+
 /// Answers a peer that asks for changes.
 pub async fn answer(core: Rc<Core>, request: Request<Incoming>) -> Response<AnswerBody> {
     if request.uri().path() != CHANGES_PATH {
@@ -100,7 +107,9 @@
         wait_for_change(&core, &question).await;
     }
     let view = view(&core, &question);
-    Response::new(AnswerBody::from(Bytes::from(view.encode_to_vec())))
+    let answer = view.encode_to_vec();
+    core.metrics.peer_answer(view.has_rows(), answer.len());
+    Response::new(AnswerBody::from(Bytes::from(answer)))
 }
 
 async fn wait_for_change(core: &Core, question: &Question) {
--- a/crates/transport/src/scrape/mod.rs
+++ b/crates/transport/src/scrape/mod.rs
@@ -7,6 +7,8 @@
 //! | `pollenshed_sends_total` | counter | service, end | requests sent to backend servers, by how they ended |
 //! | `pollenshed_backend_seconds` | histogram | service | time that a backend server took for an answer |
 //! | `pollenshed_store_calls_total` | counter | table, result | calls to the store |
+//! | `pollenshed_peer_answers_total` | counter | change | answers to peers that follow this instance, with a change or without |
+//! | `pollenshed_peer_answer_bytes_total` | counter | change | bytes of these answers |
 //! | `pollenshed_config_version` | gauge | | version of the configuration in force, 0 if none |
 //! | `pollenshed_servers` | gauge | state | backend servers: ready, cold, suspect, leaving |
 //! | `pollenshed_members_live` | gauge | | live instances, this one included |
@@ -59,6 +61,8 @@
     sends: IntCounterVec,
     backend_seconds: HistogramVec,
     store_calls: IntCounterVec,
+    peer_answers: IntCounterVec,
+    peer_answer_bytes: IntCounterVec,
     servers: IntGaugeVec,
     config_version: IntGauge,
     members_live: IntGauge,
@@ -86,6 +90,12 @@
             sends: counter("sends_total", "Requests sent to backend servers", &["service", "end"])?,
             backend_seconds: histogram("backend_seconds", "Time of backend servers", &["service"])?,
             store_calls: counter("store_calls_total", "Calls to the store", &["table", "result"])?,
+            peer_answers: counter("peer_answers_total", "Answers to peers", &["change"])?,
+            peer_answer_bytes: counter(
+                "peer_answer_bytes_total",
+                "Bytes of answers to peers",
+                &["change"],
+            )?,
             servers: IntGaugeVec::new(opts("servers", "Backend servers"), &["state"])?,
             config_version: gauge("config_version", "Version in force")?,
             members_live: gauge("members_live", "Live instances")?,
@@ -101,6 +111,8 @@
             Box::new(scrape.sends.clone()),
             Box::new(scrape.backend_seconds.clone()),
             Box::new(scrape.store_calls.clone()),
+            Box::new(scrape.peer_answers.clone()),
+            Box::new(scrape.peer_answer_bytes.clone()),
             Box::new(scrape.servers.clone()),
             Box::new(scrape.config_version.clone()),
             Box::new(scrape.members_live.clone()),
@@ -135,6 +147,13 @@
         self.store_calls.with_label_values(&[table, result]).inc();
     }
 
+    /// Counts an answer to a peer that asked for changes of the tables.
+    pub fn peer_answer(&self, has_change: bool, bytes: usize) {
+        let change = if has_change { "some" } else { "none" };
+        self.peer_answers.with_label_values(&[change]).inc();
+        self.peer_answer_bytes.with_label_values(&[change]).inc_by(bytes as u64);
+    }
+
     /// Writes all metrics as text.
     pub fn text(&self, levels: Levels) -> String {
         let set =
