--- a/review/stand-ins.rs
+++ b/review/stand-ins.rs
@@ -622,10 +622,13 @@
 
 #[path = "1/case.rs"]
 mod late_refusal;
+#[path = "2/case.rs"]
+mod stop_cuts_answer;
 
 fn run_case(case: &str, record: &Record) -> Result<bool, String> {
     match case {
         "1" => late_refusal::run(record),
+        "2" => stop_cuts_answer::run(record),
         _ => Err(format!("no such case: {case}")),
     }
 }
