--- a/review/stand-ins.rs
+++ b/review/stand-ins.rs
@@ -620,6 +620,8 @@
     Ok(instance)
 }
 
+#[path = "3/case.rs"]
+mod endless_interim;
 #[path = "1/case.rs"]
 mod late_refusal;
 #[path = "2/case.rs"]
@@ -629,6 +631,7 @@
     match case {
         "1" => late_refusal::run(record),
         "2" => stop_cuts_answer::run(record),
+        "3" => endless_interim::run(record),
         _ => Err(format!("no such case: {case}")),
     }
 }
