--- a/review/stand-ins.rs
+++ b/review/stand-ins.rs
@@ -626,12 +626,15 @@
 mod late_refusal;
 #[path = "2/case.rs"]
 mod stop_cuts_answer;
+#[path = "4/case.rs"]
+mod switched_protocol;
 
 fn run_case(case: &str, record: &Record) -> Result<bool, String> {
     match case {
         "1" => late_refusal::run(record),
         "2" => stop_cuts_answer::run(record),
         "3" => endless_interim::run(record),
+        "4" => switched_protocol::run(record),
         _ => Err(format!("no such case: {case}")),
     }
 }
