--- a/review/stand-ins.rs
+++ b/review/stand-ins.rs
@@ -287,6 +287,15 @@
         self.shared.1.notify_all();
     }
 
+    /// Removes a row, as the platform does when a server leaves.
+    fn remove(&self, table: &str, key: &str) {
+        let mut tables = self.shared.0.lock().unwrap();
+        tables.ver += 1;
+        let ver = tables.ver;
+        tables.put(table, key, None, ver);
+        self.shared.1.notify_all();
+    }
+
     fn listen(&self) -> SocketAddr {
         let store = self.clone();
         serve(move |stream| {
@@ -387,12 +396,25 @@
         }
     }
 
-    /// Writes the rows of the servers every 1.5 s, as backend servers do.
+    /// Writes the rows of the servers every 1.5 s, as backend servers do. Servers whose rows were
+    /// removed write no more.
     fn heartbeats(&self, servers: Vec<(String, SocketAddr)>) {
         let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
         let store = self.clone();
         let write = move |sequence: u64| {
             for (name, address) in &servers {
+                let key = ("servers".to_owned(), name.clone());
+                let is_removed = store
+                    .shared
+                    .0
+                    .lock()
+                    .unwrap()
+                    .rows
+                    .get(&key)
+                    .is_some_and(|r| r.value.is_none());
+                if is_removed {
+                    continue;
+                }
                 let row = format!(
                     "{{\"service\":\"anagrafe\",\"address\":\"{address}\",\"zone\":\"palermo-a\",\
                      \"version\":\"v1\",\"slots\":3,\"state\":\"ready\",\"cold_remaining\":\"0ms\",\
@@ -442,20 +464,39 @@
     ready: SocketAddr,
 }
 
+/// Where an instance listens: a loopback address, the port for its peers, and the address of a seed.
+struct Place {
+    ip: String,
+    peer_port: u16,
+    seed: Option<String>,
+}
+
 impl Instance {
     fn start(name: &str, store: SocketAddr, record: &Record) -> io::Result<Instance> {
+        let place = Place { ip: "127.0.0.1".to_owned(), peer_port: free_port(), seed: None };
+        Instance::start_at(name, "palermo-a", store, &place, record)
+    }
+
+    fn start_at(
+        name: &str,
+        zone: &str,
+        store: SocketAddr,
+        place: &Place,
+        record: &Record,
+    ) -> io::Result<Instance> {
         let folder = PathBuf::from(std::env::var("CASE_TMP").expect("CASE_TMP"));
-        let port = || format!("127.0.0.1:{}", free_port());
+        let Place { ip, peer_port: peer, seed } = place;
+        let port = || format!("{ip}:{}", free_port());
+        let seeds = seed.as_ref().map(|ip| format!("\"{ip}:8649\"")).unwrap_or_default();
         let (callers, lookup, ready, metrics) = (port(), port(), port(), port());
-        let peer = free_port();
         let settings = format!(
-            "{{\"instance\":\"{name}\",\"failure_domain\":\"palermo-a\",\
+            "{{\"instance\":\"{name}\",\"failure_domain\":\"{zone}\",\
              \"failure_domains\":{{\"palermo-a\":\"palermo\",\"palermo-b\":\"palermo\",\
              \"catania-a\":\"catania\",\"catania-b\":\"catania\",\"siracusa-a\":\"siracusa\",\
              \"siracusa-b\":\"siracusa\"}},\"callers_address\":\"{callers}\",\
              \"lookup_address\":\"{lookup}\",\"ready_address\":\"{ready}\",\
-             \"peer_ip\":\"127.0.0.1\",\"peer_port\":{peer},\"metrics_address\":\"{metrics}\",\
-             \"store_address\":\"{store}\",\"seeds\":[],\"memory_mb\":260,\
+             \"peer_ip\":\"{ip}\",\"peer_port\":{peer},\"metrics_address\":\"{metrics}\",\
+             \"store_address\":\"{store}\",\"seeds\":[{seeds}],\"memory_mb\":260,\
              \"max_descriptors\":4100,\"bounds\":{{\"seed_lag\":\"3s\",\"reuse_delay\":\"2s\",\
              \"contact\":\"3000ms\",\"ack\":\"4000ms\",\"catch_up\":\"4s\",\"drain\":\"2000ms\",\
              \"grace\":\"6s\",\"loss_slack\":\"200ms\",\"config_apply\":\"2000ms\",\
@@ -624,6 +665,8 @@
 mod endless_interim;
 #[path = "1/case.rs"]
 mod late_refusal;
+#[path = "2/case.rs"]
+mod left_server_stays;
 #[path = "3/case.rs"]
 mod stop_cuts_answer;
 #[path = "5/case.rs"]
@@ -632,6 +675,7 @@
 fn run_case(case: &str, record: &Record) -> Result<bool, String> {
     match case {
         "1" => late_refusal::run(record),
+        "2" => left_server_stays::run(record),
         "3" => stop_cuts_answer::run(record),
         "4" => endless_interim::run(record),
         "5" => switched_protocol::run(record),
