--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,6 +1,8 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. See claim.txt.
 set -u
+# TROUBLE=0 runs the case without its disruption.
+export TROUBLE=${TROUBLE:-1}
 case_folder=$(cd "$(dirname "$0")" && pwd)
 cd "$case_folder/../.."
 CASE_TMP=$(mktemp -d) || exit 2
