Compare the id of an answer before its refusal is believed in serve

What callers could see: an idempotent request that a backend server runs is reported as not run, since a late refusal of another request on the pooled connection counts as its own.

Cause: `read_response` returned on "shed" before it compared the request ids.

Evidence: a_refusal_of_another_request_is_not_believed got Shed on the code before and passes now.

--- a/crates/transport/src/backend/mod.rs
+++ b/crates/transport/src/backend/mod.rs
@@ -234,17 +234,17 @@
     response: &mut Response<ureq::Body>,
     backend_request: &BackendRequest<'_>,
 ) -> BackendOutcome {
-    let is_set = |name: &str| response.headers().get(name).is_some_and(|v| v == "1");
-    let draining = is_set(DRAINING_HEADER);
-    if response.status() == 503 && is_set(SHED_HEADER) {
-        return BackendOutcome::Shed { draining };
-    }
-    // A response with another request id must not be forwarded: it belongs to another request.
+    // A response with another request id belongs to another request, whatever it says.
     if let Some(id) = response.headers().get(REQUEST_ID_HEADER)
         && id.as_bytes() != backend_request.request_id.as_bytes()
     {
         return BackendOutcome::ConnectionLost("answer names another request".to_owned());
     }
+    let is_set = |name: &str| response.headers().get(name).is_some_and(|v| v == "1");
+    let draining = is_set(DRAINING_HEADER);
+    if response.status() == 503 && is_set(SHED_HEADER) {
+        return BackendOutcome::Shed { draining };
+    }
     let status = u32::from(response.status().as_u16());
     let headers = response_headers(response);
     let content_length = response.body().content_length();
--- a/crates/transport/tests/backend.rs
+++ b/crates/transport/tests/backend.rs
@@ -83,3 +83,28 @@
         expect_that!(posts.load(Ordering::SeqCst), eq(round));
     }
 }
+
+/// Guards against a refusal of another request that is taken for one of this request, whose caller
+/// is then told that it did not run.
+#[gtest]
+fn a_refusal_of_another_request_is_not_believed() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let _ = stream.read(&mut [0; 4_096]).unwrap();
+        let refusal = b"HTTP/1.1 503 Full\r\npollenshed-request-id: another\r\n\
+            pollenshed-shed: 1\r\ncontent-length: 0\r\n\r\n";
+        stream.write_all(refusal).unwrap();
+    });
+    let request = HttpRequest { method: "GET".into(), path: "/x".into(), ..Default::default() };
+    let outcome = BackendClient::open().send(&BackendRequest {
+        address,
+        request: &request,
+        request_id: "own",
+        timeout: Duration::from_secs(10),
+        idempotent: true,
+        max_answer_bytes: 1_000,
+    });
+    expect_true!(matches!(outcome, BackendOutcome::ConnectionLost(_)), "{outcome:?}");
+}
