Send the whole table to peers that may have missed a removal

Cause: the restarted reader reads the whole table, which lacks the entry, and answers its peers with the changes since their version as if it had seen every removal since version 0. They take over its version, so neither a peer nor the store tells them again. Besides, an instance took a removed row back from a peer that was behind.

The instance that was not killed never logs `servers: gone`.

Change: a copy of a table knows since which version it has seen every removal; a whole read, a table taken from a peer and dropped tombstones raise it, and peers pass it on with a table. Peers behind it get the whole table. Unknown rows of peers that are no later than the known version of the table are left out.

Ruled out: that the removal is held back as an expired record.

--- a/crates/pollenshed/src/steer/apply.rs
+++ b/crates/pollenshed/src/steer/apply.rs
@@ -29,20 +29,45 @@
     core.table_changes.send_modify(|count| *count += 1);
 }
 
-/// Applies rows that a peer sent. `version` is the version up to which the peer knows the table, and
-/// rows up to `copied_up_to` may come from a copy that the store was restored from.
-pub fn apply_peer_rows(
-    core: &Rc<Core>,
-    table: Table,
-    rows: Vec<Row>,
-    version: Option<StoreVersion>,
-    copied_up_to: Option<StoreVersion>,
-) {
+/// Changes of a table that a peer sent.
+pub struct PeerChanges {
+    /// Rows and tombstones.
+    pub rows: Vec<Row>,
+    /// Version up to which the peer knows the table. `None` if it has not read the table yet.
+    pub version: Option<StoreVersion>,
+    /// Version up to which rows may come from the copy that the store was restored from.
+    pub copied_up_to: Option<StoreVersion>,
+    /// Version since which the peer knows every removal, if it sent the whole table.
+    pub whole_since: Option<StoreVersion>,
+}
+
+/// Merges the changes of a peer into the local copy of a table and applies those that are new.
+pub fn apply_peer_changes(core: &Rc<Core>, table: Table, changes: PeerChanges) {
+    let PeerChanges { mut rows, version, copied_up_to, whole_since } = changes;
     if let Some(version) = version {
         core.record_store_era(version.era);
     }
-    if let Some(copied_up_to) = copied_up_to {
-        core.tables.borrow_mut().get_mut(table).record_copy(copied_up_to);
+    {
+        let mut tables = core.tables.borrow_mut();
+        let view = tables.get_mut(table);
+        if let Some(copied_up_to) = copied_up_to {
+            view.record_copy(copied_up_to);
+        }
+        if let Some(since) = whole_since {
+            view.record_whole(since);
+        }
+        rows.retain(|row| {
+            let is_removed = view.lacks_removed(row);
+            if is_removed {
+                log::info!(
+                    "peers: row was removed before; table={} key={} version={}",
+                    table.name(),
+                    row.key,
+                    row.version
+                );
+            }
+            !is_removed
+        });
     }
     apply_rows(core, table, rows);
     let mut tables = core.tables.borrow_mut();
--- a/crates/pollenshed/src/steer/peer_view.rs
+++ b/crates/pollenshed/src/steer/peer_view.rs
@@ -16,7 +16,7 @@
 use tokio::time::timeout;
 
 use super::{
-    apply,
+    apply::{self, PeerChanges},
     core::Core,
     homes::{self, ClaimList},
     lookup::empty_response,
@@ -126,6 +126,11 @@
     /// Version of this era up to which rows may come from a copy that the store was restored from.
     #[prost(uint64, optional, tag = "5")]
     copied_up_to: Option<u64>,
+    /// Version since which the peer knows every removal, and its era.
+    #[prost(uint64, optional, tag = "6")]
+    removals_known_since: Option<u64>,
+    #[prost(uint64, optional, tag = "7")]
+    removals_era: Option<u64>,
 }
 
 #[derive(Clone, PartialEq)]
@@ -258,6 +263,8 @@
             copied_up_to: version
                 .filter(|version| version.era == view.copied_up_to.era)
                 .map(|_| view.copied_up_to.number),
+            removals_known_since: Some(view.removals_known_since().number),
+            removals_era: Some(view.removals_known_since().era.0),
         })
     };
     // Until an instance has the homes that were kept, its list would pass for the whole.
@@ -385,8 +392,17 @@
             let removals = core.tables.borrow().get(table).removals_for_whole_table(&rows, version);
             rows.extend(removals);
         }
-        let copied_up_to = changes.copied_up_to.map(|number| version(number, changes.era));
-        apply::apply_peer_rows(core, table, rows, known_version, copied_up_to);
+        let is_whole = changes.is_whole || query.known(table).is_none();
+        // A peer of a build that does not tell may know no removal before its version.
+        let since =
+            changes.removals_known_since.map(|number| version(number, changes.removals_era));
+        let changes = PeerChanges {
+            rows,
+            version: known_version,
+            copied_up_to: changes.copied_up_to.map(|number| version(number, changes.era)),
+            whole_since: since.or(known_version).filter(|_| is_whole),
+        };
+        apply::apply_peer_changes(core, table, changes);
     }
     Ok(Fetched { is_current: response.current, has_homes })
 }
--- a/crates/pollenshed/src/steer/reader.rs
+++ b/crates/pollenshed/src/steer/reader.rs
@@ -138,6 +138,7 @@
         if is_copy {
             self.core.tables.borrow_mut().get_mut(self.table).record_copy(version);
         }
+        self.core.tables.borrow_mut().get_mut(self.table).record_whole(version);
         self.apply_whole_table(rows, version, is_copy);
         self.set_version(version);
         self.needs_whole_table = false;
--- a/crates/pollenshed/src/steer/tables.rs
+++ b/crates/pollenshed/src/steer/tables.rs
@@ -46,9 +46,11 @@
 pub struct TableView {
     rows: BTreeMap<String, (StoreVersion, Option<Bytes>)>,
     tombstones: usize,
-    /// Version of the last tombstone that was dropped. Peers that know the table only up to an
-    /// earlier version need the whole of it, as they would never learn of that removal otherwise.
-    dropped_up_to: StoreVersion,
+    /// Version since which every removal is known: that of a read of the whole table, which shows
+    /// no earlier removals, or of the last tombstone that was dropped. Peers that know the table
+    /// only up to an earlier version need the whole of it, as they would never learn of a removal
+    /// before it otherwise.
+    removals_known_since: StoreVersion,
     /// Version up to which the table is known. `None` until it was read completely.
     pub version: Option<StoreVersion>,
     /// Version up to which rows of the store's era may come from the copy that the store was
@@ -126,6 +128,27 @@
             .collect()
     }
 
+    /// Records that the table was taken over as a whole, from the store or from a peer that knows
+    /// every removal since `since`.
+    pub fn record_whole(&mut self, since: StoreVersion) {
+        self.removals_known_since = self.removals_known_since.max(since);
+    }
+
+    /// Returns the version since which every removal is known.
+    pub fn removals_known_since(&self) -> StoreVersion {
+        self.removals_known_since
+    }
+
+    /// Returns whether a row of a peer was removed before the version up to which the table is
+    /// known here. Without a tombstone, only the missing row shows it.
+    pub fn lacks_removed(&self, row: &Row) -> bool {
+        row.value.is_some()
+            && !self.rows.contains_key(&row.key)
+            && self
+                .version
+                .is_some_and(|known| known.era == row.version.era && row.version <= known)
+    }
+
     /// Returns the value of a row that exists.
     pub fn value(&self, key: &str) -> Option<&[u8]> {
         self.rows.get(key)?.1.as_deref()
@@ -147,9 +170,11 @@
         self.rows.iter().filter(|(_, (_, value))| value.is_some()).map(|(key, _)| key)
     }
 
-    /// Returns whether the changes since `after` include every removal.
+    /// Returns whether the changes since `after` include every removal that may be published.
     pub fn knows_removals_since(&self, after: StoreVersion) -> bool {
-        after >= self.dropped_up_to
+        // A peer that knows all that is published gains nothing by the whole table.
+        let published = self.published_version().unwrap_or(self.removals_known_since);
+        after >= self.removals_known_since.min(published)
     }
 
     /// Returns the removals of all rows that a whole table of a peer lacks. `version` is the version
@@ -168,7 +193,7 @@
         }
         let tombstones = self.rows.values().filter(|(_, value)| value.is_none());
         let newest = tombstones.map(|(version, _)| *version).max();
-        self.dropped_up_to = self.dropped_up_to.max(newest.unwrap_or_default());
+        self.record_whole(newest.unwrap_or_default());
         self.rows.retain(|_, (_, value)| value.is_some());
         self.tombstones = 0;
     }
--- /dev/null
+++ b/crates/pollenshed/tests/steer_restarted_reader.rs
@@ -0,0 +1,115 @@
+//! Servers that leave while the instance that reads the store for its region is killed and started
+//! again, with real processes.
+
+mod steer_support;
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use googletest::prelude::*;
+use steer_support::{Fleet, request, wait_for};
+
+/// Time after the removal of a server's record within which the server gets its last request:
+/// `drain` of the settings that the tests use.
+const DRAIN: Duration = Duration::from_millis(2_000);
+
+/// Time for which requests are sent after that.
+const WATCHED: Duration = Duration::from_millis(1_500);
+
+/// Number of objects in the requests.
+const OBJECTS: usize = 8;
+
+/// A kill of the reader, a removal of a server's record and a restart of the reader.
+#[derive(Debug, Clone, Copy)]
+struct Case {
+    instances: usize,
+    /// Whether the region counts as a large one, where an instance assigns the requests.
+    is_large: bool,
+    /// Time from the kill to the removal.
+    removed_after_ms: u64,
+    /// Time from the kill to the restart. `None` if the reader does not return.
+    restarted_after_ms: Option<u64>,
+}
+
+/// Plays a case while callers use the last instance, which runs all the time. Returns the number of
+/// requests that reached the server later than [`DRAIN`] after its removal.
+fn late_arrivals(case: Case) -> usize {
+    let mut fleet = Fleet::with(3, 0);
+    fleet.full_mesh_peers = if case.is_large { 1 } else { 40 };
+    for _ in 0..case.instances {
+        fleet.start("palermo-a");
+    }
+    fleet.wait_until_ready();
+    let used = fleet.instances.len() - 1;
+    wait_for("an answer of the server that leaves", || {
+        send(&fleet, used);
+        (!fleet.servers[0].arrivals().is_empty()).then_some(())
+    });
+    // The store has answered for longer than the time in which expired records return.
+    wait_for("reads of some seconds", || {
+        let metrics = fleet.instances[0].metrics();
+        let reads = metrics
+            .lines()
+            .filter(|l| l.starts_with("pollenshed_store_calls_total{") && l.contains("servers"));
+        let reads: u64 = reads.filter_map(|l| l.rsplit(' ').next()?.parse::<u64>().ok()).sum();
+        (reads >= 5).then_some(())
+    });
+    fleet.instances[0].signal("KILL");
+    let killed_at = Instant::now();
+    let after = |ms| killed_at + Duration::from_millis(ms);
+    let removal_at = after(case.removed_after_ms);
+    let mut restart_at = case.restarted_after_ms.map(after);
+    let mut removed_at: Option<Instant> = None;
+    while removed_at.is_none_or(|at| at.elapsed() < DRAIN + WATCHED) {
+        if removed_at.is_none() && Instant::now() >= removal_at {
+            fleet.store.remove("servers", "i-0");
+            removed_at = Some(Instant::now());
+        }
+        if restart_at.take_if(|at| Instant::now() >= *at).is_some() {
+            fleet.restart(0);
+        }
+        send(&fleet, used);
+    }
+    let limit = removed_at.unwrap() + DRAIN;
+    fleet.servers[0].arrivals().into_iter().filter(|at| *at > limit).count()
+}
+
+/// Sends one request for each object.
+fn send(fleet: &Fleet, instance: usize) {
+    for object in 0..OBJECTS {
+        let headers = format!("X-Affinity-Key: {object}\r\n");
+        fleet.instances[instance].call(&request("GET", "/read/x", "r", &headers, ""));
+    }
+}
+
+/// Plays several cases at the same time.
+fn expect_no_late_arrivals(cases: &[Case]) {
+    thread::scope(|scope| {
+        let plays: Vec<_> =
+            cases.iter().map(|case| (case, scope.spawn(|| late_arrivals(*case)))).collect();
+        for (case, play) in plays {
+            expect_that!(play.join().unwrap(), eq(0), "{case:?}");
+        }
+    });
+}
+
+/// Guards against a server that stays in use at instances that were not killed, because the reader
+/// was started again after the removal and never knew the server.
+#[googletest::test]
+fn a_restarted_reader_passes_on_what_was_removed_before_it_started() {
+    let case = |instances, is_large, removed_after_ms| Case {
+        instances,
+        is_large,
+        removed_after_ms,
+        restarted_after_ms: Some(500),
+    };
+    expect_no_late_arrivals(&[
+        case(2, false, 100),
+        case(2, false, 300),
+        case(2, false, 450),
+        case(4, false, 300),
+        case(4, true, 300),
+    ]);
+}
--- a/crates/pollenshed/tests/steer_tables.rs
+++ b/crates/pollenshed/tests/steer_tables.rs
@@ -29,6 +29,10 @@
     if is_whole {
         rows.extend(to.removals_for_whole_table(&rows, version));
     }
+    if is_whole || to.version.is_none() {
+        to.record_whole(from.removals_known_since());
+    }
+    rows.retain(|row| !to.lacks_removed(row));
     to.merge(Table::Instances, rows);
     to.version = Some(version);
 }
@@ -62,6 +66,66 @@
     expect_that!(behind.value("i-3"), some(anything()));
 }
 
+/// Returns a copy of a table that was read as a whole at `version` and contains only this row.
+fn read_at(version: u64, only: Row) -> TableView {
+    let mut view = TableView::default();
+    view.record_whole(at(version));
+    view.merge(Table::Instances, vec![only]);
+    view.version = Some(at(version));
+    view
+}
+
+/// Guards against a row that stays in use at an instance because the one that it follows was started
+/// after the removal, and at those that follow it in turn.
+#[googletest::test]
+fn an_instance_started_after_a_removal_passes_it_on() {
+    let kept = row(1, Some("kept"), 1);
+    let mut running = read_at(2, kept.clone());
+    running.merge(Table::Instances, vec![row(2, Some("removed"), 3)]);
+    running.version = Some(at(3));
+    let mut other = TableView::default();
+    follow(&running, &mut other);
+    let started = read_at(5, kept.clone());
+    let mut snapshot = TableView::default();
+    follow(&started, &mut snapshot);
+    follow(&started, &mut running);
+    expect_that!(running.keys().cloned().collect::<Vec<_>>(), eq(&vec![kept.key.clone()]));
+    follow(&snapshot, &mut other);
+    expect_that!(other.keys().cloned().collect::<Vec<_>>(), eq(&vec![kept.key]));
+    // Who knows the table up to that version gets changes only.
+    expect_that!(started.knows_removals_since(at(5)), eq(true));
+}
+
+/// Guards against a removed row that an instance takes back from a peer which does not know of the
+/// removal yet.
+#[googletest::test]
+fn a_row_that_was_removed_before_a_whole_read_is_not_taken_back() {
+    let kept = row(1, Some("kept"), 1);
+    let mut behind = read_at(2, kept.clone());
+    behind.merge(Table::Instances, vec![row(2, Some("removed"), 3)]);
+    behind.version = Some(at(3));
+    let mut started = read_at(5, kept.clone());
+    let from_peer = behind.changes(StoreVersion::default());
+    let accepted: Vec<_> = from_peer.into_iter().filter(|r| !started.lacks_removed(r)).collect();
+    started.merge(Table::Instances, accepted);
+    expect_that!(started.keys().cloned().collect::<Vec<_>>(), eq(&vec![kept.key]));
+    // A later row, and one of a store that was restored since, is new.
+    expect_that!(started.lacks_removed(&row(3, Some("later"), 6)), eq(false));
+    let restored = Row { version: restored_at(4), ..row(4, Some("restored"), 0) };
+    expect_that!(started.lacks_removed(&restored), eq(false));
+}
+
+/// Guards against a whole table that is sent again and again while a removal is held back.
+#[googletest::test]
+fn a_peer_that_knows_all_that_is_published_gets_changes_only() {
+    let mut source = read_at(20, row(1, Some("kept"), 1));
+    source.first_held_removal = Some(at(15));
+    expect_that!(source.knows_removals_since(at(13)), eq(false));
+    expect_that!(source.knows_removals_since(at(14)), eq(true));
+    source.first_held_removal = None;
+    expect_that!(source.knows_removals_since(at(14)), eq(false));
+}
+
 /// Guards against tables that are sent as a whole although the changes are known.
 #[googletest::test]
 fn an_instance_that_is_nearly_up_to_date_gets_changes_only() {
