Continue the store's answers to a reader that was killed

Cause: a removal is held back until the store is known to have answered for 2.2 s, since records may expire in an outage. The time was known to the reader alone and ended with its process, so the next reader and the restarted one held each removal back.

Change: instances keep what heartbeats told of the answers, also after the end of the process that got them, and continue it if their own first answer follows within the 3 s that a streak may pause. Heartbeats carry the age of the last answer and, until a live instance has had answers for 2.2 s, what the sender heard from others.

Ruled out: dropping the hold for a new reader, since an outage that ended just before would remove servers that live (an_instance_that_noticed_no_store_outage_removes_no_server_after_it).

--- a/crates/coordination/src/steering/answer_streak.rs
+++ b/crates/coordination/src/steering/answer_streak.rs
@@ -17,19 +17,67 @@
 const ANSWER_TTL_MS: u64 = 1_200;
 
 /// A series of answers of the store to one instance without a failed call or a long gap.
+///
+/// It continues the series that peers report, also those of a process that has ended since: the
+/// instance that reads the store after it, or the process that is started in its place, would
+/// otherwise know nothing of the store's availability for the first seconds.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct AnswerStreak {
     current: Option<Streak>,
+    /// Answers that peers reported, whether they got them themselves or heard of them.
+    reported: Option<Report>,
+    /// Answers that peers got themselves. Only these are passed on, so that a report does not become
+    /// newer by going back and forth.
+    first_hand: Option<Report>,
 }
 
 #[derive(Debug, Clone, Copy)]
 struct Streak {
-    /// Length of the streak that a peer had reported at the first answer.
+    /// Length of the streak that peers had reported before the first answer.
     inherited_ms: u64,
     first_at: Instant,
     last_at: Instant,
 }
 
+/// Who got the answers that a peer reports.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerSource {
+    /// The peer that reports them.
+    Peer,
+    /// Another instance, from which the peer heard of them.
+    Other,
+}
+
+/// A time for which the store has answered, as seen at `at`.
+#[derive(Debug, Clone, Copy)]
+struct Report {
+    /// Time from the first to the last answer.
+    length_ms: u64,
+    /// Time since the last answer.
+    age_ms: u64,
+    at: Instant,
+}
+
+impl Report {
+    fn age_ms(&self, now: Instant) -> u64 {
+        self.age_ms + now.since_ms(self.at)
+    }
+
+    /// Returns the time for which the store has answered by both reports, or by the newer one if
+    /// they are too far apart.
+    fn join(self, other: Report, now: Instant) -> Report {
+        let (older, newer) =
+            if self.age_ms(now) > other.age_ms(now) { (self, other) } else { (other, self) };
+        let newer_start_ms = newer.age_ms(now) + newer.length_ms;
+        if older.age_ms(now) >= newer_start_ms + MAX_GAP_MS {
+            return newer;
+        }
+        let start_ms = newer_start_ms.max(older.age_ms(now) + older.length_ms);
+        let age_ms = newer.age_ms(now);
+        Report { length_ms: start_ms - age_ms, age_ms, at: now }
+    }
+}
+
 impl AnswerStreak {
     /// Records an answer. `peer_streak_ms` is the length of the streak that a peer reports, which a
     /// new streak continues.
@@ -41,11 +89,57 @@
                     Some(Streak { inherited_ms: peer_streak_ms, first_at: now, last_at: now })
             }
         }
+        self.continue_reported(now);
+    }
+
+    /// Records that a peer reports answers of the store over `length_ms`, the last of them `age_ms`
+    /// ago.
+    pub fn record_report(
+        &mut self,
+        source: AnswerSource,
+        length_ms: u64,
+        age_ms: u64,
+        now: Instant,
+    ) {
+        let report = Report { length_ms, age_ms, at: now };
+        let join = |known: Option<Report>| Some(known.map_or(report, |k| k.join(report, now)));
+        self.reported = join(self.reported);
+        if source == AnswerSource::Peer {
+            self.first_hand = join(self.first_hand);
+        }
+        self.continue_reported(now);
+    }
+
+    /// Extends the own streak by the reported one that it continues.
+    fn continue_reported(&mut self, now: Instant) {
+        let (Some(streak), Some(report)) = (&mut self.current, self.reported) else { return };
+        let own = Report {
+            length_ms: streak.inherited_ms + streak.last_at.since_ms(streak.first_at),
+            age_ms: 0,
+            at: streak.last_at,
+        };
+        let joined = own.join(report, now);
+        let start_ms = joined.length_ms + joined.age_ms(now);
+        let inherited_ms = start_ms.saturating_sub(now.since_ms(streak.first_at));
+        streak.inherited_ms = streak.inherited_ms.max(inherited_ms);
+    }
+
+    /// Returns the length and the age of the answers that peers got themselves, if they are recent
+    /// enough to be continued.
+    pub fn first_hand_report_ms(&self, now: Instant) -> Option<(u64, u64)> {
+        let report = self.first_hand?;
+        let age_ms = report.age_ms(now);
+        (age_ms < MAX_GAP_MS).then_some((report.length_ms, age_ms))
+    }
+
+    /// Returns the time since the last answer of the streak.
+    pub fn age_ms(&self, now: Instant) -> Option<u64> {
+        self.current.map(|streak| now.since_ms(streak.last_at))
     }
 
-    /// Records a failed call, which ends the streak.
+    /// Records a failed call, which ends the streak and those that were reported before.
     pub fn record_failure(&mut self) {
-        self.current = None;
+        *self = AnswerStreak::default();
     }
 
     /// Returns for how many milliseconds the store has answered, or 0 if it is not known to answer
--- a/crates/coordination/src/steering/mod.rs
+++ b/crates/coordination/src/steering/mod.rs
@@ -29,7 +29,7 @@
 mod statements;
 mod warmth;
 
-pub use answer_streak::AnswerStreak;
+pub use answer_streak::{AnswerSource, AnswerStreak};
 pub use assignments::Assignment;
 pub use cold::{ColdRate, cold_senders};
 pub use fleet::{Fleet, ServerKey, server_key};
--- a/crates/pollenshed/src/steer/gossip.rs
+++ b/crates/pollenshed/src/steer/gossip.rs
@@ -3,8 +3,11 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use pollenshed_coordination::{membership::rounds_per_beat, steering::LimitReport};
-use pollenshed_state::{ids::Incarnation, units::RequestRate};
+use pollenshed_coordination::{
+    membership::rounds_per_beat,
+    steering::{AnswerSource, LimitReport},
+};
+use pollenshed_state::{ids::Incarnation, time::Instant, units::RequestRate};
 use pollenshed_transport::listen::StopPhase;
 use prost::Message;
 
@@ -14,6 +17,7 @@
     crashes::CrashedContent,
     homes::ClaimList,
     members::{Member, MemberRecord, PeerState, RelayedBeat},
+    reader::RENEWAL_MS,
     registration::own_record,
 };
 
@@ -124,6 +128,24 @@
     /// Backend servers that limit their requests.
     #[prost(message, repeated, tag = "18")]
     limits: Vec<StatedLimit>,
+    /// Time since the last of the answers of `store_answered_ms`.
+    #[prost(uint64, optional, tag = "19")]
+    store_answer_age_ms: Option<u64>,
+    /// For how long the store has answered other instances, of which none may live any more.
+    #[prost(message, optional, tag = "20")]
+    heard_answers: Option<HeardAnswers>,
+}
+
+/// Answers of the store to other instances.
+#[derive(Clone, Copy, PartialEq)]
+#[derive(Message)]
+struct HeardAnswers {
+    /// Time from the first to the last one.
+    #[prost(uint64, tag = "1")]
+    length_ms: u64,
+    /// Time since the last one.
+    #[prost(uint64, tag = "2")]
+    age_ms: u64,
 }
 
 /// Limit of a backend server, and the requests that the sender counted towards it.
@@ -382,6 +404,11 @@
     };
     let mut crashes = core.quarantine.borrow().export_recent(crashes_age_ms, core.now());
     crashes.truncate(MAX_CRASHES);
+    let now = core.now();
+    let streak = core.store_streak.get();
+    // Once a live instance has had answers for so long, peers hear of them from itself.
+    let heard_answers =
+        streak.first_hand_report_ms(now).filter(|_| core.store_answered_ms() < RENEWAL_MS);
     Heartbeat {
         instance: record.instance.to_string(),
         incarnation: record.incarnation.0,
@@ -395,7 +422,9 @@
         counts: counts.iter().map(|(_, count)| *count).collect(),
         homes: (!claims.is_empty()).then(|| ClaimList::new(&claims)),
         store_healthy: core.store_is_healthy(),
-        store_answered_ms: core.store_streak.get().duration_ms(core.now()),
+        store_answered_ms: streak.duration_ms(now),
+        store_answer_age_ms: streak.age_ms(now),
+        heard_answers: heard_answers.map(|(length_ms, age_ms)| HeardAnswers { length_ms, age_ms }),
         beat: core.beat.get(),
         relayed: None,
         limits: limits.iter().map(StatedLimit::new).collect(),
@@ -434,6 +463,19 @@
     }
 }
 
+/// Records what a heartbeat tells of the store's answers.
+fn record_store_answers(core: &Core, heartbeat: &Heartbeat, now: Instant) {
+    let mut streak = core.store_streak.get();
+    if let Some(age_ms) = heartbeat.store_answer_age_ms.filter(|_| heartbeat.store_answered_ms > 0)
+    {
+        streak.record_report(AnswerSource::Peer, heartbeat.store_answered_ms, age_ms, now);
+    }
+    if let Some(HeardAnswers { length_ms, age_ms }) = heartbeat.heard_answers {
+        streak.record_report(AnswerSource::Other, length_ms, age_ms, now);
+    }
+    core.store_streak.set(streak);
+}
+
 /// Applies a heartbeat and returns whether its sender was silent before. An invalid heartbeat is
 /// ignored and gives `None`.
 fn apply_heartbeat(core: &Core, heartbeat: &Heartbeat) -> Option<bool> {
@@ -454,6 +496,7 @@
         heartbeat_interval_ms: heartbeat.heartbeat_interval_ms,
         beat: heartbeat.beat,
     };
+    record_store_answers(core, heartbeat, now);
     let is_new = core.members.borrow_mut().record_heartbeat(record, state, now);
     if let Some(relayed) = &heartbeat.relayed {
         core.members.borrow_mut().record_relayed(relayed.beats(), now);
--- a/crates/pollenshed/src/steer/reader.rs
+++ b/crates/pollenshed/src/steer/reader.rs
@@ -49,7 +49,7 @@
 
 /// Time after an outage of the store within which backend servers register again whose records
 /// expired meanwhile: about two seconds on the users' platform, and a margin for the clock.
-const RENEWAL_MS: u64 = 2_200;
+pub(super) const RENEWAL_MS: u64 = 2_200;
 
 /// Reads a table whenever this instance has to, until the process ends.
 pub async fn follow(core: Rc<Core>, table: Table) {
--- a/crates/pollenshed/tests/steer_restarted_reader.rs
+++ b/crates/pollenshed/tests/steer_restarted_reader.rs
@@ -113,3 +113,24 @@
         case(4, true, 300),
     ]);
 }
+
+/// Guards against a server that stays in use because the instance that reads the store next, or the
+/// restarted one, holds its removal back as that of a record which expired in an outage.
+#[googletest::test]
+fn a_removal_counts_at_once_although_the_reader_was_killed() {
+    let case = |instances, is_large, removed_after_ms, restarted_after_ms| Case {
+        instances,
+        is_large,
+        removed_after_ms,
+        restarted_after_ms,
+    };
+    expect_no_late_arrivals(&[
+        case(2, false, 100, Some(3_000)),
+        case(2, false, 700, Some(500)),
+        case(2, false, 100, None),
+        case(4, false, 300, Some(1_500)),
+        case(4, false, 800, Some(1_500)),
+        case(4, false, 100, None),
+        case(4, true, 300, Some(1_500)),
+    ]);
+}
