Date a removal that a whole read shows by the version of the read

What callers and servers saw: when the store forgot its history, an evacuation that was taken back stayed in force, and a server that had left stayed in use, for good.

Cause: the removal got the version of the newest row in the read. A removed row that was newer than all others counted as later than its removal.

Ruled out: that a later row could be lost. A row that a peer has told of since the read has a later version and stays.

--- a/crates/pollenshed/src/steer/reader.rs
+++ b/crates/pollenshed/src/steer/reader.rs
@@ -232,12 +232,12 @@
     /// not written again yet if the table `is_copy` of an earlier one.
     fn apply_whole_table(&mut self, mut rows: Vec<Row>, version: StoreVersion, is_copy: bool) {
         let present: BTreeSet<&str> = rows.iter().map(|row| row.key.as_str()).collect();
-        let newest = rows.iter().map(|row| row.version).max();
-        let newest = newest.unwrap_or(StoreVersion { number: 0, ..version });
         let removed: Vec<Row> = {
             let tables = self.core.tables.borrow();
             let keys = tables.get(self.table).keys().filter(|key| !present.contains(key.as_str()));
-            keys.map(|key| Row { key: key.clone(), value: None, version: newest }).collect()
+            // The removal is later than the row, which may have been the newest of the table. A row
+            // that a peer has told of since is later than `version` and stays.
+            keys.map(|key| Row { key: key.clone(), value: None, version }).collect()
         };
         rows.extend(removed);
         self.apply_table_rows(rows, is_copy);
--- a/crates/pollenshed/tests/steer_restarted_reader.rs
+++ b/crates/pollenshed/tests/steer_restarted_reader.rs
@@ -1,5 +1,5 @@
-//! Servers that leave while the instance that reads the store for its region is killed and started
-//! again, with real processes.
+//! Removals from the store that no tombstone tells of, with real processes: the instance that reads
+//! the store for its region is killed and started again, or the store forgets its history.
 
 mod steer_support;
 
@@ -9,6 +9,7 @@
 };
 
 use googletest::prelude::*;
+use pollenshed_standins::steered::EndpointFault;
 use steer_support::{Fleet, request, wait_for};
 
 /// Time after the removal of a server's record within which the server gets its last request:
@@ -134,3 +135,36 @@
         case(4, true, 300, Some(1_500)),
     ]);
 }
+
+/// Guards against a removal that has no effect because the removed row was the newest of its table
+/// and the store has forgotten its history since: an evacuation stays in force, and a server that
+/// has left stays in use.
+#[googletest::test]
+fn the_newest_row_of_a_table_is_removed_although_the_history_is_gone() {
+    let mut fleet = Fleet::with(2, 2);
+    fleet.store.put("op", "evacuate/catania-a", b"{}");
+    fleet.announce(1, "draining");
+    for instance in &fleet.instances {
+        wait_for("both rows", || {
+            let log = instance.log();
+            (log.contains("evacuation: changed") && log.contains("draining; server=i-1"))
+                .then_some(())
+        });
+    }
+    fleet.store_endpoint.set_fault(EndpointFault::Busy);
+    wait_for("the loss of the store", || {
+        let log = fleet.instances[0].log();
+        let is_lost = |table| log.contains(&format!("store: lost; table={table}"));
+        (is_lost("servers") && is_lost("op")).then_some(())
+    });
+    fleet.store.remove("op", "evacuate/catania-a");
+    fleet.store.remove("servers", "i-1");
+    fleet.store.truncate_history();
+    fleet.store_endpoint.set_fault(EndpointFault::None);
+    for instance in &fleet.instances {
+        wait_for("the end of the evacuation", || {
+            (instance.log().matches("evacuation: changed").count() == 2).then_some(())
+        });
+        wait_for("the removal", || instance.log().contains("gone; server=i-1").then_some(()));
+    }
+}
