End a connection that sends interim responses without end

Cause: hyper skips interim responses without a limit and reads on in one poll as long as bytes are there. All tasks share a thread, so other requests and the timers wait.

Change: interim responses are counted by hyper's callback, and the stream of the connection fails once there are more than 64. The same for calls.

Ruled out: that the parsing of single heads is at fault; heads, chunks and trailers without end were cut off before (steer_endless). Counting bytes until the final head would need the stream to know where a head ends.

--- a/crates/pollenshed/tests/steer_endless.rs
+++ b/crates/pollenshed/tests/steer_endless.rs
@@ -7,6 +7,7 @@
     fs,
     io::Read,
     net::TcpStream,
+    thread,
     time::{Duration, Instant},
 };
 
@@ -23,6 +24,9 @@
 /// Time after the timeout within which the caller has its final answer.
 const SLACK: Duration = Duration::from_millis(1_000);
 
+/// Time after the timeout within which the users' rules want an answer.
+const LATE_SLACK: Duration = Duration::from_millis(500);
+
 /// Growth of memory that a faulty server may cause.
 const MAX_GROWTH_BYTES: u64 = 8 * 1024 * 1024;
 
@@ -106,6 +110,40 @@
     expect_bounded(Fault::EndlessHead);
 }
 
+/// Guards against interim heads that are read as long as they come.
+#[googletest::test]
+fn interim_heads_without_end_are_cut_off() {
+    for status in [100, 102, 103] {
+        expect_bounded(Fault::EndlessInterim(status));
+    }
+}
+
+/// Guards against interim heads without end that keep the whole instance busy, so that requests to
+/// sound servers are late too.
+#[googletest::test]
+fn interim_heads_without_end_make_no_other_request_late() {
+    let options = |number| ServerOptions { name: format!("i-{number}"), ..Default::default() };
+    let mut fleet = Fleet::open((0..4).map(options).collect());
+    fleet.start("palermo-a");
+    fleet.wait_until_ready();
+    fleet.servers[0].set_fault(Fault::EndlessInterim(100));
+    let instance = &fleet.instances[0];
+    // Many callers at once, so that several requests reach the faulty server before it is avoided.
+    let took: Vec<Duration> = thread::scope(|scope| {
+        let send = |number: usize| {
+            let headers = format!("X-Affinity-Key: {number}\r\n");
+            let start = Instant::now();
+            instance.call(&request("POST", "/file/x", &format!("late-{number}"), &headers, "x"));
+            start.elapsed()
+        };
+        let callers: Vec<_> = (0..40).map(|number| scope.spawn(move || send(number))).collect();
+        callers.into_iter().map(|caller| caller.join().unwrap()).collect()
+    });
+    expect_that!(fleet.servers[0].runs().len(), ge(2));
+    let late = took.iter().filter(|took| **took > ROUTE_TIMEOUT + LATE_SLACK).count();
+    expect_that!(late, eq(0), "{took:?}");
+}
+
 /// Guards against a body that is passed on for good.
 #[googletest::test]
 fn a_body_without_end_is_cut_off_at_the_deadline() {
--- a/crates/standins/src/steered/server.rs
+++ b/crates/standins/src/steered/server.rs
@@ -62,6 +62,8 @@
     EndlessBytes,
     /// It sends the head of an answer without end until the connection is closed.
     EndlessHead,
+    /// It sends interim answers (1xx) with many headers until the connection is closed.
+    EndlessInterim(u16),
     /// It sends an answer of unknown length without end until the connection is closed.
     EndlessBody,
     /// It sends an answer of unknown length, a byte at a time, until the connection is closed.
@@ -388,7 +390,11 @@
                 let _ = write_answer(&mut writer, &answer, head, Some(text.len() / 2));
                 false
             }
-            Fault::EndlessBytes | Fault::EndlessHead | Fault::EndlessBody | Fault::TrickledBody => {
+            Fault::EndlessBytes
+            | Fault::EndlessHead
+            | Fault::EndlessInterim(_)
+            | Fault::EndlessBody
+            | Fault::TrickledBody => {
                 send_without_end(stream, fault, &id);
                 self.state().cut_answers += 1;
                 false
@@ -492,6 +498,10 @@
     );
     let (start, piece) = match fault {
         Fault::EndlessHead => (head, "X-Filler: 0123456789abcdef\r\n".repeat(100)),
+        Fault::EndlessInterim(status) => {
+            let headers: String = (0..90).map(|number| format!("a{number}:\r\n")).collect();
+            (String::new(), format!("HTTP/1.1 {status} Interim\r\n{headers}\r\n").repeat(20))
+        }
         Fault::EndlessBody => (head + "\r\n", "0123456789abcdef".repeat(256)),
         Fault::TrickledBody => (head + "\r\n", "0".to_owned()),
         _ => (String::new(), "\u{1}\u{2}no answer".repeat(100)),
--- a/crates/transport/src/call/mod.rs
+++ b/crates/transport/src/call/mod.rs
@@ -12,7 +12,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::{task::JoinHandle, time::timeout};
 
-use crate::forward::connect;
+use crate::forward::{InterimCount, LimitedStream, MAX_RESPONSE_HEAD_BYTES, connect};
 
 /// Time limit on connecting.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -47,6 +47,7 @@
 
 struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
+    interim: InterimCount,
     task: JoinHandle<()>,
 }
 
@@ -83,13 +84,14 @@
             Some(connection) => connection,
             None => self.connect().await?,
         };
-        let request = Request::builder()
+        let mut request = Request::builder()
             .method(method)
             .uri(target)
             .header(header::HOST, self.address.to_string())
             .header(header::CONTENT_TYPE, "application/json")
             .body(Full::new(body.into()))
             .map_err(|e| CallError::ConnectionLost(e.to_string()))?;
+        connection.interim.observe(&mut request);
         let exchange = async {
             let response = connection.sender.send_request(request).await?;
             let (head, body) = response.into_parts();
@@ -106,13 +108,17 @@
 
     async fn connect(&self) -> Result<Connection, CallError> {
         let stream = connect(self.address, CONNECT_TIMEOUT).await.map_err(CallError::Connect)?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let interim = InterimCount::default();
+        let stream = LimitedStream::new(stream, interim.clone());
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_RESPONSE_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|e| CallError::ConnectionLost(e.to_string()))?;
         let task = tokio::task::spawn_local(async move {
             // The call that waits for the response gets the error.
             let _ = connection.await;
         });
-        Ok(Connection { sender, task })
+        Ok(Connection { sender, interim, task })
     }
 }
--- a/crates/transport/src/forward/exchange.rs
+++ b/crates/transport/src/forward/exchange.rs
@@ -100,8 +100,9 @@
 /// connection, which cancels the request.
 pub async fn exchange(
     mut lease: Lease,
-    request: Request<RequestBody>,
+    mut request: Request<RequestBody>,
 ) -> Result<BackendResponse, ExchangeError> {
+    lease.connection.interim.observe(&mut request);
     match lease.connection.sender.try_send_request(request).await {
         Ok(response) => {
             let (head, body) = response.into_parts();
--- /dev/null
+++ b/crates/transport/src/forward/interim.rs
@@ -0,0 +1,102 @@
+//! Limit on the interim responses (1xx) that precede a response.
+//!
+//! The HTTP library skips interim responses and reads on without any limit. A faulty server that
+//! sends them without end would occupy the only thread of the instance, and the timers of all other
+//! requests would be late, see docs/incidents/2026-12-05-interim-heads-without-end.md.
+
+use std::{
+    io,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    task::{Context, Poll},
+};
+
+use http::Request;
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+};
+
+/// Interim responses after which a connection breaks off. A server sends one at the start and may
+/// report its progress from time to time.
+const MAX_INTERIM_RESPONSES: u32 = 64;
+
+/// Number of interim responses since the last request on a connection.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct InterimCount(Arc<AtomicU32>);
+
+impl InterimCount {
+    /// Counts the interim responses to a request that is about to be sent, from zero.
+    pub(crate) fn observe<B>(&self, request: &mut Request<B>) {
+        self.0.store(0, Ordering::Relaxed);
+        let count = self.0.clone();
+        hyper::ext::on_informational(request, move |_| {
+            count.fetch_add(1, Ordering::Relaxed);
+        });
+    }
+
+    fn is_exceeded(&self) -> bool {
+        self.0.load(Ordering::Relaxed) > MAX_INTERIM_RESPONSES
+    }
+}
+
+/// A stream that reads nothing more once its server has sent too many interim responses. At most one
+/// read buffer of them is parsed beyond the limit.
+pub(crate) struct LimitedStream {
+    stream: TcpStream,
+    interim: InterimCount,
+}
+
+impl LimitedStream {
+    pub(crate) fn new(stream: TcpStream, interim: InterimCount) -> LimitedStream {
+        LimitedStream { stream, interim }
+    }
+}
+
+impl AsyncRead for LimitedStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        if this.interim.is_exceeded() {
+            let text = format!("more than {MAX_INTERIM_RESPONSES} interim responses");
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, text)));
+        }
+        Pin::new(&mut this.stream).poll_read(cx, buffer)
+    }
+}
+
+impl AsyncWrite for LimitedStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write(cx, bytes)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write_vectored(cx, bytes)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+    }
+}
--- a/crates/transport/src/forward/pool.rs
+++ b/crates/transport/src/forward/pool.rs
@@ -14,7 +14,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::task::JoinHandle;
 
-use super::{connect, exchange::RequestBody};
+use super::{InterimCount, LimitedStream, MAX_RESPONSE_HEAD_BYTES, connect, exchange::RequestBody};
 
 /// Idle time after which a connection is closed if its server advertises no idle timeout.
 const DEFAULT_MAX_IDLE_TIME: Duration = Duration::from_secs(8);
@@ -87,6 +87,7 @@
 pub(super) struct Connection {
     pub(super) sender: http1::SendRequest<RequestBody>,
     task: JoinHandle<()>,
+    pub(super) interim: InterimCount,
     carried: CarriedRequests,
 }
 
@@ -144,15 +145,20 @@
         let start = Instant::now();
         let stream = connect(address, connect_limit).await?;
         let connect_time = start.elapsed();
-        let (sender, connection) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+        let interim = InterimCount::default();
+        let stream = LimitedStream::new(stream, interim.clone());
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_RESPONSE_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(io::Error::other)?;
         let task = tokio::task::spawn_local(async move {
             // The exchange that waits for the response gets the error.
             let _ = connection.await;
         });
         let mut carried = CarriedRequests::default();
         carried.record(id);
-        let connection = Connection { sender, task, carried };
+        let connection = Connection { sender, task, interim, carried };
         Ok((Lease { connection, address, pool: self.clone(), idle_for: None }, Some(connect_time)))
     }
 
