Answer 502 for a refusal that its server does not state as not run

What callers could see (rule REFUSED, the users' own matter): 503, 429 or 408 for a request that may run at most once and that had run. To callers these statuses promise that it has not run and never will.

Cause: every answer of a server without `X-Not-Executed` was passed on with its status, also one of the four statuses that are a promise. By the users' pages only that header, or 421, states that a request did not run.

Change: such an answer to an at-most-once request is replaced by 502, which promises nothing.

Ruled out: passing the status on with the server's stamp, which keeps the answer but leaves the false promise.

--- a/crates/pollenshed/src/steer/attempt.rs
+++ b/crates/pollenshed/src/steer/attempt.rs
@@ -7,7 +7,7 @@
 use pollenshed_coordination::steering::{
     AttemptEnd, Choice, RefusalReason, Request, RetryBudgetShare,
 };
-use pollenshed_platform::headers::RequestHeaders;
+use pollenshed_platform::headers::{self, RequestHeaders};
 use pollenshed_state::{
     ids::{BackendServerName, Digest, ServiceName},
     routes::{Repeatability, Route, RoutePlan},
@@ -195,6 +195,15 @@
             match result {
                 AttemptResult::Answered(status, headers, response_body) => {
                     self.sent_count += 1;
+                    if self.at_most_once() && headers::promises_not_run(status) {
+                        // The server doesn't state that it did not run the request, so its status
+                        // can't be passed on as that promise.
+                        return Outcome::local(
+                            StatusCode::BAD_GATEWAY,
+                            "unstated-refusal",
+                            self.sent_count,
+                        );
+                    }
                     let failed = status.is_server_error();
                     if !failed || self.at_most_once() || !may_repeat || !self.plan_retry(None).await
                     {
--- a/crates/standins/src/steered/server.rs
+++ b/crates/standins/src/steered/server.rs
@@ -30,6 +30,8 @@
     ShedWithFreeSlots,
     /// It runs each request and answers 500.
     Fail,
+    /// It runs each request and answers with this status, which does not state that it did not.
+    FailWith(u16),
     /// It runs each request and closes the connection without an answer.
     LoseAnswers,
     /// It closes the connection in the middle of each answer.
@@ -364,7 +366,11 @@
         if !finished {
             return false;
         }
-        let status = if fault == Fault::Fail { 500 } else { 200 };
+        let status = match fault {
+            Fault::Fail => 500,
+            Fault::FailWith(status) => status,
+            _ => 200,
+        };
         let answer_id = if fault == Fault::WrongId { "another" } else { &id };
         let text = format!("{} from {}", head.target, options.service);
         let mut answer = Answer::text(status, &text)
