Take a switch of protocols for no answer

Cause: hyper hands 101 over like a final response, and its status was not looked at. No request asks for another protocol, since `Upgrade` is not forwarded, so 101 is no answer.

Change: an informational status ends the attempt like an answer to another request.

Ruled out: interim statuses but 101, which hyper skips.

--- a/crates/pollenshed/src/steer/exchange.rs
+++ b/crates/pollenshed/src/steer/exchange.rs
@@ -339,7 +339,9 @@
         // be told from a late copy of one that the connection carried before.
         let is_own_response = head.request_id == self.routed.caller.request_id
             || (head.misdirected && head.request_id.is_none() && response.is_first_on_connection());
-        if !is_own_response || (status.is_success() && !head.has_stamp) {
+        // No request asks for another protocol, so 101 is no response to any.
+        if !is_own_response || status.is_informational() || (status.is_success() && !head.has_stamp)
+        {
             log::warn!(
                 "backend: response to another request; id={} server={} answer_id={:?}",
                 self.id(),
