--- a/crates/pollenshed/tests/steer_soak.rs
+++ b/crates/pollenshed/tests/steer_soak.rs
@@ -140,11 +140,15 @@
                 Fault::AsksForRest(rng.u64(100..2_000)),
                 Fault::Shed,
                 Fault::ShedWithFreeSlots,
+                Fault::CopiesRefusals { status: 503, delay_ms: rng.u64(..40) },
                 Fault::Fail,
+                Fault::FailWith(503),
+                Fault::FailWith(101),
                 Fault::LoseAnswers,
                 Fault::CutAnswers,
                 Fault::WrongId,
                 Fault::ExtraAnswers,
+                Fault::EndlessInterim(100),
                 Fault::Silent,
             ];
             let fault = faults[rng.usize(..faults.len())];
