Open connections with limited interim responses in one place, saturate reported times

Read again as a newcomer: the pool and the client of calls opened their connections with the same lines; `handshake` does it for both. Times in heartbeats are added with saturation, since a malformed one must not end a debug build.

--- a/crates/coordination/src/steering/answer_streak.rs
+++ b/crates/coordination/src/steering/answer_streak.rs
@@ -39,6 +39,12 @@
     last_at: Instant,
 }
 
+impl Streak {
+    fn length_ms(&self) -> u64 {
+        self.inherited_ms.saturating_add(self.last_at.since_ms(self.first_at))
+    }
+}
+
 /// Who got the answers that a peer reports.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AnswerSource {
@@ -60,7 +66,12 @@
 
 impl Report {
     fn age_ms(&self, now: Instant) -> u64 {
-        self.age_ms + now.since_ms(self.at)
+        self.age_ms.saturating_add(now.since_ms(self.at))
+    }
+
+    /// Returns the time since the first answer.
+    fn start_ms(&self, now: Instant) -> u64 {
+        self.age_ms(now).saturating_add(self.length_ms)
     }
 
     /// Returns the time for which the store has answered by both reports, or by the newer one if
@@ -68,12 +79,11 @@
     fn join(self, other: Report, now: Instant) -> Report {
         let (older, newer) =
             if self.age_ms(now) > other.age_ms(now) { (self, other) } else { (other, self) };
-        let newer_start_ms = newer.age_ms(now) + newer.length_ms;
-        if older.age_ms(now) >= newer_start_ms + MAX_GAP_MS {
+        if older.age_ms(now) >= newer.start_ms(now).saturating_add(MAX_GAP_MS) {
             return newer;
         }
-        let start_ms = newer_start_ms.max(older.age_ms(now) + older.length_ms);
         let age_ms = newer.age_ms(now);
+        let start_ms = newer.start_ms(now).max(older.start_ms(now));
         Report { length_ms: start_ms - age_ms, age_ms, at: now }
     }
 }
@@ -113,13 +123,8 @@
     /// Extends the own streak by the reported one that it continues.
     fn continue_reported(&mut self, now: Instant) {
         let (Some(streak), Some(report)) = (&mut self.current, self.reported) else { return };
-        let own = Report {
-            length_ms: streak.inherited_ms + streak.last_at.since_ms(streak.first_at),
-            age_ms: 0,
-            at: streak.last_at,
-        };
-        let joined = own.join(report, now);
-        let start_ms = joined.length_ms + joined.age_ms(now);
+        let own = Report { length_ms: streak.length_ms(), age_ms: 0, at: streak.last_at };
+        let start_ms = own.join(report, now).start_ms(now);
         let inherited_ms = start_ms.saturating_sub(now.since_ms(streak.first_at));
         streak.inherited_ms = streak.inherited_ms.max(inherited_ms);
     }
@@ -146,9 +151,7 @@
     /// now.
     pub fn duration_ms(&self, now: Instant) -> u64 {
         match self.current {
-            Some(streak) if now.since_ms(streak.last_at) < ANSWER_TTL_MS => {
-                streak.inherited_ms + streak.last_at.since_ms(streak.first_at)
-            }
+            Some(streak) if now.since_ms(streak.last_at) < ANSWER_TTL_MS => streak.length_ms(),
             _ => 0,
         }
     }
--- a/crates/transport/src/call/mod.rs
+++ b/crates/transport/src/call/mod.rs
@@ -9,10 +9,9 @@
 use http::{Method, Request, Response, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
 use tokio::{task::JoinHandle, time::timeout};
 
-use crate::forward::{InterimCount, LimitedStream, MAX_RESPONSE_HEAD_BYTES, connect};
+use crate::forward::{InterimCount, connect, handshake};
 
 /// Time limit on connecting.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -108,13 +107,8 @@
 
     async fn connect(&self) -> Result<Connection, CallError> {
         let stream = connect(self.address, CONNECT_TIMEOUT).await.map_err(CallError::Connect)?;
-        let interim = InterimCount::default();
-        let stream = LimitedStream::new(stream, interim.clone());
-        let (sender, connection) = http1::Builder::new()
-            .max_buf_size(MAX_RESPONSE_HEAD_BYTES)
-            .handshake(TokioIo::new(stream))
-            .await
-            .map_err(|e| CallError::ConnectionLost(e.to_string()))?;
+        let (sender, connection, interim) =
+            handshake(stream).await.map_err(|e| CallError::ConnectionLost(e.to_string()))?;
         let task = tokio::task::spawn_local(async move {
             // The call that waits for the response gets the error.
             let _ = connection.await;
--- a/crates/transport/src/forward/interim.rs
+++ b/crates/transport/src/forward/interim.rs
@@ -15,6 +15,8 @@
 };
 
 use http::Request;
+use hyper::{body::Body, client::conn::http1};
+use hyper_util::rt::TokioIo;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -43,6 +45,33 @@
     }
 }
 
+/// Largest head of a response, and largest part of a response that is read at once. It bounds the
+/// time that one connection takes from the others of the thread.
+const MAX_RESPONSE_HEAD_BYTES: usize = 64 * 1024;
+
+/// Starts HTTP/1.1 on a stream. The connection has to be polled for as long as it is used, and each
+/// request has to be observed by the counter.
+pub(crate) async fn handshake<B>(
+    stream: TcpStream,
+) -> hyper::Result<(
+    http1::SendRequest<B>,
+    http1::Connection<TokioIo<LimitedStream>, B>,
+    InterimCount,
+)>
+where
+    B: Body + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let interim = InterimCount::default();
+    let stream = LimitedStream { stream, interim: interim.clone() };
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_RESPONSE_HEAD_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await?;
+    Ok((sender, connection, interim))
+}
+
 /// A stream that reads nothing more once its server has sent too many interim responses. At most one
 /// read buffer of them is parsed beyond the limit.
 pub(crate) struct LimitedStream {
@@ -50,12 +79,6 @@
     interim: InterimCount,
 }
 
-impl LimitedStream {
-    pub(crate) fn new(stream: TcpStream, interim: InterimCount) -> LimitedStream {
-        LimitedStream { stream, interim }
-    }
-}
-
 impl AsyncRead for LimitedStream {
     fn poll_read(
         self: Pin<&mut Self>,
--- a/crates/transport/src/forward/mod.rs
+++ b/crates/transport/src/forward/mod.rs
@@ -14,7 +14,7 @@
 use tokio::{net::TcpStream, time::timeout};
 
 pub use exchange::{BackendResponse, ExchangeError, RequestBody, ResponseBody, exchange};
-pub(crate) use interim::{InterimCount, LimitedStream};
+pub(crate) use interim::{InterimCount, handshake};
 pub use pool::{Lease, MaxIdle, Pool};
 
 /// Time after which the kernel closes a connection whose bytes are not acknowledged.
@@ -23,10 +23,6 @@
 /// Idle time after which the kernel sends keepalive probes, and the interval between probes.
 const KEEPALIVE_PERIOD: Duration = Duration::from_secs(2);
 
-/// Largest head of a response, and largest part of a response that is read at once. It bounds the
-/// time that one connection takes from the others of the thread.
-pub(crate) const MAX_RESPONSE_HEAD_BYTES: usize = 64 * 1024;
-
 /// Connects to `address`. The kernel closes the connection within seconds once its peer stops
 /// responding.
 pub async fn connect(address: SocketAddr, time_limit: Duration) -> io::Result<TcpStream> {
--- a/crates/transport/src/forward/pool.rs
+++ b/crates/transport/src/forward/pool.rs
@@ -11,10 +11,9 @@
 };
 
 use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
 use tokio::task::JoinHandle;
 
-use super::{InterimCount, LimitedStream, MAX_RESPONSE_HEAD_BYTES, connect, exchange::RequestBody};
+use super::{InterimCount, connect, exchange::RequestBody, handshake};
 
 /// Idle time after which a connection is closed if its server advertises no idle timeout.
 const DEFAULT_MAX_IDLE_TIME: Duration = Duration::from_secs(8);
@@ -145,13 +144,7 @@
         let start = Instant::now();
         let stream = connect(address, connect_limit).await?;
         let connect_time = start.elapsed();
-        let interim = InterimCount::default();
-        let stream = LimitedStream::new(stream, interim.clone());
-        let (sender, connection) = http1::Builder::new()
-            .max_buf_size(MAX_RESPONSE_HEAD_BYTES)
-            .handshake(TokioIo::new(stream))
-            .await
-            .map_err(io::Error::other)?;
+        let (sender, connection, interim) = handshake(stream).await.map_err(io::Error::other)?;
         let task = tokio::task::spawn_local(async move {
             // The exchange that waits for the response gets the error.
             let _ = connection.await;
