Identify callers by the key of their workspace in steer

Cause: steer knew no workspaces.

Change: the configuration's workspaces with digests of their keys, public routes and large answers become types of their own. A request's key is replaced by the name of its workspace, an unknown one gets 401, rank and homes of the workspace count.

--- a/crates/pollenshed/src/steer/attempt.rs
+++ b/crates/pollenshed/src/steer/attempt.rs
@@ -20,6 +20,7 @@
     callers::{Outcome, backend_request_head, buffered_body, response_for_caller},
     core::Core,
     exchange::{AttemptResult, RunningAttempt},
+    identity::Identity,
     keys,
 };
 
@@ -41,6 +42,8 @@
     pub plan: &'a RoutePlan,
     /// Route that the request matched.
     pub route: &'a Route,
+    /// On whose behalf the request comes.
+    pub identity: Identity,
     /// Method, target and headers as received.
     pub parts: Parts,
     /// Values of the platform headers.
@@ -79,7 +82,7 @@
         routed,
     };
     let mut outcome = attempts.run(body).await;
-    outcome.service = Some((attempts.service, attempts.routed.route.rank));
+    outcome.service = Some((attempts.service, attempts.routed.identity.rank));
     outcome
 }
 
@@ -146,10 +149,11 @@
                     load,
                 } => {
                     log::info!(
-                        "request: sent; id={} route={} object={} server={server} attempt={} load={load} \
-                         assigned={} expected_ms={expected_ms:.0} left_ms={left_ms}",
+                        "request: sent; id={} route={} workspace={} object={} server={server} attempt={} \
+                         load={load} assigned={} expected_ms={expected_ms:.0} left_ms={left_ms}",
                         self.id(),
                         self.routed.route.name,
+                        self.routed.identity.workspace_name(),
                         self.routed.caller.affinity_key.as_deref().unwrap_or("-"),
                         self.sent_count + 1,
                         assignment.is_some(),
@@ -309,7 +313,7 @@
             estimate_key: self.estimate_key,
             object_key: self.object_key,
             bytes: self.body_bytes,
-            home_regions: &route.home_regions,
+            home_regions: &self.routed.identity.home_regions,
             target_ms,
             target_left_ms: target_ms - spent_ms,
             left_ms: left_ms as f64,
@@ -331,7 +335,7 @@
     /// Returns after what time the caller of a shed request should come back.
     fn shed_retry_after_ms(&self) -> u64 {
         let fleet = self.core.fleet.borrow();
-        let home_regions = &self.routed.route.home_regions;
+        let home_regions = &self.routed.identity.home_regions;
         fleet
             .return_after_ms(&self.service, home_regions, fastrand::u64(..), self.core.now())
             .unwrap_or(SHED_RETRY_AFTER_MS)
--- a/crates/pollenshed/src/steer/callers.rs
+++ b/crates/pollenshed/src/steer/callers.rs
@@ -21,6 +21,7 @@
 use super::{
     attempt::{self, RoutedRequest},
     core::Core,
+    identity,
     lookup::empty_response,
 };
 
@@ -143,7 +144,7 @@
 
 async fn process(
     core: &Rc<Core>,
-    parts: Parts,
+    mut parts: Parts,
     body: Incoming,
     caller: RequestHeaders,
     start: Instant,
@@ -163,6 +164,10 @@
             return Outcome::local(StatusCode::NOT_FOUND, "unknown-path", 0);
         }
     };
+    let identity = match identity::identify(&plan, &route, &mut parts.headers) {
+        Ok(identity) => identity,
+        Err(e) => return e.outcome(),
+    };
     let limit_ms = time_limit_ms(&route, &caller);
     let read = read_body(core, &plan, &parts.headers, body);
     let (body, held) = match timeout(Duration::from_millis(limit_ms), read).await {
@@ -170,7 +175,8 @@
         Ok(Err(refusal)) => return refusal,
         Err(_) => return Outcome::local(StatusCode::REQUEST_TIMEOUT, "body-timeout", 0),
     };
-    let routed = RoutedRequest { plan: &plan, route: &route, parts, caller, start, limit_ms };
+    let routed =
+        RoutedRequest { plan: &plan, route: &route, identity, parts, caller, start, limit_ms };
     let outcome = attempt::run(core, routed, body).await;
     drop(held);
     outcome
--- a/crates/pollenshed/src/steer/mod.rs
+++ b/crates/pollenshed/src/steer/mod.rs
@@ -14,6 +14,7 @@
 mod exchange;
 mod gossip;
 mod homes;
+mod identity;
 mod keys;
 mod lookup;
 mod members;
--- a/crates/state/src/ids/mod.rs
+++ b/crates/state/src/ids/mod.rs
@@ -9,6 +9,6 @@
 pub use incarnation::{ConfigVersion, Incarnation, ParseIncarnationError};
 pub use name::{
     BackendServerName, CallerName, FailureDomainName, InstanceName, MAX_NAME_BYTES, NAME_SYNTAX,
-    ParseNameError, RegionName, ServiceName, UserName,
+    ParseNameError, RegionName, ServiceName, UserName, WorkspaceName,
 };
 pub use ticket::{Binding, ParseTicketError, Ticket};
--- a/crates/state/src/ids/name.rs
+++ b/crates/state/src/ids/name.rs
@@ -118,3 +118,7 @@
     /// Names a caller for fair queueing. All callers without a name share the name `anonymous`.
     CallerName
 );
+name_type!(
+    /// Names a workspace, a customer of the system whose callers share keys, a rank and a limit.
+    WorkspaceName
+);
--- a/crates/state/src/routes/mod.rs
+++ b/crates/state/src/routes/mod.rs
@@ -6,9 +6,11 @@
 mod bounds;
 mod plan;
 mod server;
+mod workspace;
 
 pub use bounds::Bounds;
 pub use plan::{
     CallerLimits, Destination, MatchError, Repeatability, Route, RoutePlan, RouteRank, ServiceRules,
 };
 pub use server::{ServerRecord, ServerState};
+pub use workspace::{KeyDigest, Workspace, WorkspaceLimit, Workspaces};
--- a/crates/state/src/routes/plan.rs
+++ b/crates/state/src/routes/plan.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::Workspaces;
 use crate::ids::{ConfigVersion, RegionName, ServiceName};
 
 /// Urgency of a route; 0 is the most urgent.
@@ -33,6 +34,8 @@
 pub enum Repeatability {
     /// The request is idempotent.
     Idempotent,
+    /// The request is idempotent and its answer is large.
+    IdempotentLarge,
     /// The request runs at most once.
     AtMostOnce,
     /// The request runs at most once and has a large body.
@@ -42,7 +45,12 @@
 impl Repeatability {
     /// Returns whether the request must not run more than once.
     pub fn is_at_most_once(self) -> bool {
-        self != Repeatability::Idempotent
+        matches!(self, Repeatability::AtMostOnce | Repeatability::AtMostOnceLarge)
+    }
+
+    /// Returns whether the answer is large, so that it occupies memory and links for some time.
+    pub fn has_large_answer(self) -> bool {
+        self == Repeatability::IdempotentLarge
     }
 }
 
@@ -82,6 +90,8 @@
     pub destinations: Vec<Destination>,
     /// Regions in which requests may be served. Empty allows all.
     pub home_regions: Vec<RegionName>,
+    /// Whether callers need no key.
+    pub is_public: bool,
 }
 
 impl Route {
@@ -152,6 +162,8 @@
     pub services: BTreeMap<ServiceName, ServiceRules>,
     /// Limits on what callers may send.
     pub caller_limits: CallerLimits,
+    /// Workspaces and their keys. If there are none, callers need no key.
+    pub workspaces: Workspaces,
 }
 
 impl RoutePlan {
@@ -161,11 +173,12 @@
         mut hosts: BTreeMap<String, Vec<Route>>,
         services: BTreeMap<ServiceName, ServiceRules>,
         caller_limits: CallerLimits,
+        workspaces: Workspaces,
     ) -> RoutePlan {
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        RoutePlan { version, hosts, services, caller_limits }
+        RoutePlan { version, hosts, services, caller_limits, workspaces }
     }
 
     /// Returns the route with the longest prefix of `path` at `host`. A port in `host` is ignored.
