Assign by object in fleets of over 70 instances

Cause: heartbeats go to all instances of all regions, but the number from which on one instance assigns the requests of an object counted those of one region only.

Change: full_mesh_peers counts all other instances, with 70 as the default.

--- a/crates/pollenshed/src/steer/core.rs
+++ b/crates/pollenshed/src/steer/core.rs
@@ -119,8 +119,8 @@
     pub peer_socket: UdpSocket,
     /// Number of this instance's last heartbeat.
     pub beat: Cell<u64>,
-    /// Number of other instances of the region that are known, live or not.
-    pub near_peer_count: Cell<usize>,
+    /// Number of other instances that are known, live or not.
+    pub peer_count: Cell<usize>,
     /// Requests that wait for the answer of the instance that assigns them, by id.
     pub awaited_answers: RefCell<HashMap<u64, oneshot::Sender<AssignAnswer>>>,
     /// Instances that did not answer in time, and until when they are not asked.
@@ -171,7 +171,7 @@
             held_bytes: Cell::new(0),
             peer_socket,
             beat: Cell::new(0),
-            near_peer_count: Cell::new(0),
+            peer_count: Cell::new(0),
             awaited_answers: RefCell::default(),
             silent_assigners: RefCell::default(),
             has_homes: Cell::new(false),
@@ -403,10 +403,10 @@
         near.map(|m| m.record.peer_address).collect()
     }
 
-    /// Returns whether the region has so many instances that one of them assigns all requests of an
-    /// object. In smaller regions each instance learns enough from its own requests and its peers.
+    /// Returns whether there are so many instances that one of each region assigns all requests of an
+    /// object. In a smaller fleet each instance learns enough from its own requests and its peers.
     pub fn assigns_by_object(&self) -> bool {
-        self.near_peer_count.get() > self.settings.full_mesh_peers
+        self.peer_count.get() > self.settings.full_mesh_peers
     }
 
     /// Returns whether this instance is one of the few that send heartbeats from a large region to
--- a/crates/pollenshed/src/steer/gossip.rs
+++ b/crates/pollenshed/src/steer/gossip.rs
@@ -274,7 +274,7 @@
         core.pool.close_expired();
         assign::forget_cancelled(&core);
         let (near, far) = addresses(&core);
-        core.near_peer_count.set(near.len());
+        core.peer_count.set(near.len() + far.len());
         let intervals = HeartbeatIntervals::of(&core);
         if (round as u64).is_multiple_of(rounds_per_beat(near.len())) {
             core.beat.set(core.beat.get() + 1);
--- a/crates/pollenshed/src/steer/settings.rs
+++ b/crates/pollenshed/src/steer/settings.rs
@@ -46,8 +46,8 @@
     pub memory_mb: u64,
     /// Limit of file descriptors of the process.
     pub max_descriptors: usize,
-    /// Number of other instances of the region up to which each exchanges heartbeats and loads with
-    /// all of them. In a larger region one instance assigns all requests of an object, see
+    /// Number of other instances up to which each exchanges heartbeats and loads with all of them. In
+    /// a larger fleet one instance of each region assigns all requests of an object, see
     /// docs/platform.md, "Large regions".
     #[serde(default = "default_full_mesh_peers")]
     pub full_mesh_peers: usize,
@@ -56,9 +56,9 @@
     pub bounds: BTreeMap<String, serde_json::Value>,
 }
 
-/// Default of [`SteerSettings::full_mesh_peers`]. Heartbeats to all peers every 250 ms take 24 KB/s
-/// from about this number on.
-const DEFAULT_FULL_MESH_PEERS: usize = 40;
+/// Default of [`SteerSettings::full_mesh_peers`]. With more peers, heartbeats to all of them take most
+/// of the bytes between regions.
+const DEFAULT_FULL_MESH_PEERS: usize = 70;
 
 fn default_full_mesh_peers() -> usize {
     DEFAULT_FULL_MESH_PEERS
