Pace the further servers of objects over all objects of an assigner

Cause: each object could get a further server every second.

Change: an assigning instance gives further servers to at most 3 in 100 of the requests that it assigns.

--- a/crates/coordination/src/steering/fleet.rs
+++ b/crates/coordination/src/steering/fleet.rs
@@ -9,8 +9,8 @@
 };
 
 use super::{
-    assignments::Assignments, homes::Homes, object_load::ObjectLoads, rate_limit::PeerReports,
-    run_time::RunTimes, server::Server, statements::FormerStatements,
+    assignments::Assignments, homes::Homes, object_load::ObjectLoads, rank::WideningBudget,
+    rate_limit::PeerReports, run_time::RunTimes, server::Server, statements::FormerStatements,
 };
 use crate::membership::hash::stable_hash;
 
@@ -65,6 +65,7 @@
     pub(super) assignments: Assignments,
     /// When the requests of an object last got a further server, and which.
     pub(super) widened: HashMap<u64, (Instant, ServerKey)>,
+    pub(super) widening_budget: WideningBudget,
     link_delays_ms: HashMap<FailureDomainName, f64>,
     pub(super) by_key: HashMap<ServerKey, BackendServerName>,
     peer_counts: HashMap<InstanceName, PeerCounts>,
@@ -94,6 +95,7 @@
             object_loads: ObjectLoads::default(),
             assignments: Assignments::default(),
             widened: HashMap::new(),
+            widening_budget: WideningBudget::default(),
             link_delays_ms: HashMap::new(),
             by_key: HashMap::new(),
             peer_counts: HashMap::new(),
--- a/crates/coordination/src/steering/rank.rs
+++ b/crates/coordination/src/steering/rank.rs
@@ -38,6 +38,13 @@
 /// and the last one takes part in the load only after its first run.
 const WIDENING_PAUSE_MS: u64 = 1_000;
 
+/// Further servers that an instance may give to objects for each request that it assigns. First runs
+/// beyond a few make servers drop objects, and the requests for those need first runs as well.
+const WIDENINGS_PER_REQUEST: f64 = 0.03;
+
+/// Further servers that an instance may give to objects at once.
+const MAX_WIDENINGS_AT_ONCE: f64 = 2.0;
+
 /// Number of objects above which records of further servers are dropped that are out of date.
 const MAX_WIDENED: usize = 4_096;
 
@@ -47,6 +54,25 @@
     mix(object ^ stable_hash(&[b"assigner", instance.as_str().as_bytes()]))
 }
 
+/// Paces the further servers that an instance gives to objects, over all objects.
+#[derive(Debug, Clone)]
+pub(super) struct WideningBudget {
+    /// Number of further servers that may be given now.
+    left: f64,
+}
+
+impl Default for WideningBudget {
+    fn default() -> WideningBudget {
+        WideningBudget { left: MAX_WIDENINGS_AT_ONCE }
+    }
+}
+
+impl WideningBudget {
+    fn record_request(&mut self) {
+        self.left = (self.left + WIDENINGS_PER_REQUEST).min(MAX_WIDENINGS_AT_ONCE);
+    }
+}
+
 /// A usable server in the order of an object.
 struct Ranked<'a> {
     name: &'a BackendServerName,
@@ -65,6 +91,7 @@
         cold: &ColdLimits<'_>,
         now: Instant,
     ) -> Choice {
+        self.widening_budget.record_request();
         let candidates = self.ranked_candidates(request, cold, MAX_RANKED, now);
         let candidates = match candidates {
             Some(few) if few.is_empty() => self.ranked_candidates(request, cold, usize::MAX, now),
@@ -218,9 +245,12 @@
     /// it.
     fn may_widen(&self, request: &Request<'_>, name: &BackendServerName, now: Instant) -> bool {
         let Some(object) = request.object_key else { return true };
-        self.widened.get(&object).is_none_or(|(at, server)| {
-            *server == server_key(name) || now.since_ms(*at) >= WIDENING_PAUSE_MS
-        })
+        let has_budget = self.widening_budget.left >= 1.0;
+        match self.widened.get(&object) {
+            Some((_, server)) if *server == server_key(name) => true,
+            Some((at, _)) => has_budget && now.since_ms(*at) >= WIDENING_PAUSE_MS,
+            None => has_budget,
+        }
     }
 
     fn record_widening(&mut self, request: &Request<'_>, name: &BackendServerName, now: Instant) {
@@ -229,6 +259,7 @@
         if self.widened.get(&object).is_some_and(|(_, known)| *known == server) {
             return;
         }
+        self.widening_budget.left -= 1.0;
         if self.widened.len() >= MAX_WIDENED {
             self.widened.retain(|_, (at, _)| now.since_ms(*at) < WIDENING_PAUSE_MS);
         }
