Bring workspaces and their keys to whole

Cause: a caller could take the name of its workspace off a request by listing the header as hop-by-hop. A refusal for an unknown key was sent with the body unread, which resets the connection under callers that write their body first.

Change: the key becomes a digest where it is read, byte by byte. The name is set after the hop-by-hop headers are removed. A refused body is read and dropped beside the answer. Object keys hold the regions if they are narrower than the route's, and the content that crashes servers holds the workspace. Requests by workspace are counted for up to 200 of them; the number of workspaces and keys, and keys that several name, show in metrics and log. The stand-in server records what it was told.

--- a/crates/pollenshed/src/steer/apply.rs
+++ b/crates/pollenshed/src/steer/apply.rs
@@ -154,12 +154,21 @@
     match config::decode(value) {
         Ok(plan) if plan.version > core.plan_version() => {
             log::info!(
-                "config: in force; version={} before={} hosts={} services={}",
+                "config: in force; version={} before={} hosts={} services={} workspaces={} keys={}",
                 plan.version,
                 core.plan_version(),
                 plan.hosts.len(),
-                plan.services.len()
+                plan.services.len(),
+                plan.workspaces.len(),
+                plan.workspaces.key_count()
             );
+            let shared = plan.workspaces.shared_key_count();
+            if shared > 0 {
+                log::warn!("config: keys of several workspaces; count={shared}");
+            }
+            core.metrics.retain_workspaces(|name| {
+                plan.workspaces.iter().any(|workspace| workspace.name.as_str() == name)
+            });
             prune_unused(core, &plan);
             *core.plan.borrow_mut() = Some(Rc::new(plan));
         }
--- a/crates/pollenshed/src/steer/attempt.rs
+++ b/crates/pollenshed/src/steer/attempt.rs
@@ -61,7 +61,10 @@
     let estimate_key = keys::estimate_key(&routed.route.name, &service);
     core.fleet.borrow_mut().run_times.set_initial(estimate_key, routed.route.target_ms);
     let body_bytes = body.size_hint().lower();
-    let content = keys::content_digest(&routed.parts, buffered_body(&body).flatten().as_deref());
+    let content = {
+        let body = buffered_body(&body).flatten();
+        keys::content_digest(&routed.parts, &routed.identity, body.as_deref())
+    };
     if core.quarantine.borrow().is_refused(&content, core.now()) {
         return Outcome::refused("crashes-servers", CRASHING_RETRY_AFTER_MS, 0);
     }
@@ -70,8 +73,12 @@
         estimate_key,
         body_bytes,
         content,
-        object_key: keys::object_key(routed.route, routed.caller.affinity_key.as_deref()),
-        head: backend_request_head(&routed.parts),
+        object_key: keys::object_key(
+            routed.route,
+            &routed.identity,
+            routed.caller.affinity_key.as_deref(),
+        ),
+        head: backend_request_head(&routed.parts, &routed.identity),
         service,
         tried: Vec::new(),
         retried_server: None,
@@ -217,6 +224,7 @@
                             reason: "answered",
                             attempts: self.sent_count,
                             service: None,
+                            workspace: None,
                         };
                     }
                     self.may_have_run = true;
--- a/crates/pollenshed/src/steer/callers.rs
+++ b/crates/pollenshed/src/steer/callers.rs
@@ -1,6 +1,6 @@
 //! Handles the requests of callers.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header, request::Parts};
@@ -9,7 +9,7 @@
 use pollenshed_platform::headers::{self, RequestHeaders};
 use pollenshed_state::{
     ids::ServiceName,
-    routes::{MatchError, Route, RoutePlan, RouteRank},
+    routes::{MatchError, Route, RoutePlan, RouteRank, Workspace},
     time::Instant,
 };
 use pollenshed_transport::{
@@ -21,7 +21,7 @@
 use super::{
     attempt::{self, RoutedRequest},
     core::Core,
-    identity,
+    identity::{self, Identity},
     lookup::empty_response,
 };
 
@@ -50,12 +50,20 @@
     pub attempts: u32,
     /// Service and rank of the route. `None` if no route was found.
     pub service: Option<(ServiceName, RouteRank)>,
+    /// Workspace on whose behalf the request came, if it is known.
+    pub workspace: Option<Arc<Workspace>>,
 }
 
 impl Outcome {
     /// Creates a response without a body that does not come from a backend server.
     pub fn local(status: StatusCode, reason: &'static str, attempts: u32) -> Outcome {
-        Outcome { response: empty_response(status), reason, attempts, service: None }
+        Outcome {
+            response: empty_response(status),
+            reason,
+            attempts,
+            service: None,
+            workspace: None,
+        }
     }
 
     /// Creates a refusal (503) of a request that was not executed.
@@ -65,7 +73,19 @@
         if let Ok(value) = HeaderValue::from_str(&seconds) {
             response.headers_mut().insert(header::RETRY_AFTER, value);
         }
-        Outcome { response, reason, attempts, service: None }
+        Outcome { response, reason, attempts, service: None, workspace: None }
+    }
+
+    /// Returns how the request ended, in one word for the requests of a workspace.
+    fn result(&self) -> &'static str {
+        let status = self.response.status();
+        if self.reason == "answered" {
+            "answered"
+        } else if status.is_client_error() || headers::promises_not_run(status) {
+            "refused"
+        } else {
+            "failed"
+        }
     }
 }
 
@@ -92,10 +112,11 @@
         self.is_answered = true;
         let took = self.elapsed();
         log::info!(
-            "request: answered; id={} status={} reason={} attempts={} took_ms={} config={}",
+            "request: answered; id={} status={} reason={} workspace={} attempts={} took_ms={} config={}",
             self.id,
             outcome.response.status().as_u16(),
             outcome.reason,
+            outcome.workspace.as_ref().map_or("-", |workspace| workspace.name.as_str()),
             outcome.attempts,
             took.as_millis(),
             self.core.plan_version(),
@@ -105,6 +126,10 @@
             None => ("none", String::new()),
         };
         self.core.metrics.record_request(service, &rank, outcome.reason, took);
+        if let Some(workspace) = &outcome.workspace {
+            let result = outcome.result();
+            self.core.metrics.record_workspace_request(workspace.name.as_str(), result);
+        }
     }
 }
 
@@ -166,8 +191,13 @@
     };
     let identity = match identity::identify(&plan, &route, &mut parts.headers) {
         Ok(identity) => identity,
-        Err(e) => return e.outcome(),
+        Err(e) => {
+            let limit = Duration::from_millis(time_limit_ms(&route, &caller));
+            discard_body(&parts.headers, body, plan.caller_limits.max_body_bytes, limit);
+            return e.outcome();
+        }
     };
+    let workspace = identity.workspace.clone();
     let limit_ms = time_limit_ms(&route, &caller);
     let read = read_body(core, &plan, &parts.headers, body);
     let (body, held) = match timeout(Duration::from_millis(limit_ms), read).await {
@@ -177,11 +207,31 @@
     };
     let routed =
         RoutedRequest { plan: &plan, route: &route, identity, parts, caller, start, limit_ms };
-    let outcome = attempt::run(core, routed, body).await;
+    let mut outcome = attempt::run(core, routed, body).await;
     drop(held);
+    outcome.workspace = workspace;
     outcome
 }
 
+/// Reads a body that is not needed while its request is answered, and drops it. A connection that is
+/// closed with unread bytes is reset, which would cost a caller that writes its whole body first the
+/// answer. A caller that waits for `100 Continue` sends no body after it.
+fn discard_body(headers: &HeaderMap, mut body: Incoming, max_bytes: u64, limit: Duration) {
+    let is_too_large = body.size_hint().lower() > max_bytes;
+    if body.is_end_stream() || is_too_large || headers.contains_key(header::EXPECT) {
+        return;
+    }
+    tokio::task::spawn_local(timeout(limit, async move {
+        let mut read_bytes = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            read_bytes += frame.data_ref().map_or(0, Bytes::len) as u64;
+            if read_bytes > max_bytes {
+                return;
+            }
+        }
+    }));
+}
+
 fn host(parts: &Parts) -> Option<String> {
     let header = parts.headers.get(header::HOST).and_then(|value| value.to_str().ok());
     header.or_else(|| parts.uri.host()).map(str::to_owned)
@@ -255,10 +305,14 @@
 }
 
 /// Returns method, target and headers of the request to a backend server, without hop-by-hop
-/// headers.
-pub fn backend_request_head(parts: &Parts) -> (Method, String, HeaderMap) {
+/// headers and with the name of the workspace. The name is set last, as callers choose which headers
+/// are hop-by-hop.
+pub fn backend_request_head(parts: &Parts, identity: &Identity) -> (Method, String, HeaderMap) {
     let mut headers = parts.headers.clone();
     headers::strip_hop_by_hop(&mut headers);
+    if let Some(workspace) = &identity.workspace {
+        headers::set_workspace(&mut headers, &workspace.name);
+    }
     for name in [header::CONTENT_LENGTH, header::EXPECT] {
         headers.remove(name);
     }
--- a/crates/pollenshed/src/steer/core.rs
+++ b/crates/pollenshed/src/steer/core.rs
@@ -15,7 +15,7 @@
 use pollenshed_platform::store::StoreEra;
 use pollenshed_state::{
     ids::{ConfigVersion, Incarnation, InstanceName, ServiceName},
-    routes::{Bounds, RoutePlan},
+    routes::{Bounds, RoutePlan, Workspaces},
     time::Instant,
 };
 use pollenshed_transport::{
@@ -377,9 +377,13 @@
     pub fn gauges(&self) -> GaugeValues {
         let now = self.now();
         let fleet = self.fleet.borrow();
+        let plan = self.plan();
+        let workspaces = plan.as_ref().map(|plan| &plan.workspaces);
         let count = |is: &dyn Fn(&Server) -> bool| fleet.servers().filter(|s| is(s)).count();
         GaugeValues {
             config_version: self.plan_version().0,
+            workspaces: workspaces.map_or(0, Workspaces::len),
+            workspace_keys: workspaces.map_or(0, Workspaces::key_count),
             servers_ready: count(&|s| s.is_ready() && !s.is_suspect()),
             servers_cold: count(&|s| s.is_cold(now)),
             servers_suspect: count(&Server::is_suspect),
--- a/crates/pollenshed/src/steer/identity.rs
+++ b/crates/pollenshed/src/steer/identity.rs
@@ -6,7 +6,7 @@
 use pollenshed_platform::headers;
 use pollenshed_state::{
     ids::RegionName,
-    routes::{KeyDigest, Route, RoutePlan, RouteRank, Workspace},
+    routes::{Route, RoutePlan, RouteRank, Workspace},
 };
 
 use super::callers::Outcome;
@@ -58,8 +58,9 @@
     }
 }
 
-/// Identifies the caller and replaces its key by the name of its workspace. Refuses a caller without
-/// a known key, unless the route is public, and a request that may run in no region.
+/// Identifies the caller and removes its key, in place of which the backend server is told the name
+/// of the workspace. Refuses a caller without a known key, unless the route is public, and a request
+/// that may run in no region.
 pub fn identify(
     plan: &RoutePlan,
     route: &Route,
@@ -69,17 +70,13 @@
         true => None,
         false => {
             let key = headers::take_key(headers);
-            let digest = key.map(|key| KeyDigest::of(key.as_bytes()));
-            let known = digest.and_then(|digest| plan.workspaces.by_key(&digest)).cloned();
+            let known = key.and_then(|key| plan.workspaces.by_key(&key)).cloned();
             if known.is_none() && !route.is_public {
                 return Err(IdentityError::UnknownKey);
             }
             known
         }
     };
-    if let Some(workspace) = &workspace {
-        headers::set_workspace(headers, &workspace.name);
-    }
     let home_regions = match &workspace {
         Some(workspace) => common_regions(&route.home_regions, &workspace.home_regions),
         None => Some(route.home_regions.clone()),
--- a/crates/standins/src/steered/server.rs
+++ b/crates/standins/src/steered/server.rs
@@ -124,6 +124,10 @@
     pub body: Vec<u8>,
     /// Value of `x-deadline-ms`; 0 if there is none.
     pub deadline_ms: u64,
+    /// Value of `x-tenant-id`, if there is one.
+    pub workspace: Option<String>,
+    /// Value of `authorization`, if there is one.
+    pub authorization: Option<String>,
     /// Whether the connection was still open at the end of the run.
     pub finished: bool,
 }
@@ -448,6 +452,8 @@
             line: format!("{} {}", head.method, head.target),
             body,
             deadline_ms: deadline.unwrap_or(0),
+            workspace: head.header("x-tenant-id").map(str::to_owned),
+            authorization: head.header("authorization").map(str::to_owned),
             finished: false,
         });
         state.runs.len() - 1
--- a/crates/state/src/routes/workspace.rs
+++ b/crates/state/src/routes/workspace.rs
@@ -63,14 +63,21 @@
     all: Vec<Arc<Workspace>>,
     /// Position in `all` by the digest of a key.
     by_key: HashMap<KeyDigest, usize>,
+    shared_key_count: usize,
 }
 
 impl Workspaces {
-    /// Adds a workspace with the digests of its keys.
+    /// Adds a workspace with the digests of its keys. A key that an earlier one holds stays with
+    /// that one, in all instances alike.
     pub fn insert(&mut self, workspace: Workspace, keys: impl IntoIterator<Item = KeyDigest>) {
         let position = self.all.len();
         self.all.push(Arc::new(workspace));
-        self.by_key.extend(keys.into_iter().map(|key| (key, position)));
+        for key in keys {
+            let holder = *self.by_key.entry(key).or_insert(position);
+            if holder != position {
+                self.shared_key_count += 1;
+            }
+        }
     }
 
     /// Returns whether there are none, so that callers need no key.
@@ -83,6 +90,21 @@
         self.by_key.get(key).and_then(|position| self.all.get(*position))
     }
 
+    /// Returns the number of workspaces.
+    pub fn len(&self) -> usize {
+        self.all.len()
+    }
+
+    /// Returns the number of keys.
+    pub fn key_count(&self) -> usize {
+        self.by_key.len()
+    }
+
+    /// Returns how many times a workspace names a key that an earlier one holds.
+    pub fn shared_key_count(&self) -> usize {
+        self.shared_key_count
+    }
+
     /// Returns all workspaces in the order of the configuration.
     pub fn iter(&self) -> impl Iterator<Item = &Arc<Workspace>> {
         self.all.iter()
--- a/crates/transport/src/scrape/mod.rs
+++ b/crates/transport/src/scrape/mod.rs
@@ -3,6 +3,7 @@
 //! | name | type | labels | meaning |
 //! |---|---|---|---|
 //! | `pollenshed_requests_total` | counter | service, rank, reason | callers' requests that got a response |
+//! | `pollenshed_workspace_requests_total` | counter | workspace, result | responses to callers of up to 200 workspaces, and of all further ones as `(others)` |
 //! | `pollenshed_request_seconds` | histogram | service, rank | time from the head of a request to its response |
 //! | `pollenshed_sends_total` | counter | service, end | requests sent to backend servers, by how they ended |
 //! | `pollenshed_backend_seconds` | histogram | service | time from sending a request to a backend server to its response |
@@ -11,6 +12,8 @@
 //! | `pollenshed_peer_answers_total` | counter | change | responses to peers that poll this instance for changes, with a change or without |
 //! | `pollenshed_peer_answer_bytes_total` | counter | change | bytes of these responses |
 //! | `pollenshed_config_version` | gauge | | version of the configuration in force, 0 if none |
+//! | `pollenshed_workspaces` | gauge | | workspaces of the configuration in force |
+//! | `pollenshed_workspace_keys` | gauge | | keys of these workspaces |
 //! | `pollenshed_servers` | gauge | state | backend servers: ready, cold, suspect, leaving |
 //! | `pollenshed_members_live` | gauge | | live instances, this one included |
 //! | `pollenshed_in_flight` | gauge | | callers' requests that got no response yet |
@@ -18,7 +21,7 @@
 //! | `pollenshed_store_current` | gauge | | 1 if the tables are up to date with the store |
 //! | `pollenshed_log_lines_dropped` | gauge | | log lines that were dropped since the start |
 
-use std::time::Duration;
+use std::{cell::RefCell, collections::BTreeSet, time::Duration};
 
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
@@ -30,11 +33,24 @@
 const LATENCY_BUCKETS_S: [f64; 12] =
     [0.005, 0.025, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 4.0, 8.0, 20.0];
 
+/// Workspaces with time series of their own, which bounds the size of the metrics.
+const MAX_COUNTED_WORKSPACES: usize = 200;
+
+/// Label of the requests of all further workspaces. It is no name of a workspace.
+const OTHER_WORKSPACES: &str = "(others)";
+
+/// Results of the requests of a workspace.
+const WORKSPACE_RESULTS: [&str; 3] = ["answered", "refused", "failed"];
+
 /// Values of the gauges, read when the metrics are scraped.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct GaugeValues {
     /// Version of the configuration in force, 0 if none.
     pub config_version: u64,
+    /// Workspaces of the configuration in force.
+    pub workspaces: usize,
+    /// Keys of these workspaces.
+    pub workspace_keys: usize,
     /// Backend servers that may get requests.
     pub servers_ready: usize,
     /// Backend servers whose cold start has not ended.
@@ -59,6 +75,8 @@
 pub struct PrometheusMetrics {
     registry: Registry,
     requests: IntCounterVec,
+    workspace_requests: IntCounterVec,
+    counted_workspaces: RefCell<BTreeSet<String>>,
     request_seconds: HistogramVec,
     sends: IntCounterVec,
     backend_seconds: HistogramVec,
@@ -68,6 +86,8 @@
     peer_answer_bytes: IntCounterVec,
     servers: IntGaugeVec,
     config_version: IntGauge,
+    workspaces: IntGauge,
+    workspace_keys: IntGauge,
     members_live: IntGauge,
     in_flight: IntGauge,
     held_bytes: IntGauge,
@@ -85,6 +105,12 @@
                 "Answered requests",
                 &["service", "rank", "reason"],
             )?,
+            workspace_requests: counter(
+                "workspace_requests_total",
+                "Answered requests of workspaces",
+                &["workspace", "result"],
+            )?,
+            counted_workspaces: RefCell::default(),
             request_seconds: histogram(
                 "request_seconds",
                 "Time to the answer",
@@ -106,6 +132,8 @@
             )?,
             servers: IntGaugeVec::new(opts("servers", "Backend servers"), &["state"])?,
             config_version: gauge("config_version", "Version in force")?,
+            workspaces: gauge("workspaces", "Workspaces")?,
+            workspace_keys: gauge("workspace_keys", "Keys of workspaces")?,
             members_live: gauge("members_live", "Live instances")?,
             in_flight: gauge("in_flight", "Requests in flight")?,
             held_bytes: gauge("held_bytes", "Bytes of bodies held")?,
@@ -115,6 +143,7 @@
         };
         let collectors: Vec<Box<dyn Collector>> = vec![
             Box::new(metrics.requests.clone()),
+            Box::new(metrics.workspace_requests.clone()),
             Box::new(metrics.request_seconds.clone()),
             Box::new(metrics.sends.clone()),
             Box::new(metrics.backend_seconds.clone()),
@@ -124,6 +153,8 @@
             Box::new(metrics.peer_answer_bytes.clone()),
             Box::new(metrics.servers.clone()),
             Box::new(metrics.config_version.clone()),
+            Box::new(metrics.workspaces.clone()),
+            Box::new(metrics.workspace_keys.clone()),
             Box::new(metrics.members_live.clone()),
             Box::new(metrics.in_flight.clone()),
             Box::new(metrics.held_bytes.clone()),
@@ -143,6 +174,30 @@
         self.request_seconds.with_label_values(&[service, rank]).observe(elapsed.as_secs_f64());
     }
 
+    /// Records a response to a caller of a workspace. `result` is one of `answered`, `refused` and
+    /// `failed`.
+    pub fn record_workspace_request(&self, workspace: &str, result: &str) {
+        let mut counted = self.counted_workspaces.borrow_mut();
+        let has_series = counted.contains(workspace)
+            || counted.len() < MAX_COUNTED_WORKSPACES && counted.insert(workspace.to_owned());
+        let label = if has_series { workspace } else { OTHER_WORKSPACES };
+        self.workspace_requests.with_label_values(&[label, result]).inc();
+    }
+
+    /// Removes the time series of workspaces that are no longer in the configuration.
+    pub fn retain_workspaces(&self, is_kept: impl Fn(&str) -> bool) {
+        self.counted_workspaces.borrow_mut().retain(|workspace| {
+            let keep = is_kept(workspace);
+            if !keep {
+                for result in WORKSPACE_RESULTS {
+                    // A series is absent if no request has ended with that result.
+                    let _ = self.workspace_requests.remove_label_values(&[workspace, result]);
+                }
+            }
+            keep
+        });
+    }
+
     /// Records a request to a backend server. `elapsed` is given if the server responded.
     pub fn record_send(&self, service: &str, end: &str, elapsed: Option<Duration>) {
         self.sends.with_label_values(&[service, end]).inc();
@@ -174,6 +229,8 @@
         let set_gauge =
             |gauge: &IntGauge, value: u64| gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
         set_gauge(&self.config_version, values.config_version);
+        set_gauge(&self.workspaces, values.workspaces as u64);
+        set_gauge(&self.workspace_keys, values.workspace_keys as u64);
         set_gauge(&self.members_live, values.members_live as u64);
         set_gauge(&self.in_flight, values.in_flight as u64);
         set_gauge(&self.held_bytes, values.held_bytes as u64);
