Hold answers for slow callers within one budget of memory

Cause: an answer of over 256 KiB was passed on at the pace of its caller, so a slow caller kept the slot of a server, and a server cuts off what stays unread. Held answers had no limit: 200 slow readers of 540 kB could take over 50 MB besides what the kernel took, which was megabytes for one caller. Nobody knew how many large answers a server sends. An answer without a length that broke off midway looked whole to an HTTP/1.0 caller.

Change: an answer is read from its server as fast as memory allows and handed out at the pace of its caller, until the deadline. Bodies of requests and answers share a budget of a quarter of the memory, answers with a share per connection; beyond it the server is slowed (read a little each second, until .6 of the budget is full), and requests for large answers are refused before they are sent. A server that sends as many large answers as it has slots is passed over. Decisions are in steering/body_budget.rs without a network. The connection to the server is used again after a large answer. Reads take 12 KiB at most and the kernel 64 KiB of unsent bytes, so that what is held is what the budget counts. A connection whose answer broke off ends with a reset.

The metric held_bytes has the label kind now. The stand-in server sends large and early answers; the support of the steer tests takes the memory of an instance.

--- a/crates/coordination/src/steering/mod.rs
+++ b/crates/coordination/src/steering/mod.rs
@@ -11,6 +11,7 @@
 
 mod answer_streak;
 mod assignments;
+mod body_budget;
 mod cold;
 mod fleet;
 mod homes;
@@ -31,6 +32,9 @@
 
 pub use answer_streak::{AnswerSource, AnswerStreak};
 pub use assignments::Assignment;
+pub use body_budget::{
+    BodyBudget, BodyKind, LargeAnswers, MAX_READ_PAUSE_MS, large_answer_retry_ms,
+};
 pub use cold::{ColdRate, cold_senders};
 pub use fleet::{Fleet, ServerKey, server_key};
 pub use homes::{Claim, Homes};
--- a/crates/pollenshed/src/steer/attempt.rs
+++ b/crates/pollenshed/src/steer/attempt.rs
@@ -1,6 +1,6 @@
 //! Sends a request to one backend server after another until it has a final response.
 
-use std::{cell::RefCell, rc::Rc};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc};
 
 use http::{HeaderMap, Method, StatusCode, request::Parts};
 use hyper::body::Body;
@@ -22,6 +22,7 @@
     exchange::{AttemptResult, RunningAttempt},
     identity::Identity,
     keys,
+    large_answers::{self, LargeAnswer},
 };
 
 /// Failed connection attempts after which a request is refused.
@@ -52,6 +53,8 @@
     pub start: Instant,
     /// Time from the arrival within which the caller gets a response.
     pub limit_ms: u64,
+    /// Connection of the caller.
+    pub connection: SocketAddr,
 }
 
 /// Sends a request to backend servers until there is a final outcome.
@@ -183,6 +186,7 @@
                 end: AttemptEnd::Abandoned,
                 statement: None,
                 assignment,
+                large_answer: LargeAnswer::start(self.core, self.routed.route, &server),
             };
             let result = self.attempt(&mut running, body, silence_timeout_ms, left_ms).await;
             drop(running);
@@ -305,6 +309,7 @@
         silent: Option<(&BackendServerName, Instant)>,
     ) -> (Choice, Option<UsedAssignment>) {
         let core = self.core;
+        let tried = &large_answers::with_full_servers(core, self.routed.route, tried)[..];
         let spent_ms = core.now().since_ms(self.routed.start) as f64;
         let route = self.routed.route;
         let target_ms = route.target_ms.unwrap_or(self.routed.limit_ms) as f64;
--- a/crates/pollenshed/src/steer/callers.rs
+++ b/crates/pollenshed/src/steer/callers.rs
@@ -6,6 +6,7 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header, request::Parts};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
+use pollenshed_coordination::steering::BodyKind;
 use pollenshed_platform::headers::{self, RequestHeaders};
 use pollenshed_state::{
     ids::ServiceName,
@@ -13,7 +14,7 @@
     time::Instant,
 };
 use pollenshed_transport::{
-    forward::{RequestBody, ResponseBody},
+    forward::{HeldShare, RequestBody, ResponseBody},
     listen::StopPhase,
 };
 use tokio::time::timeout;
@@ -21,7 +22,7 @@
 use super::{
     attempt::{self, RoutedRequest},
     core::Core,
-    identity,
+    identity, large_answers,
     lookup::empty_response,
 };
 
@@ -30,9 +31,6 @@
 /// to another server.
 const MAX_BUFFERED_BODY_BYTES: usize = 1024 * 1024;
 
-/// Buffered bodies may take this fraction of the memory: one part in 4.
-const HELD_BODIES_MEMORY_DIVISOR: usize = 4;
-
 /// Timeout of a request if neither the caller nor the route sets one.
 const DEFAULT_TIMEOUT_MS: u64 = 30_000;
 
@@ -128,12 +126,16 @@
 }
 
 /// Handles a request of a caller.
-pub async fn handle(core: Rc<Core>, request: Request<Incoming>) -> Response<ResponseBody> {
+pub async fn handle(
+    core: Rc<Core>,
+    request: Request<Incoming>,
+    connection: SocketAddr,
+) -> Response<ResponseBody> {
     let (parts, body) = request.into_parts();
     let caller = headers::parse_request(&parts.headers);
     let id = caller.request_id.clone().unwrap_or_else(|| "-".to_owned());
     let in_flight = InFlight::new(&core, id);
-    let outcome = process(&core, parts, body, caller, in_flight.start).await;
+    let outcome = process(&core, parts, body, caller, in_flight.start, connection).await;
     in_flight.record_response(&outcome);
     let mut response = outcome.response;
     if core.stop_phase() > StopPhase::Serving {
@@ -148,6 +150,7 @@
     body: Incoming,
     caller: RequestHeaders,
     start: Instant,
+    connection: SocketAddr,
 ) -> Outcome {
     let Some(plan) = core.plan() else {
         return Outcome::refused("no-config", UNAVAILABLE_RETRY_AFTER_MS, 0);
@@ -168,15 +171,26 @@
         Ok(identity) => identity,
         Err(e) => return e.outcome(),
     };
+    if let Some(refusal) = large_answers::refusal(core, &route) {
+        return refusal;
+    }
     let limit_ms = time_limit_ms(&route, &caller);
-    let read = read_body(core, &plan, &parts.headers, body);
+    let read = read_body(core, &plan, &parts.headers, body, connection);
     let (body, held) = match timeout(Duration::from_millis(limit_ms), read).await {
         Ok(Ok(read)) => read,
         Ok(Err(refusal)) => return refusal,
         Err(_) => return Outcome::local(StatusCode::REQUEST_TIMEOUT, "body-timeout", 0),
     };
-    let routed =
-        RoutedRequest { plan: &plan, route: &route, identity, parts, caller, start, limit_ms };
+    let routed = RoutedRequest {
+        plan: &plan,
+        route: &route,
+        identity,
+        parts,
+        caller,
+        start,
+        limit_ms,
+        connection,
+    };
     let outcome = attempt::run(core, routed, body).await;
     drop(held);
     outcome
@@ -195,52 +209,31 @@
     }
 }
 
-/// Bytes of a request body in memory. They count towards `held_bytes` until this is dropped.
-struct HeldBytes {
-    core: Rc<Core>,
-    bytes: usize,
-}
-
-impl HeldBytes {
-    fn add(&mut self, bytes: usize) {
-        self.bytes += bytes;
-        self.core.held_bytes.set(self.core.held_bytes.get() + bytes);
-    }
-}
-
-impl Drop for HeldBytes {
-    fn drop(&mut self) {
-        self.core.held_bytes.set(self.core.held_bytes.get() - self.bytes);
-    }
-}
-
 /// Reads a body completely, or only its beginning if it is long.
 async fn read_body(
     core: &Rc<Core>,
     plan: &RoutePlan,
     headers: &HeaderMap,
     mut body: Incoming,
-) -> Result<(RequestBody, HeldBytes), Outcome> {
+    connection: SocketAddr,
+) -> Result<(RequestBody, HeldShare), Outcome> {
     let max_bytes = plan.caller_limits.max_body_bytes;
-    let mut held = HeldBytes { core: core.clone(), bytes: 0 };
+    let mut held = core.bodies.share(BodyKind::Request, connection);
     if body.size_hint().lower() > max_bytes {
         return Err(Outcome::local(StatusCode::PAYLOAD_TOO_LARGE, "body-too-large", 0));
     }
     if body.is_end_stream() && !headers.contains_key(header::TRANSFER_ENCODING) {
         return Ok((RequestBody::Whole(None), held));
     }
-    let max_held_bytes =
-        core.settings.memory_mb as usize * 1024 * 1024 / HELD_BODIES_MEMORY_DIVISOR;
     let mut buffered = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let Ok(frame) = frame else {
             return Err(Outcome::local(StatusCode::BAD_REQUEST, "body-broken-off", 0));
         };
         let Ok(data) = frame.into_data() else { continue };
-        if core.held_bytes.get() + data.len() > max_held_bytes {
+        if !held.try_add(data.len()) {
             return Err(Outcome::refused("memory", UNAVAILABLE_RETRY_AFTER_MS, 0));
         }
-        held.add(data.len());
         buffered.extend_from_slice(&data);
         if buffered.len() as u64 > max_bytes {
             return Err(Outcome::local(StatusCode::PAYLOAD_TOO_LARGE, "body-too-large", 0));
@@ -290,7 +283,7 @@
     SocketAddr,
 ) -> std::pin::Pin<Box<dyn Future<Output = Response<ResponseBody>>>>
 + Clone {
-    move |request, _| Box::pin(handle(core.clone(), request))
+    move |request, connection| Box::pin(handle(core.clone(), request, connection))
 }
 
 /// Returns the body if it is buffered and can be sent again. The inner `None` is an absent body.
--- a/crates/pollenshed/src/steer/core.rs
+++ b/crates/pollenshed/src/steer/core.rs
@@ -10,7 +10,10 @@
 
 use pollenshed_coordination::{
     limits::Quarantine,
-    steering::{self, AnswerStreak, Fleet, IdleLimit, RetryBudgetShare, Server, WeightedSplit},
+    steering::{
+        self, AnswerStreak, BodyBudget, BodyKind, Fleet, IdleLimit, LargeAnswers, RetryBudgetShare,
+        Server, WeightedSplit,
+    },
 };
 use pollenshed_platform::store::StoreEra;
 use pollenshed_state::{
@@ -19,7 +22,7 @@
     time::Instant,
 };
 use pollenshed_transport::{
-    forward::Pool,
+    forward::{HeldBodies, Pool},
     listen::StopPhase,
     logs,
     scrape::{GaugeValues, PrometheusMetrics},
@@ -113,8 +116,10 @@
     pub idle_limit: RefCell<IdleLimit>,
     /// Number of callers' requests in progress.
     pub in_flight: Cell<usize>,
-    /// Bytes of request bodies in memory.
-    pub held_bytes: Cell<usize>,
+    /// Bodies of requests and answers in memory.
+    pub bodies: HeldBodies,
+    /// Large answers that servers were asked for and have not sent completely.
+    pub large_answers: RefCell<LargeAnswers>,
     /// Socket for datagrams between instances.
     pub peer_socket: UdpSocket,
     /// Number of this instance's last heartbeat.
@@ -146,6 +151,7 @@
         let mut fleet =
             Fleet::new(settings.failure_domain.clone(), settings.failure_domains.clone());
         fleet.set_seed(fastrand::u64(..));
+        let memory_bytes = settings.memory_mb as usize * 1024 * 1024;
         Core {
             bounds: settings.bounds(),
             incarnation: Incarnation(fastrand::u64(1..)),
@@ -168,7 +174,8 @@
             pool: Pool::default(),
             idle_limit: RefCell::default(),
             in_flight: Cell::new(0),
-            held_bytes: Cell::new(0),
+            bodies: HeldBodies::new(BodyBudget::new(memory_bytes)),
+            large_answers: RefCell::default(),
             peer_socket,
             beat: Cell::new(0),
             near_peer_count: Cell::new(0),
@@ -386,7 +393,9 @@
             servers_leaving: count(&|s| !s.is_ready()),
             members_live: self.members.borrow().live_count(now),
             in_flight: self.in_flight.get(),
-            held_bytes: self.held_bytes.get(),
+            held_request_bytes: self.bodies.with_budget(|b| b.held_bytes(BodyKind::Request)),
+            held_answer_bytes: self.bodies.with_budget(|b| b.held_bytes(BodyKind::Answer)),
+            answers_slowed: self.bodies.slowed_answers(),
             store_current: self.is_current(),
             log_lines_dropped: logs::dropped_lines(),
         }
--- a/crates/pollenshed/src/steer/exchange.rs
+++ b/crates/pollenshed/src/steer/exchange.rs
@@ -11,7 +11,8 @@
     time::Instant,
 };
 use pollenshed_transport::forward::{
-    BackendResponse, ExchangeError, MaxIdle, RequestBody, ResponseBody, exchange,
+    AnswerHold, BackendResponse, ExchangeError, MaxIdle, OnRead, RequestBody, ResponseBody,
+    exchange,
 };
 use tokio::time::timeout;
 
@@ -21,6 +22,7 @@
     callers::buffered_body,
     core::Core,
     crashes::{self, BrokenResponse},
+    large_answers::LargeAnswer,
 };
 
 /// Maximum time to connect to a backend server.
@@ -78,6 +80,8 @@
     pub(super) statement: Option<Statement>,
     /// Assignment of the request, whose end is reported with that of the attempt.
     pub(super) assignment: Option<UsedAssignment>,
+    /// Counts the answer if it is a large one.
+    pub(super) large_answer: Option<LargeAnswer>,
 }
 
 impl Drop for RunningAttempt<'_> {
@@ -320,9 +324,14 @@
         }
     }
 
-    /// Returns when the caller stops waiting.
-    fn deadline(&self) -> tokio::time::Instant {
-        tokio::time::Instant::now() + Duration::from_millis(self.left_ms())
+    /// Returns how an answer is held, at most until the caller stops waiting.
+    fn hold(&self, running: &mut RunningAttempt<'_>) -> AnswerHold {
+        AnswerHold {
+            bodies: self.core.bodies.clone(),
+            connection: self.routed.connection,
+            deadline: tokio::time::Instant::now() + Duration::from_millis(self.left_ms()),
+            on_read: running.large_answer.take().map(|large| Box::new(large) as Box<dyn OnRead>),
+        }
     }
 
     async fn read_response(
@@ -372,12 +381,12 @@
             } else {
                 AttemptEnd::Shed { has_free_slots }
             };
-            let _ = response.read(keep_alive, self.deadline()).await;
+            let _ = response.read(keep_alive, self.hold(running)).await;
             return AttemptResult::NotRun { has_free_slots };
         }
         let took_ms = now.since_us(sent_at) as f64 / 1_000.0;
         let headers = response.headers.clone();
-        match response.read(keep_alive, self.deadline()).await {
+        match response.read(keep_alive, self.hold(running)).await {
             Ok(body) => {
                 running.end = AttemptEnd::Answered { failed: status.is_server_error(), took_ms };
                 core.quarantine.borrow_mut().record_completion(self.content, now);
--- a/crates/pollenshed/src/steer/mod.rs
+++ b/crates/pollenshed/src/steer/mod.rs
@@ -16,6 +16,7 @@
 mod homes;
 mod identity;
 mod keys;
+mod large_answers;
 mod lookup;
 mod members;
 mod peer_view;
--- a/crates/pollenshed/tests/steer_support/mod.rs
+++ b/crates/pollenshed/tests/steer_support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses its own part")]
 
+pub mod received;
+
 use std::{
     fs,
     io::{BufRead, BufReader, Read, Write},
@@ -228,6 +230,8 @@
     /// Number of other instances up to which a region is not large, for instances that are started
     /// from now on.
     pub full_mesh_peers: usize,
+    /// Memory of instances that are started from now on.
+    pub memory_mb: u64,
     folder: PathBuf,
     number: u16,
     sequence: u64,
@@ -252,6 +256,7 @@
             servers,
             instances,
             full_mesh_peers: 40,
+            memory_mb: 260,
             folder,
             number,
             sequence: 0,
@@ -304,6 +309,7 @@
         let file = self.folder.join(format!("{name}.json"));
         let ip = self.ip(number);
         let mut settings = settings(&name, failure_domain, ip, store);
+        settings["memory_mb"] = json!(self.memory_mb);
         settings["full_mesh_peers"] = json!(self.full_mesh_peers);
         settings["seeds"] = json!([format!("{}:8649", self.ip(0))]);
         fs::write(&file, serde_json::to_string_pretty(&settings).unwrap()).unwrap();
--- a/crates/standins/src/steered/mod.rs
+++ b/crates/standins/src/steered/mod.rs
@@ -3,8 +3,10 @@
 //!
 //! They follow the interfaces in docs/platform.md. `pollenshed steer` is tested against them.
 
+mod answers;
 mod server;
 mod store;
 
+pub use answers::{EarlyAnswer, LargeAnswer, large_answer};
 pub use server::{Fault, Run, Server, ServerOptions};
 pub use store::{EndpointFault, Store, StoreCopy, StoreEndpoint};
--- a/crates/standins/src/steered/server.rs
+++ b/crates/standins/src/steered/server.rs
@@ -14,6 +14,7 @@
 
 use serde_json::json;
 
+use super::answers::{EarlyAnswer, LargeAnswer, send_early, send_large};
 use crate::backend::http::{Answer, Head, read_body, read_head, write_answer};
 
 /// Period in which a running request checks whether its connection was closed.
@@ -72,6 +73,12 @@
     SlowBody(u64),
     /// It sends an answer of unknown length, a byte at a time, until the connection is closed.
     TrickledBody,
+    /// It answers with this text in place of a status.
+    OddStatus(&'static str),
+    /// It sends large answers.
+    LargeAnswers(LargeAnswer),
+    /// It answers uploads without a length before it has read them.
+    EarlyAnswers(EarlyAnswer),
 }
 
 /// Pause between the bytes of an answer that trickles.
@@ -137,6 +144,8 @@
     max_concurrent: u32,
     sheds_next: bool,
     cut_answers: u32,
+    sending: u32,
+    max_sending: u32,
     cached_objects: VecDeque<String>,
 }
 
@@ -262,6 +271,12 @@
         self.shared.state().cut_answers
     }
 
+    /// Returns the number of large answers that are being sent now, and the most at the same time.
+    pub fn sending(&self) -> (u32, u32) {
+        let state = self.shared.state();
+        (state.sending, state.max_sending)
+    }
+
     /// Returns the number of requests that run now.
     pub fn running(&self) -> u32 {
         self.shared.state().running
@@ -292,6 +307,17 @@
     fn serve(&self, stream: &TcpStream) {
         let mut reader = BufReader::new(stream);
         while let Ok(Some(head)) = read_head(&mut reader) {
+            if let Fault::EarlyAnswers(early) = self.fault()
+                && head.method != "GET"
+            {
+                let id = head.header("x-request-id").unwrap_or_default();
+                self.begin(&head, id, Vec::new());
+                let _ = send_early(stream, early, id);
+                if !early.resets {
+                    let _ = read_body(&mut reader, &head, &mut |_| ());
+                }
+                return;
+            }
             let mut body = Vec::new();
             if read_body(&mut reader, &head, &mut |piece| body.extend_from_slice(piece)).is_err() {
                 return;
@@ -411,6 +437,27 @@
                 let time = Duration::from_millis(time_ms);
                 send_slowly(stream, &id, time).is_ok() && head.keep_alive
             }
+            Fault::OddStatus(status) => {
+                let head = format!(
+                    "HTTP/1.1 {status} Odd\r\nX-Request-Id: {id}\r\n\
+                     X-Response-Stamp: stand-in\r\nContent-Length: 3\r\n\r\nodd"
+                );
+                let mut writer = stream;
+                let _ = writer.write_all(head.as_bytes());
+                false
+            }
+            Fault::LargeAnswers(large) => {
+                let sending = {
+                    let mut state = self.state();
+                    state.sending += 1;
+                    state.sending
+                };
+                let sent = send_large(stream, large, &id);
+                let mut state = self.state();
+                state.max_sending = state.max_sending.max(sending);
+                state.sending -= 1;
+                sent.is_ok() && large.sent_bytes >= large.bytes && head.keep_alive
+            }
             Fault::ExtraAnswers => send(stream, &answer, head) && send(stream, &answer, head),
             _ => send(stream, &answer, head),
         }
--- a/crates/transport/src/forward/exchange.rs
+++ b/crates/transport/src/forward/exchange.rs
@@ -7,14 +7,16 @@
     time::Duration,
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use pollenshed_coordination::steering::BodyKind;
 
-use tokio::time::{Instant, Sleep, sleep_until};
-
-use super::pool::Lease;
+use super::{
+    held::{AnswerHold, HeldAnswer, HeldBody},
+    pool::Lease,
+};
 
 /// Responses up to this size are read completely before they are forwarded, so that an incomplete
 /// one can be replaced by an error response.
@@ -122,38 +124,39 @@
         self.lease.is_first_request()
     }
 
-    /// Reads the body completely if it has at most 256 KiB; otherwise the rest is streamed, until
-    /// `deadline` at the latest. A body without end would occupy the connection for good otherwise.
+    /// Reads the body completely if it has at most 256 KiB; otherwise, or without memory for that,
+    /// the rest is read as fast as memory allows while the caller takes the beginning. Both end at
+    /// the deadline of `hold`: a body without end, or a caller that has stopped reading, would
+    /// occupy memory and the connection for good otherwise.
     ///
     /// `keep_alive` is `None` to close the connection afterwards, or else the idle timeout that the
     /// server advertises, if any.
     pub async fn read(
         mut self,
         keep_alive: Option<Option<Duration>>,
-        deadline: Instant,
+        hold: AnswerHold,
     ) -> Result<ResponseBody, ExchangeError> {
-        let mut buffer = BytesMut::new();
+        let mut answer = HeldAnswer::new(hold.bodies.share(BodyKind::Answer, hold.connection));
         while let Some(frame) = self.body.frame().await {
             let frame = frame.map_err(|e| ExchangeError::BrokenOff(e.to_string()))?;
             let Ok(data) = frame.into_data() else { continue };
-            buffer.extend_from_slice(&data);
-            if buffer.len() > BUFFERED_RESPONSE_BYTES {
-                return Ok(ResponseBody::Streamed {
-                    first: Some(buffer.freeze()),
-                    rest: self.body,
-                    deadline: Box::pin(sleep_until(deadline)),
-                    _lease: Box::new(self.lease),
-                });
+            answer.push(&data, self.body.size_hint().lower());
+            if answer.total_bytes() > BUFFERED_RESPONSE_BYTES || !answer.reads_on() {
+                let body = HeldBody::open(answer, self.body, self.lease, keep_alive, hold);
+                return Ok(ResponseBody::Held(body));
             }
         }
         // A connection must not carry another request while its request body is still being sent.
-        if let Some(keep_alive) = keep_alive {
-            tokio::task::yield_now().await;
-            if self.lease.connection.sender.is_ready() {
-                self.lease.release(keep_alive);
-            }
+        self.lease.release_if_idle(keep_alive).await;
+        if let Some(mut on_read) = hold.on_read {
+            on_read.record_read(answer.total_bytes());
         }
-        Ok(ResponseBody::Whole(Some(buffer.freeze())))
+        answer.set_complete();
+        // A single piece goes to the kernel at once.
+        Ok(match answer.take_single() {
+            Some(piece) => ResponseBody::Whole(Some(piece)),
+            None => ResponseBody::Held(HeldBody::complete(answer, hold.deadline)),
+        })
     }
 }
 
@@ -161,17 +164,8 @@
 pub enum ResponseBody {
     /// A body that was read completely, or none.
     Whole(Option<Bytes>),
-    /// A body that is forwarded as it arrives. The connection is closed at its end.
-    Streamed {
-        /// Start of the body, which was read already.
-        first: Option<Bytes>,
-        /// Remainder of the body.
-        rest: Incoming,
-        /// When the body breaks off if it has not ended.
-        deadline: Pin<Box<Sleep>>,
-        /// Keeps the connection open.
-        _lease: Box<Lease>,
-    },
+    /// A body in memory, of which more may still come.
+    Held(HeldBody),
 }
 
 impl ResponseBody {
@@ -209,13 +203,8 @@
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         match self.get_mut() {
             ResponseBody::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
-            ResponseBody::Streamed { first, rest, deadline, .. } => {
-                if deadline.as_mut().poll(cx).is_ready() {
-                    log::warn!("backend: a streamed response did not end before its deadline");
-                    let late = io::Error::new(io::ErrorKind::TimedOut, "the deadline has passed");
-                    return Poll::Ready(Some(Err(late)));
-                }
-                poll_first_then_rest(first, rest, cx).map_err(io::Error::other)
+            ResponseBody::Held(body) => {
+                body.poll_data(cx).map(|polled| polled.map(|data| data.map(Frame::data)))
             }
         }
     }
@@ -223,7 +212,7 @@
     fn is_end_stream(&self) -> bool {
         match self {
             ResponseBody::Whole(bytes) => bytes.is_none(),
-            ResponseBody::Streamed { .. } => false,
+            ResponseBody::Held(body) => body.is_end(),
         }
     }
 
@@ -232,7 +221,9 @@
             ResponseBody::Whole(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
             }
-            ResponseBody::Streamed { first, rest, .. } => joined_size_hint(first.as_ref(), rest),
+            ResponseBody::Held(body) => {
+                body.left_bytes().map_or_else(SizeHint::default, SizeHint::with_exact)
+            }
         }
     }
 }
--- a/crates/transport/src/forward/interim.rs
+++ b/crates/transport/src/forward/interim.rs
@@ -45,10 +45,15 @@
     }
 }
 
-/// Largest head of a response, and largest part of a response that is read at once. It bounds the
-/// time that one connection takes from the others of the thread.
+/// Largest head of a response. It bounds the time that one connection takes from the others of the
+/// thread.
 const MAX_RESPONSE_HEAD_BYTES: usize = 64 * 1024;
 
+/// Largest part of a response that is read at once. The HTTP library reads with a buffer that it
+/// doubles from 8 KiB on while it is filled, and keeps it for as long as the connection lasts; with
+/// this limit it stays at 16 KiB.
+const MAX_READ_BYTES: usize = 12 * 1024;
+
 /// Starts HTTP/1.1 on a stream. The connection has to be polled for as long as it is used, and each
 /// request has to be observed by the counter.
 pub(crate) async fn handshake<B>(
@@ -90,7 +95,14 @@
             let text = format!("more than {MAX_INTERIM_RESPONSES} interim responses");
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, text)));
         }
-        Pin::new(&mut this.stream).poll_read(cx, buffer)
+        if buffer.remaining() <= MAX_READ_BYTES {
+            return Pin::new(&mut this.stream).poll_read(cx, buffer);
+        }
+        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(MAX_READ_BYTES));
+        let polled = Pin::new(&mut this.stream).poll_read(cx, &mut part);
+        let read_bytes = part.filled().len();
+        buffer.advance(read_bytes);
+        polled
     }
 }
 
--- a/crates/transport/src/forward/mod.rs
+++ b/crates/transport/src/forward/mod.rs
@@ -5,6 +5,7 @@
 //! server.
 
 mod exchange;
+mod held;
 mod interim;
 mod pool;
 
@@ -14,6 +15,7 @@
 use tokio::{net::TcpStream, time::timeout};
 
 pub use exchange::{BackendResponse, ExchangeError, RequestBody, ResponseBody, exchange};
+pub use held::{AnswerHold, HeldBodies, HeldBody, HeldShare, OnRead};
 pub(crate) use interim::{InterimCount, handshake};
 pub use pool::{Lease, MaxIdle, Pool};
 
--- a/crates/transport/src/forward/pool.rs
+++ b/crates/transport/src/forward/pool.rs
@@ -225,6 +225,16 @@
         self.connection.carried.count == 1
     }
 
+    /// Returns the connection to the pool after a complete response, unless `keep_alive` is `None`
+    /// or its request body is still being sent. It is closed otherwise.
+    pub(super) async fn release_if_idle(self, keep_alive: Option<Option<Duration>>) {
+        let Some(keep_alive) = keep_alive else { return };
+        tokio::task::yield_now().await;
+        if self.connection.sender.is_ready() {
+            self.release(keep_alive);
+        }
+    }
+
     /// Returns the connection to the pool. No response may be outstanding on it. `keep_alive` is
     /// the idle timeout that its server advertised, if any.
     pub fn release(self, keep_alive: Option<Duration>) {
--- a/crates/transport/src/listen/mod.rs
+++ b/crates/transport/src/listen/mod.rs
@@ -1,17 +1,20 @@
 //! HTTP/1.1 servers of an instance that runs on one thread.
 
+mod reset;
+
 use std::{convert::Infallible, future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use http::{Request, Response};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use socket2::{Domain, Protocol, Socket, Type};
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{Semaphore, watch},
     time::timeout,
 };
 
+use self::reset::{CallerStream, ResetsAtEnd};
 use crate::forward::{ResponseBody, set_socket_options};
 
 /// Length of the queue of connections that wait to be accepted.
@@ -25,6 +28,10 @@
 /// one transfer between the users' regions and their callers, with some margin.
 pub const SHUTDOWN_GRACE_PERIOD: Duration = Duration::from_millis(150);
 
+/// Bytes of an answer that the kernel takes before it can send them. A slow caller would otherwise
+/// make it hold megabytes, which no budget counts.
+const MAX_UNSENT_BYTES: u32 = 64 * 1024;
+
 /// Smallest read buffer that `hyper` accepts.
 const MIN_HEAD_BYTES: usize = 8_192;
 
@@ -129,10 +136,15 @@
     F: Future<Output = Response<ResponseBody>> + 'static,
 {
     set_socket_options(&stream);
+    if let Err(e) = SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES) {
+        log::debug!("listen: cannot set a socket option; error={e}");
+    }
     let service = service_fn(move |request| {
         let response = handler(request, peer);
         async move { Ok::<_, Infallible>(response.await) }
     });
+    let resets_at_end = ResetsAtEnd::default();
+    let stream = CallerStream::new(stream, resets_at_end.clone());
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout)
@@ -147,6 +159,10 @@
         }
     };
     if let Err(e) = ended {
+        // The body of an answer broke off.
+        if e.is_user() {
+            resets_at_end.set();
+        }
         log::debug!("listen: a connection ended early; peer={peer} error={e}");
     }
 }
--- a/crates/transport/src/scrape/mod.rs
+++ b/crates/transport/src/scrape/mod.rs
@@ -14,7 +14,8 @@
 //! | `pollenshed_servers` | gauge | state | backend servers: ready, cold, suspect, leaving |
 //! | `pollenshed_members_live` | gauge | | live instances, this one included |
 //! | `pollenshed_in_flight` | gauge | | callers' requests that got no response yet |
-//! | `pollenshed_held_bytes` | gauge | | bytes of request bodies in memory |
+//! | `pollenshed_held_bytes` | gauge | kind | bytes of bodies in memory, by `kind`: request, answer |
+//! | `pollenshed_answers_slowed` | gauge | | answers since the start that were read more slowly than they came, to save memory |
 //! | `pollenshed_store_current` | gauge | | 1 if the tables are up to date with the store |
 //! | `pollenshed_log_lines_dropped` | gauge | | log lines that were dropped since the start |
 
@@ -48,7 +49,11 @@
     /// Callers' requests that got no response yet.
     pub in_flight: usize,
     /// Bytes of request bodies in memory.
-    pub held_bytes: usize,
+    pub held_request_bytes: usize,
+    /// Bytes of answers in memory.
+    pub held_answer_bytes: usize,
+    /// Answers that were read more slowly than they came, since the start.
+    pub answers_slowed: u64,
     /// Whether the tables are up to date with the store.
     pub store_current: bool,
     /// Log lines that were dropped since the start.
@@ -70,7 +75,8 @@
     config_version: IntGauge,
     members_live: IntGauge,
     in_flight: IntGauge,
-    held_bytes: IntGauge,
+    held_bytes: IntGaugeVec,
+    answers_slowed: IntGauge,
     store_current: IntGauge,
     log_lines_dropped: IntGauge,
 }
@@ -108,7 +114,8 @@
             config_version: gauge("config_version", "Version in force")?,
             members_live: gauge("members_live", "Live instances")?,
             in_flight: gauge("in_flight", "Requests in flight")?,
-            held_bytes: gauge("held_bytes", "Bytes of bodies held")?,
+            held_bytes: IntGaugeVec::new(opts("held_bytes", "Bytes of bodies held"), &["kind"])?,
+            answers_slowed: gauge("answers_slowed", "Answers slowed to save memory")?,
             store_current: gauge("store_current", "Tables are current")?,
             log_lines_dropped: gauge("log_lines_dropped", "Log lines dropped")?,
             registry,
@@ -127,6 +134,7 @@
             Box::new(metrics.members_live.clone()),
             Box::new(metrics.in_flight.clone()),
             Box::new(metrics.held_bytes.clone()),
+            Box::new(metrics.answers_slowed.clone()),
             Box::new(metrics.store_current.clone()),
             Box::new(metrics.log_lines_dropped.clone()),
         ];
@@ -176,7 +184,12 @@
         set_gauge(&self.config_version, values.config_version);
         set_gauge(&self.members_live, values.members_live as u64);
         set_gauge(&self.in_flight, values.in_flight as u64);
-        set_gauge(&self.held_bytes, values.held_bytes as u64);
+        set_gauge(&self.answers_slowed, values.answers_slowed);
+        for (kind, bytes) in
+            [("request", values.held_request_bytes), ("answer", values.held_answer_bytes)]
+        {
+            self.held_bytes.with_label_values(&[kind]).set(bytes as i64);
+        }
         set_gauge(&self.store_current, u64::from(values.store_current));
         set_gauge(&self.log_lines_dropped, values.log_lines_dropped);
         for (state, count) in [
