--- a/crates/pollenshed/src/steer/exchange.rs
+++ b/crates/pollenshed/src/steer/exchange.rs
@@ -348,9 +348,10 @@
         // be told from a late copy of one that the connection carried before.
         let is_own_response = head.request_id == self.routed.caller.request_id
             || (head.misdirected && head.request_id.is_none() && response.is_first_on_connection());
-        // No request asks for another protocol, so 101 is no response to any.
-        if !is_own_response || status.is_informational() || (status.is_success() && !head.has_stamp)
-        {
+        // No request asks for another protocol, so 101 is no response to any, and neither is a status
+        // that HTTP does not know.
+        let is_final = (200..600).contains(&status.as_u16());
+        if !is_own_response || !is_final || (status.is_success() && !head.has_stamp) {
             log::warn!(
                 "backend: response to another request; id={} server={} answer_id={:?}",
                 self.id(),
--- a/crates/transport/src/backend/mod.rs
+++ b/crates/transport/src/backend/mod.rs
@@ -246,6 +246,9 @@
         return BackendOutcome::Shed { draining };
     }
     let status = u32::from(response.status().as_u16());
+    if !(200..600).contains(&status) {
+        return BackendOutcome::ConnectionLost(format!("no final answer has status {status}"));
+    }
     let headers = response_headers(response);
     let content_length = response.body().content_length();
     if content_length.is_some_and(|n| n > backend_request.max_answer_bytes) {
