Run pipelined requests of callers side by side

Callers that send further idempotent requests before the first is answered found them unread until then, and gave up after a second or a third of their time. The listener of callers now gives hyper one request at a time and starts whole requests behind it as exchanges of their own, whose responses are passed on in order. Requests that run at most once run alone. A response that asks to close waits for the requests that already run; what is behind a broken one is cancelled. Connections without pipelining go through hyper as before.

--- a/crates/pollenshed/src/steer/mod.rs
+++ b/crates/pollenshed/src/steer/mod.rs
@@ -19,6 +19,7 @@
 mod lookup;
 mod members;
 mod peer_view;
+mod pipelining;
 mod reader;
 mod registration;
 pub mod settings;
@@ -100,10 +101,11 @@
         let core = core.clone();
         move || caller_limits(&core)
     };
-    let serving = spawn_local(listen::serve(
+    let serving = spawn_local(listen::serve_pipelined(
         callers,
         limits,
         callers::handler(core.clone()),
+        Rc::new(pipelining::RouteOverlap(core.clone())),
         core.watch_stop(),
     ));
     stop::wait_and_stop(&core, signals, serving).await;
--- a/crates/transport/src/listen/mod.rs
+++ b/crates/transport/src/listen/mod.rs
@@ -1,6 +1,10 @@
 //! HTTP/1.1 servers of an instance that runs on one thread.
 
-use std::{convert::Infallible, future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
+mod pipeline;
+
+use std::{
+    convert::Infallible, future::Future, io, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
+};
 
 use http::{Request, Response};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
@@ -12,6 +16,8 @@
     time::timeout,
 };
 
+pub use pipeline::{Overlap, PipelinePolicy, RequestTarget};
+
 use crate::forward::{ResponseBody, set_socket_options};
 
 /// Length of the queue of connections that wait to be accepted.
@@ -68,11 +74,48 @@
     listener: TcpListener,
     limits: impl Fn() -> ListenLimits,
     handler: H,
-    mut stop: watch::Receiver<StopPhase>,
+    stop: watch::Receiver<StopPhase>,
 ) where
     H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + 'static,
     F: Future<Output = Response<ResponseBody>> + 'static,
 {
+    let connection_stop = stop.clone();
+    accept(listener, limits, stop, move |stream, peer, limits| {
+        serve_connection(stream, peer, limits, handler.clone(), connection_stop.clone())
+    })
+    .await;
+}
+
+/// Serves connections like [`serve`]. Requests that a caller sends before an earlier one of its
+/// connection is answered run side by side if `policy` allows it.
+pub async fn serve_pipelined<H, F>(
+    listener: TcpListener,
+    limits: impl Fn() -> ListenLimits,
+    handler: H,
+    policy: Rc<dyn PipelinePolicy>,
+    stop: watch::Receiver<StopPhase>,
+) where
+    H: Fn(Request<Incoming>, SocketAddr) -> F + 'static,
+    F: Future<Output = Response<ResponseBody>> + 'static,
+{
+    let handler = Rc::new(handler);
+    let connection_stop = stop.clone();
+    accept(listener, limits, stop, move |stream, peer, limits| {
+        set_socket_options(&stream);
+        let stop = connection_stop.clone();
+        pipeline::serve_connection(stream, peer, limits, handler.clone(), policy.clone(), stop)
+    })
+    .await;
+}
+
+/// Accepts connections and runs `serve_one` for each, until the stop has reached
+/// [`StopPhase::Closing`] and all of them have ended.
+async fn accept<F: Future<Output = ()> + 'static>(
+    listener: TcpListener,
+    limits: impl Fn() -> ListenLimits,
+    mut stop: watch::Receiver<StopPhase>,
+    serve_one: impl Fn(TcpStream, SocketAddr, ListenLimits) -> F,
+) {
     let max = limits().max_connections;
     let permits = Arc::new(Semaphore::new(max));
     loop {
@@ -89,7 +132,7 @@
             }
         };
         let Ok(permit) = permits.clone().try_acquire_owned() else { continue };
-        let connection = serve_connection(stream, peer, limits(), handler.clone(), stop.clone());
+        let connection = serve_one(stream, peer, limits());
         tokio::task::spawn_local(async move {
             connection.await;
             drop(permit);
@@ -99,7 +142,7 @@
     // sent a request.
     while let Ok(Ok((stream, peer))) = timeout(Duration::ZERO, listener.accept()).await {
         let Ok(permit) = permits.clone().try_acquire_owned() else { break };
-        let connection = serve_connection(stream, peer, limits(), handler.clone(), stop.clone());
+        let connection = serve_one(stream, peer, limits());
         tokio::task::spawn_local(async move {
             connection.await;
             drop(permit);
--- a/crates/transport/src/scrape/mod.rs
+++ b/crates/transport/src/scrape/mod.rs
@@ -7,6 +7,7 @@
 //! | `pollenshed_sends_total` | counter | service, end | requests sent to backend servers, by how they ended |
 //! | `pollenshed_backend_seconds` | histogram | service | time from sending a request to a backend server to its response |
 //! | `pollenshed_unreadable_statements_total` | counter | what | statements of backend servers that were ignored because they are malformed |
+//! | `pollenshed_pipelined_requests_total` | counter | event | requests that were started before those ahead of them on their connection were answered: started, cancelled |
 //! | `pollenshed_store_calls_total` | counter | table, result | calls to the store |
 //! | `pollenshed_peer_answers_total` | counter | change | responses to peers that poll this instance for changes, with a change or without |
 //! | `pollenshed_peer_answer_bytes_total` | counter | change | bytes of these responses |
@@ -63,6 +64,7 @@
     sends: IntCounterVec,
     backend_seconds: HistogramVec,
     unreadable_statements: IntCounterVec,
+    pipelined_requests: IntCounterVec,
     store_calls: IntCounterVec,
     peer_answers: IntCounterVec,
     peer_answer_bytes: IntCounterVec,
@@ -97,6 +99,11 @@
                 "Malformed statements of backend servers",
                 &["what"],
             )?,
+            pipelined_requests: counter(
+                "pipelined_requests_total",
+                "Requests started before those ahead of them were answered",
+                &["event"],
+            )?,
             store_calls: counter("store_calls_total", "Calls to the store", &["table", "result"])?,
             peer_answers: counter("peer_answers_total", "Answers to peers", &["change"])?,
             peer_answer_bytes: counter(
@@ -119,6 +126,7 @@
             Box::new(metrics.sends.clone()),
             Box::new(metrics.backend_seconds.clone()),
             Box::new(metrics.unreadable_statements.clone()),
+            Box::new(metrics.pipelined_requests.clone()),
             Box::new(metrics.store_calls.clone()),
             Box::new(metrics.peer_answers.clone()),
             Box::new(metrics.peer_answer_bytes.clone()),
@@ -156,6 +164,11 @@
         self.unreadable_statements.with_label_values(&[what]).inc();
     }
 
+    /// Counts pipelined requests that were started or cancelled.
+    pub fn record_pipelined_requests(&self, event: &str, count: usize) {
+        self.pipelined_requests.with_label_values(&[event]).inc_by(count as u64);
+    }
+
     /// Records a call to the store.
     pub fn record_store_call(&self, table: &str, succeeded: bool) {
         let result = if succeeded { "ok" } else { "failed" };
