--- a/crates/transport/tests/pipeline.rs
+++ b/crates/transport/tests/pipeline.rs
@@ -393,3 +393,33 @@
         expect_that!(caller.bodies(1).await, eq(&vec!["/now/4 0"]));
     });
 }
+
+/// Guards against a streamed answer of unknown length that loses its framing beside others, or that
+/// is followed by another answer after it was broken off.
+#[gtest]
+fn streamed_answers_keep_their_framing() {
+    run(|| async {
+        let listener = Listener::open(true, limits(LONG_MS));
+        let mut caller = listener.connect().await;
+        let batch = ["/held/1", "/stream/2", "/now/3", "/stream/4", "/now/5"].map(get).concat();
+        caller.send(&batch).await;
+        listener.seen.wait_for_started(5).await;
+        listener.seen.release("/held/1");
+        let bodies = caller.bodies(5).await;
+        let long = "l".repeat(LARGE_BYTES);
+        let expected = ["/held/1 0", long.as_str(), "/now/3 0", long.as_str(), "/now/5 0"];
+        expect_that!(bodies == expected, eq(true), "{:.50?}", bodies);
+        for first in [true, false] {
+            let mut caller = listener.connect().await;
+            let ahead = if first { vec![] } else { vec!["/held/1"] };
+            let batch = [ahead, vec!["/stream/cut", "/held/6"]].concat();
+            let number = listener.seen.cancelled.borrow().len();
+            caller.send(&batch.iter().map(|path| get(path)).collect::<String>()).await;
+            listener.seen.release("/held/1");
+            let answers = caller.read_all().await;
+            expect_that!(answers.len(), eq(usize::from(!first)));
+            wait_for("the end", || listener.seen.cancelled.borrow().len() > number).await;
+            expect_that!(listener.seen.cancelled.borrow().last(), some(eq("/held/6")));
+        }
+    });
+}
--- a/crates/transport/tests/pipeline_support/mod.rs
+++ b/crates/transport/tests/pipeline_support/mod.rs
@@ -13,15 +13,15 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use pollenshed_transport::{
-    forward::ResponseBody,
+    forward::{self, MaxIdle, Pool, RequestBody, ResponseBody},
     listen::{self, ListenLimits, Overlap, PipelinePolicy, RequestTarget, StopPhase},
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
+    net::{TcpListener, TcpStream},
     sync::{Notify, watch},
     task::{LocalSet, spawn_local, yield_now},
-    time::timeout,
+    time::{Instant, timeout},
 };
 
 /// Longest time that a test waits for a condition.
@@ -97,6 +97,9 @@
         seen.gate(&path).notified().await;
     }
     running.is_answered = true;
+    if path.starts_with("/stream/") {
+        return Response::new(stream_from_server(!path.contains("cut")).await);
+    }
     let text = match path.starts_with("/large/") {
         true => "l".repeat(LARGE_BYTES),
         false => format!("{path} {body}"),
@@ -108,6 +111,26 @@
     response
 }
 
+/// Returns a response of unknown length that comes from a server, which breaks it off unless
+/// `is_whole`.
+async fn stream_from_server(is_whole: bool) -> ResponseBody {
+    let server = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = server.local_addr().unwrap();
+    spawn_local(async move {
+        let (mut stream, _) = server.accept().await.unwrap();
+        let _ = stream.read(&mut [0; 4_096]).await.unwrap();
+        let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        let chunk = format!("{:x}\r\n{}\r\n", LARGE_BYTES / 16, "l".repeat(LARGE_BYTES / 16));
+        let chunks = chunk.repeat(if is_whole { 16 } else { 8 });
+        let end = if is_whole { "0\r\n\r\n" } else { "" };
+        let _ = stream.write_all(format!("{head}{chunks}{end}").as_bytes()).await;
+    });
+    let lease = Pool::default().lease(address, MaxIdle::NONE, WAIT, None).await.unwrap().0;
+    let request = Request::builder().uri("/").header("host", "h").body(RequestBody::Whole(None));
+    let response = forward::exchange(lease, request.unwrap()).await.unwrap();
+    response.read(None, Instant::now() + WAIT).await.unwrap()
+}
+
 struct Policy(Rc<Seen>);
 
 impl PipelinePolicy for Policy {
@@ -261,6 +284,11 @@
             }
         };
         let head = String::from_utf8(self.read[..head_len].to_vec()).unwrap().to_lowercase();
+        if head.contains("transfer-encoding: chunked") {
+            self.read.drain(..head_len);
+            let body = self.read_chunks().await?;
+            return Some(Answer { status: 200, closes: head.contains("connection: close"), body });
+        }
         let length: usize = head
             .lines()
             .find_map(|line| line.strip_prefix("content-length: "))
@@ -274,6 +302,32 @@
         Some(Answer { status, closes: head.contains("connection: close"), body })
     }
 
+    /// Reads a chunked body. Returns `None` if the connection ends before its last chunk.
+    async fn read_chunks(&mut self) -> Option<String> {
+        let mut body = String::new();
+        loop {
+            let line = loop {
+                if let Some(at) = self.read.windows(2).position(|w| w == b"\r\n") {
+                    break String::from_utf8(self.read.drain(..at + 2).collect()).unwrap();
+                }
+                if !self.fill().await {
+                    return None;
+                }
+            };
+            let size = usize::from_str_radix(line.trim_end(), 16).unwrap();
+            while self.read.len() < size + 2 {
+                if !self.fill().await {
+                    return None;
+                }
+            }
+            let chunk = self.read.drain(..size + 2).take(size).collect();
+            body += &String::from_utf8(chunk).unwrap();
+            if size == 0 {
+                return Some(body);
+            }
+        }
+    }
+
     /// Reads responses until the end of the connection.
     pub async fn read_all(&mut self) -> Vec<Answer> {
         let mut answers = Vec::new();
