--- a/crates/transport/src/listen/pipeline/boundaries.rs
+++ b/crates/transport/src/listen/pipeline/boundaries.rs
@@ -4,8 +4,10 @@
 //! ways, or that changes how the connection goes on, counts as [`Head::Unusual`]: its connection is
 //! left to `hyper` from there on.
 
+use std::mem::MaybeUninit;
+
 use bytes::Bytes;
-use http::{HeaderValue, Method, Uri};
+use http::{HeaderMap, HeaderValue, Method, Request, Uri, Version, header};
 
 /// Maximum number of header fields, the default of `hyper`.
 const MAX_HEADERS: usize = 100;
@@ -48,9 +50,9 @@
 
 /// Parses the head of a request.
 pub fn parse_head(bytes: &[u8]) -> Head {
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut request = httparse::Request::new(&mut headers);
-    let len = match request.parse(bytes) {
+    let mut headers = [const { MaybeUninit::uninit() }; MAX_HEADERS];
+    let mut request = httparse::Request::new(&mut []);
+    let len = match request.parse_with_uninit_headers(bytes, &mut headers) {
         Ok(httparse::Status::Complete(len)) => len,
         Ok(httparse::Status::Partial) => return Head::Partial,
         Err(_) => return Head::Unusual,
@@ -92,11 +94,41 @@
     std::str::from_utf8(value).ok()?.parse().ok()
 }
 
+/// Returns whether `bytes` are the head of a `GET` or `HEAD` request and nothing else, so that
+/// `hyper` may have them at once. What it parses then tells the framing; see [`parsed_framing`].
+pub fn is_plain_head(bytes: &[u8]) -> bool {
+    if !bytes.starts_with(b"GET ") && !bytes.starts_with(b"HEAD ") {
+        return false;
+    }
+    let end = memchr::memchr_iter(b'\n', bytes)
+        .map(|at| &bytes[at + 1..])
+        .find(|rest| rest.starts_with(b"\n") || rest.starts_with(b"\r\n"));
+    end.is_some_and(|end| end == b"\n" || end == b"\r\n")
+}
+
+/// Returns the framing of a request that `hyper` has parsed after [`is_plain_head`], or `None` if
+/// its connection can't be split safely.
+pub fn parsed_framing<B>(request: &Request<B>) -> Option<Framing> {
+    let headers: &HeaderMap = request.headers();
+    let is_odd = request.version() != Version::HTTP_11
+        || headers.contains_key(header::TRANSFER_ENCODING)
+        || headers.contains_key(header::UPGRADE)
+        || headers.contains_key(header::EXPECT);
+    let mut connection = headers.get_all(header::CONNECTION).iter();
+    if is_odd || connection.any(|value| !value.as_bytes().eq_ignore_ascii_case(b"keep-alive")) {
+        return None;
+    }
+    match headers.get(header::CONTENT_LENGTH) {
+        Some(value) => parse_length(value.as_bytes()).map(Framing::Length),
+        None => Some(Framing::Length(0)),
+    }
+}
+
 /// Returns method, target and host of a request whose head is complete.
 pub fn parse_target(bytes: &[u8]) -> Option<RequestTarget> {
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut request = httparse::Request::new(&mut headers);
-    request.parse(bytes).ok()?;
+    let mut headers = [const { MaybeUninit::uninit() }; MAX_HEADERS];
+    let mut request = httparse::Request::new(&mut []);
+    request.parse_with_uninit_headers(bytes, &mut headers).ok()?;
     let host = request.headers.iter().find(|header| header.name.eq_ignore_ascii_case("host"));
     let host = match host {
         Some(header) => Some(HeaderValue::from_bytes(header.value).ok()?),
--- a/crates/transport/src/listen/pipeline/mod.rs
+++ b/crates/transport/src/listen/pipeline/mod.rs
@@ -137,11 +137,7 @@
         let (source, control, handler) = (source.clone(), control.clone(), handler.clone());
         let is_done = source.borrow().is_body_done.clone();
         service_fn(move |request: IncomingRequest| {
-            source.borrow_mut().target = Some(RequestTarget {
-                method: request.method().clone(),
-                uri: request.uri().clone(),
-                host: request.headers().get(header::HOST).cloned(),
-            });
+            source.borrow_mut().begin_request(&request);
             answer(&*handler, request, peer, control.clone(), control.start(), is_done.clone())
         })
     };
--- a/crates/transport/src/listen/pipeline/source.rs
+++ b/crates/transport/src/listen/pipeline/source.rs
@@ -11,6 +11,7 @@
     task::{Context, Poll, ready},
 };
 
+use http::{Request, header};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use tokio::{
@@ -18,7 +19,9 @@
     net::TcpStream,
 };
 
-use super::boundaries::{ChunkState, Framing, Head, RequestTarget, may_end, parse_head};
+use super::boundaries::{
+    ChunkState, Framing, Head, RequestTarget, is_plain_head, may_end, parse_head, parsed_framing,
+};
 
 /// Most bytes that one read of the socket returns.
 const READ_BYTES: usize = 64 * 1024;
@@ -33,6 +36,8 @@
 enum Position {
     /// At the start of a request, or in a head that is not complete.
     Head,
+    /// Behind a head that `hyper` has got and not parsed.
+    Passed,
     /// In a body.
     Body(Framing),
     /// At the end of a request whose response is not complete.
@@ -95,6 +100,21 @@
         (self.position == Position::End || self.is_paused) && !self.held().is_empty()
     }
 
+    /// Notes that `hyper` serves a request.
+    pub fn begin_request<B>(&mut self, request: &Request<B>) {
+        if self.position == Position::Passed {
+            match parsed_framing(request) {
+                Some(framing) => self.set_body(framing),
+                None => self.stop_splitting(),
+            }
+        }
+        self.target = Some(RequestTarget {
+            method: request.method().clone(),
+            uri: request.uri().clone(),
+            host: request.headers().get(header::HOST).cloned(),
+        });
+    }
+
     /// Returns whether `hyper` serves a request.
     pub fn is_busy(&self) -> bool {
         self.position != Position::Head
@@ -174,6 +194,11 @@
                 }
                 return 0;
             }
+            if is_plain_head(bytes) {
+                self.searched = 0;
+                self.position = Position::Passed;
+                return bytes.len();
+            }
             match parse_head(bytes) {
                 Head::Partial if bytes.len() < self.max_head_bytes => {
                     self.searched = bytes.len();
@@ -242,6 +267,9 @@
             if self.position == Position::End || self.is_paused {
                 return self.poll_hold(cx);
             }
+            if self.position == Position::Passed {
+                self.stop_splitting();
+            }
             if self.position == Position::Unsplit {
                 return Pin::new(&mut TokioIo::new(&mut self.stream)).poll_read(cx, out);
             }
