--- a/crates/transport/src/listen/pipeline/boundaries.rs
+++ b/crates/transport/src/listen/pipeline/boundaries.rs
@@ -7,7 +7,7 @@
 use std::mem::MaybeUninit;
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Method, Request, Uri, Version, header};
+use http::{HeaderValue, Method, Request, Uri, Version, header};
 
 /// Maximum number of header fields, the default of `hyper`.
 const MAX_HEADERS: usize = 100;
@@ -109,19 +109,21 @@
 /// Returns the framing of a request that `hyper` has parsed after [`is_plain_head`], or `None` if
 /// its connection can't be split safely.
 pub fn parsed_framing<B>(request: &Request<B>) -> Option<Framing> {
-    let headers: &HeaderMap = request.headers();
-    let is_odd = request.version() != Version::HTTP_11
-        || headers.contains_key(header::TRANSFER_ENCODING)
-        || headers.contains_key(header::UPGRADE)
-        || headers.contains_key(header::EXPECT);
-    let mut connection = headers.get_all(header::CONNECTION).iter();
-    if is_odd || connection.any(|value| !value.as_bytes().eq_ignore_ascii_case(b"keep-alive")) {
+    if request.version() != Version::HTTP_11 {
         return None;
     }
-    match headers.get(header::CONTENT_LENGTH) {
-        Some(value) => parse_length(value.as_bytes()).map(Framing::Length),
-        None => Some(Framing::Length(0)),
+    let mut framing = Framing::Length(0);
+    for (name, value) in request.headers() {
+        match *name {
+            header::TRANSFER_ENCODING | header::UPGRADE | header::EXPECT => return None,
+            header::CONNECTION if !value.as_bytes().eq_ignore_ascii_case(b"keep-alive") => {
+                return None;
+            }
+            header::CONTENT_LENGTH => framing = Framing::Length(parse_length(value.as_bytes())?),
+            _ => {}
+        }
     }
+    Some(framing)
 }
 
 /// Returns method, target and host of a request whose head is complete.
