--- a/crates/transport/src/listen/mod.rs
+++ b/crates/transport/src/listen/mod.rs
@@ -1,8 +1,11 @@
 //! HTTP/1.1 servers of an instance that runs on one thread.
 
+mod pipeline;
 mod reset;
 
-use std::{convert::Infallible, future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible, future::Future, io, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
+};
 
 use http::{Request, Response};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
@@ -14,6 +17,8 @@
     time::timeout,
 };
 
+pub use pipeline::{Overlap, PipelinePolicy, RequestTarget};
+
 use self::reset::{CallerStream, ResetsAtEnd};
 use crate::forward::{ResponseBody, set_socket_options};
 
@@ -75,11 +80,47 @@
     listener: TcpListener,
     limits: impl Fn() -> ListenLimits,
     handler: H,
-    mut stop: watch::Receiver<StopPhase>,
+    stop: watch::Receiver<StopPhase>,
 ) where
     H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + 'static,
     F: Future<Output = Response<ResponseBody>> + 'static,
 {
+    let connection_stop = stop.clone();
+    accept(listener, limits, stop, move |stream, peer, limits| {
+        serve_connection(stream, peer, limits, handler.clone(), connection_stop.clone())
+    })
+    .await;
+}
+
+/// Serves connections like [`serve`]. Requests that a caller sends before an earlier one of its
+/// connection is answered run side by side if `policy` allows it.
+pub async fn serve_pipelined<H, F>(
+    listener: TcpListener,
+    limits: impl Fn() -> ListenLimits,
+    handler: H,
+    policy: Rc<dyn PipelinePolicy>,
+    stop: watch::Receiver<StopPhase>,
+) where
+    H: Fn(Request<Incoming>, SocketAddr) -> F + 'static,
+    F: Future<Output = Response<ResponseBody>> + 'static,
+{
+    let handler = Rc::new(handler);
+    let connection_stop = stop.clone();
+    accept(listener, limits, stop, move |stream, peer, limits| {
+        let stop = connection_stop.clone();
+        pipeline::serve_connection(stream, peer, limits, handler.clone(), policy.clone(), stop)
+    })
+    .await;
+}
+
+/// Accepts connections and runs `serve_one` for each, until the stop has reached
+/// [`StopPhase::Closing`] and all of them have ended.
+async fn accept<F: Future<Output = ()> + 'static>(
+    listener: TcpListener,
+    limits: impl Fn() -> ListenLimits,
+    mut stop: watch::Receiver<StopPhase>,
+    serve_one: impl Fn(TcpStream, SocketAddr, ListenLimits) -> F,
+) {
     let max = limits().max_connections;
     let permits = Arc::new(Semaphore::new(max));
     loop {
@@ -96,7 +137,7 @@
             }
         };
         let Ok(permit) = permits.clone().try_acquire_owned() else { continue };
-        let connection = serve_connection(stream, peer, limits(), handler.clone(), stop.clone());
+        let connection = serve_one(stream, peer, limits());
         tokio::task::spawn_local(async move {
             connection.await;
             drop(permit);
@@ -106,7 +147,7 @@
     // sent a request.
     while let Ok(Ok((stream, peer))) = timeout(Duration::ZERO, listener.accept()).await {
         let Ok(permit) = permits.clone().try_acquire_owned() else { break };
-        let connection = serve_connection(stream, peer, limits(), handler.clone(), stop.clone());
+        let connection = serve_one(stream, peer, limits());
         tokio::task::spawn_local(async move {
             connection.await;
             drop(permit);
@@ -125,6 +166,16 @@
     tokio::time::sleep(SHUTDOWN_GRACE_PERIOD).await;
 }
 
+/// Sets the options of a caller's connection.
+fn caller_stream(stream: TcpStream) -> (CallerStream, ResetsAtEnd) {
+    set_socket_options(&stream);
+    if let Err(e) = SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES) {
+        log::debug!("listen: cannot set a socket option; error={e}");
+    }
+    let resets_at_end = ResetsAtEnd::default();
+    (CallerStream::new(stream, resets_at_end.clone()), resets_at_end)
+}
+
 async fn serve_connection<H, F>(
     stream: TcpStream,
     peer: SocketAddr,
@@ -135,16 +186,11 @@
     H: Fn(Request<Incoming>, SocketAddr) -> F + 'static,
     F: Future<Output = Response<ResponseBody>> + 'static,
 {
-    set_socket_options(&stream);
-    if let Err(e) = SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES) {
-        log::debug!("listen: cannot set a socket option; error={e}");
-    }
     let service = service_fn(move |request| {
         let response = handler(request, peer);
         async move { Ok::<_, Infallible>(response.await) }
     });
-    let resets_at_end = ResetsAtEnd::default();
-    let stream = CallerStream::new(stream, resets_at_end.clone());
+    let (stream, resets_at_end) = caller_stream(stream);
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout)
