--- a/crates/coordination/src/steering/mod.rs
+++ b/crates/coordination/src/steering/mod.rs
@@ -28,6 +28,7 @@
 mod split;
 mod statements;
 mod warmth;
+pub mod workspace_limit;
 
 pub use answer_streak::{AnswerSource, AnswerStreak};
 pub use assignments::Assignment;
--- /dev/null
+++ b/crates/coordination/src/steering/workspace_limit/exchange.rs
@@ -0,0 +1,194 @@
+//! The messages between instances and keepers.
+
+use pollenshed_state::{ids::InstanceName, time::Instant};
+
+use super::{
+    WorkspaceLimits,
+    bucket::Part,
+    messages::{Ack, Ask, InstanceKey, Kept, LimitMessage, Mark, Pledge, WorkspaceKey},
+    pool::slot_share,
+};
+use crate::steering::rank::assigner_rank;
+
+/// Number of groups of workspaces, each with a keeper. Four keepers share the work; each instance
+/// sends to all of them.
+pub const SLOTS: usize = 4;
+
+/// Interval of the pledges of an instance, and the number of instances from which on it grows with
+/// them, so that keepers of a large fleet are not flooded.
+const PLEDGE_PERIOD_MS: u64 = 1_000;
+const PERIOD_INSTANCES: usize = 150;
+const MAX_PLEDGE_PERIOD_MS: u64 = 1_500;
+
+/// Shortest interval of pledges, when what an instance has use for changes.
+const EARLY_PERIOD_MS: u64 = 400;
+
+/// How long a pledge lasts from its mark on. It outlasts a lost message.
+pub const LAPSE_MS: u64 = 3_500;
+
+/// Time after its start in which an instance uses no share of its own. What an earlier run had
+/// pledged has lapsed then, and the instance knows the others.
+const SETTLE_MS: u64 = 5_000;
+
+/// Sets the rank of keepers apart from that of assigners of objects.
+const KEEPER_KEY: u64 = 0x6b65_6570_6572;
+
+/// The keeper of each slot, `None` if no instance can be one.
+pub type Keepers = [Option<InstanceKey>; SLOTS];
+
+/// Returns the rank of an instance as the keeper of a slot. The highest of the live ones is.
+pub fn slot_rank(slot: usize, instance: &InstanceName) -> u64 {
+    assigner_rank(KEEPER_KEY + slot as u64, instance)
+}
+
+impl WorkspaceLimits {
+    /// Does what is due: called several times a second. `known` is the number of instances that
+    /// are known, live or not, this one included. Returns messages for the keepers of slots.
+    pub fn tick(
+        &mut self,
+        known: usize,
+        keepers: &Keepers,
+        now: Instant,
+    ) -> Vec<(usize, LimitMessage)> {
+        self.divisor.record(known, now);
+        let elapsed_ms = self.ticked_at.map_or(0, |at| now.since_ms(at));
+        self.ticked_at = Some(now);
+        if elapsed_ms > 0 {
+            self.spaces.values_mut().for_each(|space| space.observe_demand(elapsed_ms));
+        }
+        let mut messages = Vec::new();
+        for (slot, keeper) in keepers.iter().enumerate() {
+            self.pledgers[slot].set_keeper(*keeper);
+            self.pledgers[slot].expire(now);
+            if !self.spaces.is_empty() && self.is_pledge_due(slot, now) {
+                messages.push((slot, LimitMessage::Pledge(self.pledge(slot, now))));
+            }
+        }
+        self.apply_kept_parts(now);
+        messages
+    }
+
+    /// Applies a message of another instance and returns the answer to it.
+    pub fn handle(&mut self, message: &LimitMessage, now: Instant) -> Option<LimitMessage> {
+        match message {
+            LimitMessage::Pledge(pledge) => self.hold(pledge, now).map(LimitMessage::Ack),
+            LimitMessage::Ask(ask) => self.answer(ask, now),
+            LimitMessage::Grant(grant) => {
+                if let Some(space) = self.spaces.get_mut(&grant.workspace) {
+                    space.record_grant(grant, now);
+                }
+                None
+            }
+            LimitMessage::Ack(ack) => {
+                let slot = ack.slot as usize;
+                let is_first = self.pledgers.get_mut(slot)?.record_ack(ack, now);
+                let pledge = is_first.then(|| LimitMessage::Pledge(self.pledge(slot, now)));
+                self.apply_kept_parts(now);
+                pledge
+            }
+        }
+    }
+
+    /// Gives up everything that was pledged to this instance, for good: it is about to stop. Returns
+    /// messages for all instances, so that those that pledged need not wait for the lapse.
+    pub fn close(&mut self, now: Instant) -> Vec<LimitMessage> {
+        let mark = Mark { run: self.run, at_ms: now.as_ms() };
+        let mut acks = Vec::new();
+        for (slot, pool) in self.pools.iter_mut().enumerate() {
+            if pool.holds_pledges() {
+                let slot = slot as u32;
+                let ack = Ack { from: self.own, slot, mark, held_ms: None, released: true };
+                acks.push(LimitMessage::Ack(ack));
+            }
+            pool.close();
+        }
+        acks
+    }
+
+    /// Returns whether this instance gives out permits now.
+    pub fn is_keeper(&self) -> bool {
+        self.pools.iter().any(|pool| pool.holds_pledges())
+    }
+
+    fn hold(&mut self, pledge: &Pledge, now: Instant) -> Option<Ack> {
+        let pool = self.pools.get_mut(pledge.slot as usize)?;
+        let own_mark = pledge.mark.filter(|mark| mark.run == self.run);
+        if let Some(mark) = own_mark {
+            pool.hold(pledge, mark.at_ms, now);
+        }
+        Some(Ack {
+            from: self.own,
+            slot: pledge.slot,
+            mark: Mark { run: self.run, at_ms: now.as_ms() },
+            held_ms: pool.held_ms(pledge.from),
+            released: pool.is_closed(),
+        })
+    }
+
+    fn answer(&mut self, ask: &Ask, now: Instant) -> Option<LimitMessage> {
+        let pool = self.pools.get_mut(ask.slot as usize)?;
+        pool.answer(ask, now).map(LimitMessage::Grant)
+    }
+
+    fn pledge(&mut self, slot: usize, now: Instant) -> Pledge {
+        let kept = self.wanted_kept(slot);
+        let is_settled = self.is_settled(now);
+        let pledger = &mut self.pledgers[slot];
+        pledger.record_sent(now);
+        let given = if is_settled { pledger.give(kept, now) } else { None };
+        self.apply_kept_parts(now);
+        let (mark, kept) = given.unzip();
+        Pledge {
+            from: self.own,
+            slot: slot as u32,
+            mark,
+            divisor: self.divisor.count() as u32,
+            kept: kept.unwrap_or_default(),
+        }
+    }
+
+    fn is_pledge_due(&self, slot: usize, now: Instant) -> bool {
+        let pledger = &self.pledgers[slot];
+        pledger.is_due(self.period_ms(), now)
+            || pledger.is_due(EARLY_PERIOD_MS, now) && pledger.differs(&self.wanted_kept(slot))
+    }
+
+    fn wanted_kept(&self, slot: usize) -> Vec<Kept> {
+        let share = Part(2 * slot_share(self.divisor.count()).0);
+        let spaces = self.spaces.iter().filter(|(key, _)| key.slots().contains(&slot));
+        let wanted =
+            spaces.map(|(key, space)| Kept { workspace: *key, parts: space.wanted_parts(share) });
+        wanted.filter(|kept| kept.parts > 0).collect()
+    }
+
+    fn is_settled(&self, now: Instant) -> bool {
+        now.since_ms(self.started_at) >= SETTLE_MS
+    }
+
+    fn period_ms(&self) -> u64 {
+        let instances = self.divisor.count().max(PERIOD_INSTANCES) as u64;
+        (PLEDGE_PERIOD_MS * instances / PERIOD_INSTANCES as u64).min(MAX_PLEDGE_PERIOD_MS)
+    }
+
+    /// Gives the own bucket of each workspace the part that is neither pledged nor, after a start,
+    /// possibly still in use by an earlier run.
+    pub(super) fn apply_kept_parts(&mut self, now: Instant) {
+        let is_settled = self.is_settled(now);
+        let share = slot_share(self.divisor.count());
+        for (key, space) in &mut self.spaces {
+            let part = |slot: usize| share.sixteenths(self.pledgers[slot].kept_parts(*key, now)).0;
+            let parts = key.slots().map(part);
+            let own = if is_settled { Part(parts.iter().sum()) } else { Part::default() };
+            space.set_own_part(own, now);
+        }
+    }
+}
+
+const _: () = assert!(SETTLE_MS > LAPSE_MS);
+
+impl WorkspaceKey {
+    /// Returns whether the keeper of a slot gives out permits for the workspace.
+    pub fn is_in(self, slot: usize) -> bool {
+        self.slots().contains(&slot)
+    }
+}
--- a/crates/pollenshed/src/steer/attempt.rs
+++ b/crates/pollenshed/src/steer/attempt.rs
@@ -17,7 +17,7 @@
 
 use super::{
     assign::{self, UsedAssignment, Wanted},
-    callers::{Outcome, backend_request_head, buffered_body, response_for_caller},
+    callers::{ANSWERED, Outcome, backend_request_head, buffered_body, response_for_caller},
     core::Core,
     exchange::{AttemptResult, RunningAttempt},
     identity::Identity,
@@ -214,7 +214,7 @@
                         let response = response_for_caller(status, headers, response_body);
                         return Outcome {
                             response,
-                            reason: "answered",
+                            reason: ANSWERED,
                             attempts: self.sent_count,
                             service: None,
                         };
--- a/crates/pollenshed/src/steer/callers.rs
+++ b/crates/pollenshed/src/steer/callers.rs
@@ -23,6 +23,7 @@
     core::Core,
     identity,
     lookup::empty_response,
+    workspace_limits,
 };
 
 /// Size up to which a body of known length is buffered before a backend server is chosen. Buffering
@@ -40,6 +41,9 @@
 /// memory for its body.
 const UNAVAILABLE_RETRY_AFTER_MS: u64 = 300;
 
+/// Reason of a response that comes from a backend server.
+pub const ANSWERED: &str = "answered";
+
 /// A response to a caller, with the details that are logged and counted.
 pub struct Outcome {
     /// Response that the caller gets.
@@ -60,13 +64,30 @@
 
     /// Creates a refusal (503) of a request that was not executed.
     pub fn refused(reason: &'static str, retry_after_ms: u64, attempts: u32) -> Outcome {
-        let mut response = empty_response(StatusCode::SERVICE_UNAVAILABLE);
+        Outcome::not_run(StatusCode::SERVICE_UNAVAILABLE, reason, retry_after_ms, attempts)
+    }
+
+    /// Creates a response to a request that was not executed and never will be. `status` is one that
+    /// promises this.
+    pub fn not_run(
+        status: StatusCode,
+        reason: &'static str,
+        retry_after_ms: u64,
+        attempts: u32,
+    ) -> Outcome {
+        let mut response = empty_response(status);
         let seconds = format!("{:.3}", retry_after_ms as f64 / 1_000.0);
         if let Ok(value) = HeaderValue::from_str(&seconds) {
             response.headers_mut().insert(header::RETRY_AFTER, value);
         }
         Outcome { response, reason, attempts, service: None }
     }
+
+    /// Returns whether the response is one of this instance that promises that the request did not
+    /// run and never will.
+    pub fn promises_not_run(&self) -> bool {
+        self.reason != ANSWERED && headers::promises_not_run(self.response.status())
+    }
 }
 
 /// A caller's request in progress. It counts towards `in_flight` until it is dropped.
@@ -175,9 +196,14 @@
         Ok(Err(refusal)) => return refusal,
         Err(_) => return Outcome::local(StatusCode::REQUEST_TIMEOUT, "body-timeout", 0),
     };
+    let admission = match workspace_limits::admit(core, &identity).await {
+        Ok(admission) => admission,
+        Err(refusal) => return refusal,
+    };
     let routed =
         RoutedRequest { plan: &plan, route: &route, identity, parts, caller, start, limit_ms };
     let outcome = attempt::run(core, routed, body).await;
+    admission.settle(core, &outcome);
     drop(held);
     outcome
 }
--- a/crates/pollenshed/src/steer/core.rs
+++ b/crates/pollenshed/src/steer/core.rs
@@ -31,7 +31,7 @@
 
 use super::{
     assign::AssignAnswer, crashes::BrokenResponse, members::Members, settings::SteerSettings,
-    tables::Tables,
+    tables::Tables, workspace_limits::LimitState,
 };
 
 /// Time for which content that crashed two backend servers is refused. A caller that sends it again
@@ -101,6 +101,8 @@
     pub store_restored_at: Cell<Option<Instant>>,
     /// Time of the last response of an up-to-date peer.
     pub peer_synced_at: Cell<Option<Instant>>,
+    /// Limits of workspaces.
+    pub limits: LimitState,
     /// Content that crashes backend servers and is refused.
     pub quarantine: RefCell<Quarantine>,
     /// Recent responses that broke off, until it is known whether their servers crashed.
@@ -146,9 +148,10 @@
         let mut fleet =
             Fleet::new(settings.failure_domain.clone(), settings.failure_domains.clone());
         fleet.set_seed(fastrand::u64(..));
+        let incarnation = Incarnation(fastrand::u64(1..));
         Core {
             bounds: settings.bounds(),
-            incarnation: Incarnation(fastrand::u64(1..)),
+            incarnation,
             plan: RefCell::new(None),
             fleet: RefCell::new(fleet),
             members: RefCell::new(Members::new(settings.instance.clone())),
@@ -162,6 +165,7 @@
             store_era: Cell::new(None),
             store_restored_at: Cell::new(None),
             peer_synced_at: Cell::new(None),
+            limits: LimitState::new(&settings.instance, incarnation, Instant::default()),
             quarantine: RefCell::new(Quarantine::new(CRASHING_CONTENT_MS)),
             broken_responses: RefCell::default(),
             metrics,
--- a/crates/pollenshed/src/steer/gossip.rs
+++ b/crates/pollenshed/src/steer/gossip.rs
@@ -19,6 +19,7 @@
     members::{Member, MemberRecord, PeerState, RelayedBeat},
     reader::RENEWAL_MS,
     registration::own_record,
+    workspace_limits::{self, wire::LimitDatagram},
 };
 
 /// Shortest interval between heartbeats to a peer of the same region.
@@ -76,6 +77,9 @@
     /// Report of the end of a request.
     #[prost(message, optional, tag = "4")]
     pub end: Option<AssignEnd>,
+    /// Message about limits of workspaces.
+    #[prost(message, optional, tag = "8")]
+    pub limit: Option<LimitDatagram>,
 }
 
 /// State of an instance as sent to its peers.
@@ -453,6 +457,9 @@
         if let Some(report) = datagram.end {
             assign::handle_end(&core, &report);
         }
+        if let Some(limit) = datagram.limit {
+            workspace_limits::handle(&core, limit, from);
+        }
         let Some(heartbeat) = datagram.heartbeat else { continue };
         match apply_heartbeat(&core, &heartbeat) {
             // A peer that has just started learns of this instance at once.
--- a/crates/pollenshed/src/steer/mod.rs
+++ b/crates/pollenshed/src/steer/mod.rs
@@ -24,6 +24,7 @@
 pub mod settings;
 mod stop;
 pub mod tables;
+pub mod workspace_limits;
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
@@ -89,6 +90,7 @@
     spawn_local(homes::persist(core.clone()));
     spawn_local(registration::keep_rows(core.clone()));
     spawn_local(gossip::run(core.clone()));
+    spawn_local(workspace_limits::run(core.clone()));
     spawn_local(serve_auxiliary(core.clone(), lookups, |core, request| {
         lookup::handle_lookup(core, request)
     }));
--- a/crates/state/src/routes/bounds.rs
+++ b/crates/state/src/routes/bounds.rs
@@ -22,6 +22,12 @@
     pub cold_slack: f64,
     /// Longest time for which callers may cache a lookup answer.
     pub lookup_ttl_max_ms: u64,
+    /// Length of the sliding window in which the requests of a workspace are counted.
+    pub quota_window_ms: u64,
+    /// Requests of a workspace that are tolerated in a window as a ratio of its limit.
+    pub quota_overage: f64,
+    /// Requests of a workspace that are tolerated in a window in addition to that.
+    pub quota_slack: f64,
 }
 
 impl Default for Bounds {
@@ -35,6 +41,9 @@
             retry_window_ms: 10_000,
             cold_slack: 5.0,
             lookup_ttl_max_ms: 5_000,
+            quota_window_ms: 5_000,
+            quota_overage: 0.0,
+            quota_slack: 0.0,
         }
     }
 }
--- a/crates/transport/src/scrape/mod.rs
+++ b/crates/transport/src/scrape/mod.rs
@@ -7,6 +7,9 @@
 //! | `pollenshed_sends_total` | counter | service, end | requests sent to backend servers, by how they ended |
 //! | `pollenshed_backend_seconds` | histogram | service | time from sending a request to a backend server to its response |
 //! | `pollenshed_unreadable_statements_total` | counter | what | statements of backend servers that were ignored because they are malformed |
+//! | `pollenshed_limit_decisions_total` | counter | source | requests of workspaces with a limit, by where their permit came from, or `refused` |
+//! | `pollenshed_limit_messages_total` | counter | | messages to other instances about limits of workspaces |
+//! | `pollenshed_limit_message_bytes_total` | counter | | bytes of these messages |
 //! | `pollenshed_store_calls_total` | counter | table, result | calls to the store |
 //! | `pollenshed_peer_answers_total` | counter | change | responses to peers that poll this instance for changes, with a change or without |
 //! | `pollenshed_peer_answer_bytes_total` | counter | change | bytes of these responses |
@@ -21,8 +24,8 @@
 use std::time::Duration;
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
-    TextEncoder, core::Collector,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder, core::Collector,
 };
 
 /// Bucket bounds of the latency histograms, placed around the latency targets of the users' routes,
@@ -63,6 +66,9 @@
     sends: IntCounterVec,
     backend_seconds: HistogramVec,
     unreadable_statements: IntCounterVec,
+    limit_decisions: IntCounterVec,
+    limit_messages: IntCounter,
+    limit_message_bytes: IntCounter,
     store_calls: IntCounterVec,
     peer_answers: IntCounterVec,
     peer_answer_bytes: IntCounterVec,
@@ -97,6 +103,19 @@
                 "Malformed statements of backend servers",
                 &["what"],
             )?,
+            limit_decisions: counter(
+                "limit_decisions_total",
+                "Requests of workspaces with a limit",
+                &["source"],
+            )?,
+            limit_messages: IntCounter::with_opts(opts(
+                "limit_messages_total",
+                "Messages about limits",
+            ))?,
+            limit_message_bytes: IntCounter::with_opts(opts(
+                "limit_message_bytes_total",
+                "Bytes of messages about limits",
+            ))?,
             store_calls: counter("store_calls_total", "Calls to the store", &["table", "result"])?,
             peer_answers: counter("peer_answers_total", "Answers to peers", &["change"])?,
             peer_answer_bytes: counter(
@@ -119,6 +138,9 @@
             Box::new(metrics.sends.clone()),
             Box::new(metrics.backend_seconds.clone()),
             Box::new(metrics.unreadable_statements.clone()),
+            Box::new(metrics.limit_decisions.clone()),
+            Box::new(metrics.limit_messages.clone()),
+            Box::new(metrics.limit_message_bytes.clone()),
             Box::new(metrics.store_calls.clone()),
             Box::new(metrics.peer_answers.clone()),
             Box::new(metrics.peer_answer_bytes.clone()),
@@ -143,6 +165,17 @@
         self.request_seconds.with_label_values(&[service, rank]).observe(elapsed.as_secs_f64());
     }
 
+    /// Records a decision on a request of a workspace with a limit.
+    pub fn record_limit_decision(&self, source: &str) {
+        self.limit_decisions.with_label_values(&[source]).inc();
+    }
+
+    /// Records a message to another instance about limits of workspaces.
+    pub fn record_limit_message(&self, bytes: usize) {
+        self.limit_messages.inc();
+        self.limit_message_bytes.inc_by(bytes as u64);
+    }
+
     /// Records a request to a backend server. `elapsed` is given if the server responded.
     pub fn record_send(&self, service: &str, end: &str, elapsed: Option<Duration>) {
         self.sends.with_label_values(&[service, end]).inc();
