--- a/crates/coordination/src/steering/workspace_limit/divisor.rs
+++ b/crates/coordination/src/steering/workspace_limit/divisor.rs
@@ -3,8 +3,8 @@
 use pollenshed_state::time::Instant;
 
 /// Time for which an instance that is no longer known still counts. One that is only cut off goes
-/// on using its share meanwhile.
-const ABSENCE_MS: u64 = 120_000;
+/// on using its share for [`CONFIRMED_MS`](super::exchange::CONFIRMED_MS).
+pub(super) const ABSENCE_MS: u64 = 60_000;
 
 /// The largest number of instances that was known of late.
 #[derive(Debug, Clone, Copy, Default)]
--- a/crates/coordination/src/steering/workspace_limit/mod.rs
+++ b/crates/coordination/src/steering/workspace_limit/mod.rs
@@ -40,6 +40,8 @@
     /// Tells this run of the instance from earlier ones.
     run: u32,
     started_at: Instant,
+    /// When the others were last sure to know this instance.
+    confirmed_at: Option<Instant>,
     spaces: HashMap<WorkspaceKey, Space>,
     divisor: Divisor,
     pledgers: [Pledger; SLOTS],
@@ -57,6 +59,7 @@
             own: InstanceKey::of(own),
             run,
             started_at: now,
+            confirmed_at: None,
             spaces: HashMap::new(),
             divisor: Divisor::default(),
             pledgers: Default::default(),
--- a/crates/pollenshed/src/steer/workspace_limits/mod.rs
+++ b/crates/pollenshed/src/steer/workspace_limits/mod.rs
@@ -4,7 +4,7 @@
 pub mod wire;
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::HashMap,
     net::SocketAddr,
     rc::{Rc, Weak},
@@ -54,6 +54,8 @@
     /// Plan from which the limits were taken.
     plan: RefCell<Weak<RoutePlan>>,
     keepers: RefCell<[Option<Keeper>; SLOTS]>,
+    /// Whether this instance owned a share of the limits at the last tick.
+    has_share: Cell<bool>,
     /// Wakes the requests that wait for permits.
     answered: Notify,
     over_limit: RefCell<HashMap<WorkspaceKey, OverLimit>>,
@@ -73,6 +75,7 @@
             limits: RefCell::new(WorkspaceLimits::new(instance, incarnation.0 as u32, now)),
             plan: RefCell::default(),
             keepers: RefCell::default(),
+            has_share: Cell::default(),
             answered: Notify::new(),
             over_limit: RefCell::default(),
         }
@@ -248,11 +251,21 @@
         log_changes(&core.limits.keepers.borrow(), &keepers);
         *core.limits.keepers.borrow_mut() = keepers;
     }
-    let known = core.members.borrow().known_count();
-    let messages = core.limits.limits.borrow_mut().tick(known, &core.limits.keepers(), now);
+    let (known, live) = {
+        let members = core.members.borrow();
+        (members.known_count(), members.live_count(now))
+    };
+    // An instance that is in touch with the store or with most others is not taken for gone.
+    let is_confirmed = live * 2 > known || core.is_current();
+    let keepers = core.limits.keepers();
+    let messages = core.limits.limits.borrow_mut().tick(known, is_confirmed, &keepers, now);
     for (slot, message) in messages {
         send_to_keeper(core, slot, message);
     }
+    let has_share = core.limits.limits.borrow().has_share(now);
+    if core.limits.has_share.replace(has_share) != has_share {
+        log::info!("limit: share; owned={has_share} instances={known}");
+    }
 }
 
 fn log_changes(before: &[Option<Keeper>; SLOTS], after: &[Option<Keeper>; SLOTS]) {
