--- a/crates/coordination/src/steering/workspace_limit/exchange.rs
+++ b/crates/coordination/src/steering/workspace_limit/exchange.rs
@@ -17,15 +17,16 @@
 
 /// Interval of the pledges of an instance, and the number of instances from which on it grows with
 /// them, so that keepers of a large fleet are not flooded.
-const PLEDGE_PERIOD_MS: u64 = 1_000;
+const PLEDGE_PERIOD_MS: u64 = 1_400;
 const PERIOD_INSTANCES: usize = 150;
 const MAX_PLEDGE_PERIOD_MS: u64 = 1_500;
 
 /// Shortest interval of pledges, when what an instance has use for changes.
 const EARLY_PERIOD_MS: u64 = 400;
 
-/// How long a pledge lasts from its mark on. It outlasts a lost message.
-pub const LAPSE_MS: u64 = 3_500;
+/// How long a pledge lasts from its mark on. It outlasts a lost message in a fleet of up to
+/// [`PERIOD_INSTANCES`].
+pub const LAPSE_MS: u64 = 4_400;
 
 /// Time after its start in which an instance uses no share of its own. What an earlier run had
 /// pledged has lapsed then, and the instance knows the others.
--- a/crates/coordination/src/steering/workspace_limit/messages.rs
+++ b/crates/coordination/src/steering/workspace_limit/messages.rs
@@ -84,13 +84,33 @@
     pub released: bool,
 }
 
+/// Number of a question. It starts again after [`AskNumber::COUNT`], so that it takes few bytes.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct AskNumber(pub u32);
+
+impl AskNumber {
+    /// Numbers until they start again. One half of them lasts for more than a minute, longer than
+    /// messages are under way.
+    pub const COUNT: u32 = 1 << 14;
+
+    pub(super) fn next(self) -> AskNumber {
+        AskNumber((self.0 + 1) % AskNumber::COUNT)
+    }
+
+    /// Returns whether this number was given after `other`.
+    pub(super) fn is_after(self, other: AskNumber) -> bool {
+        let distance = self.0.wrapping_sub(other.0) % AskNumber::COUNT;
+        (1..AskNumber::COUNT / 2).contains(&distance)
+    }
+}
+
 /// Asks a keeper for permits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Ask {
     /// Run of the instance that asks.
     pub run: u32,
     /// Number of the question in that run.
-    pub number: u64,
+    pub number: AskNumber,
     /// The workspace.
     pub workspace: WorkspaceKey,
     /// Slot of the keeper.
@@ -105,7 +125,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Grant {
     /// Number of the question.
-    pub number: u64,
+    pub number: AskNumber,
     /// Number of permits. They last a short time from the question on.
     pub granted: u32,
     /// Time until the keeper expects to have a permit again, if it gave fewer than wanted.
--- a/crates/coordination/src/steering/workspace_limit/mod.rs
+++ b/crates/coordination/src/steering/workspace_limit/mod.rs
@@ -32,7 +32,9 @@
 };
 pub use self::{
     exchange::{Keepers, LAPSE_MS, SLOTS, slot_rank},
-    messages::{Ack, Ask, Grant, InstanceKey, Kept, LimitMessage, Mark, Pledge, WorkspaceKey},
+    messages::{
+        Ack, Ask, AskNumber, Grant, InstanceKey, Kept, LimitMessage, Mark, Pledge, WorkspaceKey,
+    },
     space::{Take, Token},
 };
 
@@ -51,9 +53,9 @@
     pledgers: [Pledger; SLOTS],
     pools: [Pool; SLOTS],
     /// Number of the last question to a keeper.
-    last_ask: u64,
+    last_ask: AskNumber,
     /// Questions that may still be answered: number, workspace and time.
-    asked: VecDeque<(u64, WorkspaceKey, Instant)>,
+    asked: VecDeque<(AskNumber, WorkspaceKey, Instant)>,
     ticked_at: Option<Instant>,
 }
 
@@ -70,7 +72,7 @@
             divisor: Divisor::default(),
             pledgers: Default::default(),
             pools: Default::default(),
-            last_ask: 0,
+            last_ask: AskNumber::default(),
             asked: VecDeque::new(),
             ticked_at: None,
         }
@@ -129,7 +131,7 @@
             space::Decision::Refused { retry_after_ms } => Take::Refused { retry_after_ms },
             space::Decision::Wait => Take::Wait,
             space::Decision::Ask { place } => {
-                self.last_ask += 1;
+                self.last_ask = self.last_ask.next();
                 let slot = workspace.slots()[place];
                 let (want, returned) = space.record_ask(place, self.last_ask, now);
                 self.asked.retain(|(_, _, at)| now.since_ms(*at) < 2 * PERMIT_MS);
--- a/crates/coordination/src/steering/workspace_limit/pool.rs
+++ b/crates/coordination/src/steering/workspace_limit/pool.rs
@@ -7,7 +7,7 @@
 use super::{
     bucket::{Bucket, Part},
     exchange::LAPSE_MS,
-    messages::{Ask, Grant, InstanceKey, Pledge, WorkspaceKey},
+    messages::{Ask, AskNumber, Grant, InstanceKey, Pledge, WorkspaceKey},
     shared_limit::SharedLimit,
 };
 
@@ -40,7 +40,7 @@
     buckets: HashMap<WorkspaceKey, Bucket>,
     /// Number and time of the latest question of each run of an instance, so that a doubled one
     /// gives nothing back twice.
-    last_asks: HashMap<u32, (u64, Instant)>,
+    last_asks: HashMap<u32, (AskNumber, Instant)>,
 }
 
 impl Pool {
@@ -111,7 +111,7 @@
     /// Answers a question for permits, unless it is doubled or a later one was answered.
     pub(super) fn answer(&mut self, ask: &Ask, now: Instant) -> Option<Grant> {
         self.expire(now);
-        if self.last_asks.get(&ask.run).is_some_and(|(number, _)| *number >= ask.number) {
+        if self.last_asks.get(&ask.run).is_some_and(|(last, _)| !ask.number.is_after(*last)) {
             return None;
         }
         self.last_asks.insert(ask.run, (ask.number, now));
--- a/crates/coordination/src/steering/workspace_limit/space.rs
+++ b/crates/coordination/src/steering/workspace_limit/space.rs
@@ -4,7 +4,7 @@
 
 use super::{
     bucket::{Bucket, Part},
-    messages::{Grant, LimitMessage},
+    messages::{AskNumber, Grant, LimitMessage},
     shared_limit::SharedLimit,
 };
 use crate::membership::hash::mix;
@@ -84,7 +84,7 @@
 
 #[derive(Debug, Clone, Copy)]
 struct AskSent {
-    number: u64,
+    number: AskNumber,
     at: Instant,
 }
 
@@ -203,7 +203,12 @@
     }
 
     /// Records a question and returns how many permits are wanted, and how many are given back.
-    pub(super) fn record_ask(&mut self, place: usize, number: u64, now: Instant) -> (u32, u32) {
+    pub(super) fn record_ask(
+        &mut self,
+        place: usize,
+        number: AskNumber,
+        now: Instant,
+    ) -> (u32, u32) {
         self.keepers[place].ask = Some(AskSent { number, at: now });
         let own_per_ms = self.limit.requests_per_ms * self.own_share();
         let advance = ((self.demand_per_ms - own_per_ms).max(0.0) * ADVANCE_MS) as u32;
--- a/crates/coordination/tests/workspace_limit_support/mod.rs
+++ b/crates/coordination/tests/workspace_limit_support/mod.rs
@@ -3,7 +3,7 @@
 
 #![allow(dead_code, reason = "each test file uses its own part")]
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
 use pollenshed_coordination::steering::workspace_limit::{
     InstanceKey, Keepers, LimitMessage, SLOTS, Take, WorkspaceKey, WorkspaceLimits, slot_rank,
@@ -105,8 +105,6 @@
     doubling: f64,
     delay_ms: u64,
     cut: Option<(usize, u64)>,
-    /// Messages sent about limits, by kind.
-    pub sent: HashMap<&'static str, usize>,
     /// All messages sent, if they are kept.
     pub messages: Option<Vec<LimitMessage>>,
     known_count: usize,
@@ -152,7 +150,6 @@
             doubling: 0.0,
             delay_ms: 0,
             cut: None,
-            sent: HashMap::new(),
             messages: None,
             known_count: 0,
         };
@@ -270,13 +267,6 @@
     }
 
     fn send(&mut self, from: usize, to: usize, message: LimitMessage) {
-        let kind = match &message {
-            LimitMessage::Pledge(_) => "pledge",
-            LimitMessage::Ack(_) => "ack",
-            LimitMessage::Ask(_) => "ask",
-            LimitMessage::Grant(_) => "grant",
-        };
-        *self.sent.entry(kind).or_default() += 1;
         if let Some(messages) = &mut self.messages {
             messages.push(message.clone());
         }
--- a/crates/pollenshed/src/steer/workspace_limits/wire.rs
+++ b/crates/pollenshed/src/steer/workspace_limits/wire.rs
@@ -1,7 +1,7 @@
 //! Messages about limits of workspaces as they are sent.
 
 use pollenshed_coordination::steering::workspace_limit::{
-    Ack, Ask, Grant, InstanceKey, Kept, LimitMessage, Mark, Pledge, WorkspaceKey,
+    Ack, Ask, AskNumber, Grant, InstanceKey, Kept, LimitMessage, Mark, Pledge, WorkspaceKey,
 };
 use prost::Message;
 
@@ -63,8 +63,8 @@
 struct AskPart {
     #[prost(fixed32, tag = "1")]
     run: u32,
-    #[prost(uint64, tag = "2")]
-    number: u64,
+    #[prost(uint32, tag = "2")]
+    number: u32,
     #[prost(fixed32, tag = "3")]
     workspace: u32,
     /// Whether the second of the workspace's two keepers is asked.
@@ -80,8 +80,8 @@
 #[derive(Clone, PartialEq)]
 #[derive(Message)]
 struct GrantPart {
-    #[prost(uint64, tag = "1")]
-    number: u64,
+    #[prost(uint32, tag = "1")]
+    number: u32,
     #[prost(uint32, tag = "2")]
     granted: u32,
     #[prost(uint32, tag = "3")]
@@ -157,13 +157,14 @@
         let Ask { run, number, workspace, slot, want, returned } = *ask;
         let second = slot as usize == workspace.slots()[1];
         let want_more = want.saturating_sub(1);
-        AskPart { run, number, workspace: workspace.0, second, want_more, returned }
+        AskPart { run, number: number.0, workspace: workspace.0, second, want_more, returned }
     }
 
     fn ask(&self) -> Ask {
         let AskPart { run, number, workspace, second, want_more, returned } = *self;
         let workspace = WorkspaceKey(workspace);
         let slot = workspace.slots()[usize::from(second)] as u32;
+        let number = AskNumber(number);
         Ask { run, number, workspace, slot, want: want_more.saturating_add(1), returned }
     }
 }
@@ -171,11 +172,11 @@
 impl GrantPart {
     fn new(grant: &Grant) -> GrantPart {
         let Grant { number, granted, room_ms } = *grant;
-        GrantPart { number, granted, room_ms }
+        GrantPart { number: number.0, granted, room_ms }
     }
 
     fn grant(&self) -> Grant {
         let GrantPart { number, granted, room_ms } = *self;
-        Grant { number, granted, room_ms }
+        Grant { number: AskNumber(number), granted, room_ms }
     }
 }
--- a/crates/pollenshed/tests/limit_messages.rs
+++ b/crates/pollenshed/tests/limit_messages.rs
@@ -5,6 +5,7 @@
 
 use googletest::prelude::*;
 use pollenshed::steer::workspace_limits::wire::LimitDatagram;
+use pollenshed_coordination::steering::workspace_limit::{AskNumber, LimitMessage};
 use prost::Message;
 use workspace_limit_support::*;
 
@@ -24,6 +25,25 @@
     (1..=WORKSPACES).map(|number| limit(rate(number))).collect()
 }
 
+/// Returns a message as an instance sends it that has run for a month, since larger times take more
+/// bytes.
+fn after_a_month(message: &LimitMessage) -> LimitMessage {
+    const MONTH_MS: u64 = 30 * 24 * 60 * 60 * 1_000;
+    let mut message = message.clone();
+    match &mut message {
+        LimitMessage::Pledge(pledge) => {
+            pledge.mark.iter_mut().for_each(|mark| mark.at_ms += MONTH_MS);
+        }
+        LimitMessage::Ack(ack) => {
+            ack.mark.at_ms += MONTH_MS;
+            ack.held_ms.iter_mut().for_each(|held_ms| *held_ms += MONTH_MS);
+        }
+        LimitMessage::Ask(ask) => ask.number.0 += AskNumber::COUNT / 2,
+        LimitMessage::Grant(grant) => grant.number.0 += AskNumber::COUNT / 2,
+    }
+    message
+}
+
 /// Returns the bytes that an instance sends a second. `hot` is a workspace with seven times its
 /// usual requests.
 fn bytes_per_s(instances: usize, hot: Option<usize>) -> f64 {
@@ -37,16 +57,13 @@
     }
     play.run_for(2_000);
     play.messages = Some(Vec::new());
-    play.sent.clear();
     play.run_for(SECONDS * 1_000);
     let messages = play.messages.take().unwrap();
-    let bytes = messages.iter().map(|m| LimitDatagram::new(m).encoded_len() + FRAME_BYTES);
+    let sizes = messages.iter().map(after_a_month).map(|m| LimitDatagram::new(&m).encoded_len());
+    let bytes = sizes.map(|size| size + FRAME_BYTES);
     let bytes = bytes.sum::<usize>() as f64 / (SECONDS as f64 * instances as f64);
     let per_s = messages.len() as f64 / (SECONDS as f64 * instances as f64);
-    println!(
-        "{instances} instances, hot {hot:?}: {bytes:.0} bytes, {per_s:.1} messages a second, {:?}",
-        play.sent
-    );
+    println!("{instances} instances, hot {hot:?}: {bytes:.0} bytes, {per_s:.1} messages a second");
     bytes
 }
 
