--- a/crates/coordination/src/steering/workspace_limit/bucket.rs
+++ b/crates/coordination/src/steering/workspace_limit/bucket.rs
@@ -88,7 +88,13 @@
 
     /// Returns the time until there is a whole token, `None` if there will be none.
     pub(super) fn next_token_ms(&self) -> Option<u64> {
-        let missing = (1.0 - self.tokens).max(0.0);
+        self.token_after_ms(0.0)
+    }
+
+    /// Returns the time until there is a whole token beyond so many others, `None` if there will be
+    /// none.
+    pub(super) fn token_after_ms(&self, others: f64) -> Option<u64> {
+        let missing = (others + 1.0 - self.tokens).max(0.0);
         let can_fill = self.capacity() >= 1.0 && self.requests_per_ms() > 0.0;
         can_fill.then(|| (missing / self.requests_per_ms()).ceil() as u64)
     }
--- a/crates/coordination/src/steering/workspace_limit/pool.rs
+++ b/crates/coordination/src/steering/workspace_limit/pool.rs
@@ -14,6 +14,10 @@
 /// Longest time that a keeper tells for the return of permits.
 const MAX_ROOM_MS: u64 = 2_000;
 
+/// Time over which wanted permits are summed up. Those who ask come back in turn, later the more of
+/// them there are.
+const SHORTAGE_MS: f64 = 1_000.0;
+
 /// Time after which an instance that asks nothing is forgotten. Messages do not take as long.
 const ASKER_MS: u64 = 120_000;
 
@@ -38,6 +42,8 @@
     /// When the first of `pledges` lapses.
     first_lapse_at: Option<Instant>,
     buckets: HashMap<WorkspaceKey, Bucket>,
+    /// Permits that were wanted of late and not given, by workspace, and when last.
+    shortages: HashMap<WorkspaceKey, (f64, Instant)>,
     /// Number and time of the latest question of each run of an instance, so that a doubled one
     /// gives nothing back twice.
     last_asks: HashMap<u32, (AskNumber, Instant)>,
@@ -53,6 +59,7 @@
         let is_own = |key: &WorkspaceKey| key.slots().contains(&slot);
         self.expire(now);
         self.buckets.retain(|key, _| limits.contains_key(key));
+        self.shortages.retain(|key, _| limits.contains_key(key));
         for (key, limit) in limits.iter().filter(|(key, _)| is_own(key)) {
             let bucket = self.buckets.entry(*key).or_insert_with(|| Bucket::new(*limit, now));
             bucket.set_limit(*limit, now);
@@ -121,7 +128,11 @@
             Some(bucket) => {
                 bucket.give_back(ask.returned, now);
                 grant.granted = bucket.take(ask.want, now);
-                bucket.next_token_ms().unwrap_or(MAX_ROOM_MS)
+                let missing = f64::from(ask.want - grant.granted);
+                let shortage = self.shortages.entry(ask.workspace).or_insert((0.0, now));
+                let age_ms = now.since_ms(shortage.1) as f64;
+                *shortage = (shortage.0 * (-age_ms / SHORTAGE_MS).exp() + missing, now);
+                bucket.token_after_ms(shortage.0).unwrap_or(MAX_ROOM_MS)
             }
             None => MAX_ROOM_MS,
         };
