--- a/crates/pollenshed/src/steer/callers.rs
+++ b/crates/pollenshed/src/steer/callers.rs
@@ -25,6 +25,7 @@
     identity::{self, Identity},
     large_answers,
     lookup::empty_response,
+    workspace_limits,
 };
 
 /// Size up to which a body of known length is buffered before a backend server is chosen. Buffering
@@ -39,6 +40,9 @@
 /// memory for its body.
 const UNAVAILABLE_RETRY_AFTER_MS: u64 = 300;
 
+/// Reason of a response that comes from a backend server.
+pub const ANSWERED: &str = "answered";
+
 /// A response to a caller, with the details that are logged and counted.
 pub struct Outcome {
     /// Response that the caller gets.
@@ -67,7 +71,18 @@
 
     /// Creates a refusal (503) of a request that was not executed.
     pub fn refused(reason: &'static str, retry_after_ms: u64, attempts: u32) -> Outcome {
-        let mut response = empty_response(StatusCode::SERVICE_UNAVAILABLE);
+        Outcome::not_run(StatusCode::SERVICE_UNAVAILABLE, reason, retry_after_ms, attempts)
+    }
+
+    /// Creates a response to a request that was not executed and never will be. `status` is one that
+    /// promises this.
+    pub fn not_run(
+        status: StatusCode,
+        reason: &'static str,
+        retry_after_ms: u64,
+        attempts: u32,
+    ) -> Outcome {
+        let mut response = empty_response(status);
         let seconds = format!("{:.3}", retry_after_ms as f64 / 1_000.0);
         if let Ok(value) = HeaderValue::from_str(&seconds) {
             response.headers_mut().insert(header::RETRY_AFTER, value);
@@ -86,6 +101,12 @@
             "failed"
         }
     }
+
+    /// Returns whether the response is one of this instance that promises that the request did not
+    /// run and never will.
+    pub fn promises_not_run(&self) -> bool {
+        self.reason != ANSWERED && headers::promises_not_run(self.response.status())
+    }
 }
 
 /// A caller's request in progress. It counts towards `in_flight` until it is dropped.
@@ -212,6 +233,13 @@
         Ok(Err(refusal)) => return refusal,
         Err(_) => return Outcome::local(StatusCode::REQUEST_TIMEOUT, "body-timeout", 0),
     };
+    let admission = match workspace_limits::admit(core, &identity).await {
+        Ok(admission) => admission,
+        Err(mut refusal) => {
+            refusal.workspace = workspace;
+            return refusal;
+        }
+    };
     let routed = RoutedRequest {
         plan: &plan,
         route: &route,
@@ -223,6 +251,7 @@
         connection,
     };
     let mut outcome = attempt::run(core, routed, body).await;
+    admission.settle(core, &outcome);
     drop(held);
     outcome.workspace = workspace;
     outcome
--- a/crates/transport/src/listen/pipeline/mod.rs
+++ b/crates/transport/src/listen/pipeline/mod.rs
@@ -269,8 +269,9 @@
     fn first_ended(&self, result: hyper::Result<()>) -> &'static str {
         match result {
             Err(e) => {
-                // The body of an answer broke off.
-                if e.is_user() {
+                // The body of an answer broke off. On a connection that is split all answers state
+                // their length, and a reset could take earlier ones from the caller.
+                if e.is_user() && self.source.borrow().is_unsplit() {
                     self.resets_at_end.set();
                 }
                 log::debug!("listen: a connection ended early; peer={} error={e}", self.peer);
--- a/crates/transport/src/listen/pipeline/source.rs
+++ b/crates/transport/src/listen/pipeline/source.rs
@@ -123,6 +123,11 @@
         self.position != Position::Head
     }
 
+    /// Returns whether all bytes go to `hyper` as they come.
+    pub fn is_unsplit(&self) -> bool {
+        self.position == Position::Unsplit
+    }
+
     /// Returns whether the caller has closed its side.
     pub fn is_at_eof(&self) -> bool {
         self.is_at_eof
