Count the stated pace of servers' machines in expected run times

Cause: servers that share their machines state in a fourth figure of their load how long work takes there at this moment. It was ignored, so requests went to machines that were slow for some hundred milliseconds, and the slowness was learnt as if it lasted.

Change: the figure is decoded, carried in Statement and in the report of an assigned request, and lengthens the expected run for half of what is left of 600 ms. What it explains of a run is not learnt as slowdown or run time. For requests without an object two candidates of nearly the lowest cost in the region of the best one are drawn, and the better one is used. Servers that state three figures are treated as before. The gauge of servers has the state "slow".

answers has the new field. Not begun: pace told between instances, and demand between regions.

--- a/crates/coordination/src/steering/mod.rs
+++ b/crates/coordination/src/steering/mod.rs
@@ -26,6 +26,7 @@
 mod run_time;
 mod server;
 mod split;
+mod stated_pace;
 mod statements;
 mod warmth;
 
--- a/crates/coordination/src/steering/observe.rs
+++ b/crates/coordination/src/steering/observe.rs
@@ -88,7 +88,10 @@
                 if waited {
                     return;
                 }
-                let ran_ms = (took_ms - 2.0 * link_delay_ms).max(1.0);
+                // What the server states of its machine explains a part of the run, which must not
+                // count once more as a slowdown of the server or as the run time of the route.
+                let took_ms = (took_ms - 2.0 * link_delay_ms).max(1.0);
+                let ran_ms = took_ms / server.statements.pace.explained_factor(took_ms, now);
                 let expected_ms = self.run_times.expected_ms(estimate_key, was_warm);
                 // A server may be warm for an object that this instance has not sent to it, so a
                 // short run of such an object tells nothing about the slowdown.
--- a/crates/coordination/src/steering/place.rs
+++ b/crates/coordination/src/steering/place.rs
@@ -18,6 +18,7 @@
     fleet::{Fleet, server_key},
     request::{Choice, ColdLimits, RefusalReason, Request},
     server::Server,
+    stated_pace,
 };
 use crate::membership::hash::{mix, next_random, stable_hash};
 
@@ -114,6 +115,8 @@
     cold_rate_per_s: f64,
     /// The server limits its requests, so that those of other servers' objects should not use it.
     pub(super) is_limited: bool,
+    /// The server states how long work takes on its machine.
+    states_pace: bool,
 }
 
 impl Fleet {
@@ -132,6 +135,12 @@
             .filter_map(|(name, share)| self.candidate(request, name, share, home.as_ref(), now))
             .collect();
         candidates.sort_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms));
+        if request.object_key.is_none() && candidates.iter().any(|c| c.states_pace) {
+            let region = |c: &Candidate| self.servers.get(&c.name).map(|server| &server.region);
+            let best_region = candidates.first().and_then(region);
+            let is_near = |c: &Candidate| region(c) == best_region;
+            stated_pace::put_better_of_two_first(&mut candidates, is_near, request.jitter_seed);
+        }
         let in_time = |c: &&Candidate| c.total_ms <= request.target_left_ms;
         let is_free = |c: &&Candidate| c.wait_ms == 0.0;
         let feasible = |c: &&Candidate| c.total_ms * MIN_LEFT_RATIO <= request.left_ms;
@@ -432,15 +441,20 @@
             Some(key) => is_home || server.warm.contains(key),
             None => true,
         };
-        let warm_ms = self.run_times.expected_ms(request.estimate_key, true) * server.slowdown();
-        let run_ms = self.run_times.expected_ms(request.estimate_key, warm) * server.slowdown();
+        let expected_ms = |warm| {
+            let usual_ms =
+                self.run_times.expected_ms(request.estimate_key, warm) * server.slowdown();
+            usual_ms * server.statements.pace.factor(usual_ms, now)
+        };
+        let warm_ms = expected_ms(true);
+        let run_ms = expected_ms(warm);
         let wait_ms = if load < slots {
             0.0
         } else {
             f64::from(load - slots + 1) * warm_ms / f64::from(slots)
         };
         let total_ms = wait_ms + run_ms + 2.0 * self.link_delay_ms(&server.record.failure_domain);
-        let first_ms = self.run_times.expected_ms(request.estimate_key, false) * server.slowdown();
+        let first_ms = expected_ms(false);
         let silence_timeout_ms = total_ms - run_ms + SILENCE_RUNS * first_ms;
         let cost_ms = total_ms
             + (run_ms - warm_ms)
@@ -458,6 +472,7 @@
             is_warm_non_home,
             cold_rate_per_s,
             is_limited: server.statements.rate_limit.in_force(now).is_some(),
+            states_pace: server.statements.pace.is_stated(),
         })
     }
 }
--- a/crates/coordination/src/steering/server.rs
+++ b/crates/coordination/src/steering/server.rs
@@ -136,6 +136,12 @@
         self.statements.rest_left_ms(self.record.started_at_ms, now)
     }
 
+    /// Returns whether the server stated a moment ago that work takes longer on its machine than
+    /// usual.
+    pub fn has_slow_machine(&self, now: Instant) -> bool {
+        self.statements.pace.is_slow(now)
+    }
+
     /// Returns whether the server has started recently and tolerates few requests for now.
     pub fn is_cold(&self, now: Instant) -> bool {
         self.cold_until.is_some_and(|until| now < until)
--- a/crates/coordination/src/steering/statements.rs
+++ b/crates/coordination/src/steering/statements.rs
@@ -12,7 +12,7 @@
     units::RequestRate,
 };
 
-use super::{fleet::Fleet, rate_limit::RateLimit};
+use super::{fleet::Fleet, rate_limit::RateLimit, stated_pace::StatedPace};
 use crate::membership::hash::mix;
 
 /// Time for which the load that a server reported is used.
@@ -51,6 +51,8 @@
     pub rest_ms: Option<u64>,
     /// Requests that run or wait at the server.
     pub load: Option<u32>,
+    /// How long work takes on the server's machine at this moment, in percent of the usual time.
+    pub run_time_percent: Option<u32>,
     /// Requests that the server takes from all instances together. `None` lifts an earlier limit.
     pub limit: Option<RequestRate>,
 }
@@ -71,6 +73,8 @@
 pub(super) struct Statements {
     /// Limit of the requests of all instances.
     pub(super) rate_limit: RateLimit,
+    /// How long work takes on its machine.
+    pub(super) pace: StatedPace,
     load: Option<(u32, Instant)>,
     /// Start time of the latest run that stated that it leaves.
     leaving_run_ms: Option<u64>,
@@ -90,6 +94,9 @@
         if let Some(load) = statement.load {
             self.load = Some((load, now));
         }
+        if let Some(percent) = statement.run_time_percent {
+            self.pace.record(percent, now);
+        }
         let leaving_before = self.leaving_run_ms;
         if statement.is_leaving {
             self.leaving_run_ms = leaving_before.max(Some(statement.started_at_ms));
--- a/crates/pollenshed/src/steer/assign.rs
+++ b/crates/pollenshed/src/steer/assign.rs
@@ -127,6 +127,9 @@
     /// Start time of the run of the server that answered.
     #[prost(uint64, tag = "9")]
     started_at_ms: u64,
+    /// How long work takes on its machine, in percent of the usual time, if it stated that.
+    #[prost(uint32, optional, tag = "10")]
+    run_time_percent: Option<u32>,
 }
 
 impl AssignEnd {
@@ -143,7 +146,7 @@
         };
         let has_statement = statement.is_some();
         // A rest holds for the instance that was turned away.
-        let Statement { started_at_ms, is_leaving, load, limit, rest_ms: _ } =
+        let Statement { started_at_ms, is_leaving, load, run_time_percent, limit, rest_ms: _ } =
             statement.unwrap_or_default();
         let limit = limit.map(|rate| rate.0);
         AssignEnd {
@@ -156,6 +159,7 @@
             limit,
             is_leaving,
             started_at_ms,
+            run_time_percent,
         }
     }
 
@@ -182,6 +186,7 @@
             is_leaving: self.is_leaving,
             rest_ms: None,
             load: self.load,
+            run_time_percent: self.run_time_percent,
             limit,
         })
     }
--- a/crates/pollenshed/src/steer/core.rs
+++ b/crates/pollenshed/src/steer/core.rs
@@ -387,6 +387,7 @@
             servers_ready: count(&|s| s.is_ready() && !s.is_suspect()),
             servers_cold: count(&|s| s.is_cold(now)),
             servers_suspect: count(&Server::is_suspect),
+            servers_slow: count(&|s| s.has_slow_machine(now)),
             servers_leaving: count(&|s| !s.is_ready()),
             members_live: self.members.borrow().live_count(now),
             in_flight: self.in_flight.get(),
--- a/crates/pollenshed/src/steer/exchange.rs
+++ b/crates/pollenshed/src/steer/exchange.rs
@@ -295,6 +295,7 @@
                 StatedRest::None | StatedRest::Unreadable => None,
             },
             load: head.load.map(|load| load.running.saturating_add(load.waiting)),
+            run_time_percent: head.load.and_then(|load| load.run_time_percent),
             limit: head.limit,
         };
         running.statement = Some(statement);
--- a/crates/pollenshed/tests/steer_statements.rs
+++ b/crates/pollenshed/tests/steer_statements.rs
@@ -214,3 +214,36 @@
         seconds.iter().map(|s| (s * 1_000.0) as u64).collect();
     expect_that!(distinct.len(), ge(4), "{seconds:?}");
 }
+
+/// Guards against a stated pace that the instance which chooses the servers doesn't hear, in a small
+/// region from its own answers and in a large one from the reports of others.
+#[googletest::test]
+fn what_a_server_states_of_its_machine_is_heard() {
+    for full_mesh_peers in [40, 1] {
+        let mut fleet = Fleet::open(vec![ServerOptions::default()]);
+        fleet.full_mesh_peers = full_mesh_peers;
+        fleet.servers[0].state_run_time(250);
+        for _ in 0..3 {
+            fleet.start("palermo-a");
+        }
+        fleet.wait_until_ready();
+        let knows_slow = |i: &Instance| i.metrics().contains("servers{state=\"slow\"} 1");
+        let mut number = 0;
+        wait_for("the statement", || {
+            number += 1;
+            let answer = fleet.instances[0].get("/read/1", &format!("p-{number}"))?;
+            assert_eq!(answer.header("x-server-load"), None);
+            knows_slow(&fleet.instances[0]).then_some(())
+        });
+        // The instance that assigns the object is another one for some objects.
+        let hears_from_others = wait_for("the report", || {
+            number += 1;
+            let header = format!("X-Affinity-Key: {number}\r\n");
+            let id = format!("q-{number}");
+            fleet.instances[0].call(&request("GET", "/read/1", &id, &header, ""))?;
+            let others = fleet.instances[1..].iter().any(knows_slow);
+            (others || full_mesh_peers > 1).then_some(others)
+        });
+        expect_that!(hears_from_others, eq(full_mesh_peers == 1));
+    }
+}
--- a/crates/standins/src/steered/server.rs
+++ b/crates/standins/src/steered/server.rs
@@ -149,6 +149,8 @@
     state: Mutex<State>,
     freed: Condvar,
     fault: Mutex<Fault>,
+    /// How long work takes on its machine, in percent of the usual time, if it states that.
+    run_time_percent: Mutex<Option<u32>>,
     /// Pause before a request for rest is answered.
     rest_delay: Mutex<Duration>,
     /// Body of the requests that crash the server.
@@ -178,6 +180,7 @@
             state: Mutex::default(),
             freed: Condvar::new(),
             fault: Mutex::new(Fault::None),
+            run_time_percent: Mutex::default(),
             rest_delay: Mutex::default(),
             crash_on: Mutex::default(),
             address,
@@ -229,6 +232,11 @@
         *self.shared.fault.lock().unwrap_or_else(|e| e.into_inner()) = fault;
     }
 
+    /// Makes the server state from now on how long work takes on its machine, in percent.
+    pub fn state_run_time(&self, percent: u32) {
+        *self.shared.run_time_percent.lock().unwrap_or_else(|e| e.into_inner()) = Some(percent);
+    }
+
     /// Delays the answers of [`Fault::AsksForRest`] from now on.
     pub fn delay_rests(&self, delay: Duration) {
         *self.shared.rest_delay.lock().unwrap_or_else(|e| e.into_inner()) = delay;
@@ -487,7 +495,9 @@
             state.cached_objects.pop_front();
         }
         self.freed.notify_one();
-        format!("{},{},{}", state.running, state.waiting, self.options.slots)
+        let load = format!("{},{},{}", state.running, state.waiting, self.options.slots);
+        let percent = *self.run_time_percent.lock().unwrap_or_else(|e| e.into_inner());
+        percent.map_or(load.clone(), |percent| format!("{load},{percent}"))
     }
 }
 
--- a/crates/transport/src/scrape/mod.rs
+++ b/crates/transport/src/scrape/mod.rs
@@ -14,7 +14,7 @@
 //! | `pollenshed_config_version` | gauge | | version of the configuration in force, 0 if none |
 //! | `pollenshed_workspaces` | gauge | | workspaces of the configuration in force |
 //! | `pollenshed_workspace_keys` | gauge | | keys of these workspaces |
-//! | `pollenshed_servers` | gauge | state | backend servers: ready, cold, suspect, leaving |
+//! | `pollenshed_servers` | gauge | state | backend servers: ready, cold, suspect, slow (they state so), leaving |
 //! | `pollenshed_members_live` | gauge | | live instances, this one included |
 //! | `pollenshed_in_flight` | gauge | | callers' requests that got no response yet |
 //! | `pollenshed_held_bytes` | gauge | | bytes of request bodies in memory |
@@ -57,6 +57,8 @@
     pub servers_cold: usize,
     /// Backend servers that failed and have not responded since.
     pub servers_suspect: usize,
+    /// Backend servers that state that work takes longer on their machines than usual.
+    pub servers_slow: usize,
     /// Backend servers that are leaving.
     pub servers_leaving: usize,
     /// Live instances, this one included.
@@ -240,6 +242,7 @@
             ("ready", values.servers_ready),
             ("cold", values.servers_cold),
             ("suspect", values.servers_suspect),
+            ("slow", values.servers_slow),
             ("leaving", values.servers_leaving),
         ] {
             self.servers.with_label_values(&[state]).set(count as i64);
