Own a share of limits as soon as the keepers have answered

Cause: an instance owned no share of any limit for 5 s after its start, since its earlier run might have pledged it. After a start of all instances every request of a limited workspace was refused for that time. A share was also used with whatever number of instances was known at that moment, and a pledge that named a workspace twice could overflow.

Change: a share of a slot is owned when its keeper has said that it holds nothing of the instance, the number of instances is known and has not grown for a second. A keeper drops what an instance pledged that asks for a new mark. Pledges with a mark of the future, doubled workspaces and grants of more than was asked count for no more than allowed. The ticks end early where no workspace has a limit.

--- a/crates/coordination/benches/workspace_limit.rs
+++ b/crates/coordination/benches/workspace_limit.rs
@@ -31,7 +31,8 @@
         let mut limits = WorkspaceLimits::new(&"front-0".parse().unwrap(), 1, start);
         let spaces: Vec<_> = (0..WORKSPACES).map(|number| workspace(number, rate)).collect();
         limits.configure(&spaces, &Bounds::default(), start);
-        limits.tick(1, true, &[None; SLOTS], Instant::from_ms(SETTLED_MS));
+        limits.tick(Some(1), true, &[None; SLOTS], Instant::START);
+        limits.tick(Some(1), true, &[None; SLOTS], Instant::from_ms(SETTLED_MS));
         let key = WorkspaceKey::of(&spaces[WORKSPACES / 2].name);
         let mut us = SETTLED_MS * 1_000;
         criterion.bench_function(name, |bencher| {
--- a/crates/coordination/src/steering/workspace_limit/divisor.rs
+++ b/crates/coordination/src/steering/workspace_limit/divisor.rs
@@ -13,11 +13,16 @@
     peak: Option<(usize, Instant)>,
     /// The largest number since the one in force was last known to hold.
     next: usize,
+    /// When the number last grew.
+    grown_at: Option<Instant>,
 }
 
 impl Divisor {
     pub(super) fn record(&mut self, known: usize, now: Instant) {
         let known = known.max(1);
+        if self.peak.is_none_or(|(peak, _)| known > peak) {
+            self.grown_at = Some(now);
+        }
         match self.peak {
             Some((peak, at)) if known < peak && now.since_ms(at) < ABSENCE_MS => {
                 self.next = self.next.max(known);
@@ -33,6 +38,11 @@
         }
     }
 
+    /// Returns whether the number is known and has not grown for `ms`.
+    pub(super) fn is_steady(&self, ms: u64, now: Instant) -> bool {
+        self.grown_at.is_some_and(|at| now.since_ms(at) >= ms)
+    }
+
     pub(super) fn count(&self) -> usize {
         self.peak.map_or(1, |(peak, _)| peak)
     }
--- a/crates/coordination/src/steering/workspace_limit/exchange.rs
+++ b/crates/coordination/src/steering/workspace_limit/exchange.rs
@@ -28,10 +28,13 @@
 /// [`PERIOD_INSTANCES`].
 pub const LAPSE_MS: u64 = 4_400;
 
-/// Time after its start in which an instance uses no share of its own. What an earlier run had
-/// pledged has lapsed then, and the instance knows the others.
+/// Time after its start in which an instance uses no share of a slot whose keeper has not said that
+/// it holds none of an earlier run. What an earlier run had pledged has lapsed then.
 const SETTLE_MS: u64 = 5_000;
 
+/// Time for which the number of instances must not have grown before an instance uses a share.
+const KNOWN_MS: u64 = 1_000;
+
 /// Time for which an instance that is out of touch with the others still uses its share. Then they
 /// may divide the limits among themselves.
 pub(super) const CONFIRMED_MS: u64 = 45_000;
@@ -49,16 +52,18 @@
 
 impl WorkspaceLimits {
     /// Does what is due: called several times a second. `known` is the number of instances that
-    /// are known, live or not, this one included. `is_confirmed` tells whether the others are sure
+    /// are known, live or not, this one included, and `None` before they were read. `is_confirmed` tells whether the others are sure
     /// to know this one. Returns messages for the keepers of slots.
     pub fn tick(
         &mut self,
-        known: usize,
+        known: Option<usize>,
         is_confirmed: bool,
         keepers: &Keepers,
         now: Instant,
     ) -> Vec<(usize, LimitMessage)> {
-        self.divisor.record(known, now);
+        if let Some(known) = known {
+            self.divisor.record(known, now);
+        }
         if is_confirmed {
             self.confirmed_at = Some(now);
         }
@@ -119,9 +124,12 @@
 
     fn hold(&mut self, pledge: &Pledge, now: Instant) -> Option<Ack> {
         let pool = self.pools.get_mut(pledge.slot as usize)?;
-        let own_mark = pledge.mark.filter(|mark| mark.run == self.run);
-        if let Some(mark) = own_mark {
-            pool.hold(pledge, mark.at_ms, now);
+        match pledge.mark {
+            Some(mark) if mark.run == self.run => pool.hold(pledge, mark.at_ms, now),
+            Some(_) => {}
+            // The sender holds to nothing that it has pledged here: it has started again, or other
+            // keepers came between.
+            None => pool.drop_pledge(pledge.from, now),
         }
         Some(Ack {
             from: self.own,
@@ -139,10 +147,10 @@
 
     fn pledge(&mut self, slot: usize, now: Instant) -> Pledge {
         let kept = self.wanted_kept(slot);
-        let has_share = self.has_share(now);
+        let owns_slot = self.owns_slot(slot, now);
         let pledger = &mut self.pledgers[slot];
         pledger.record_sent(now);
-        let given = if has_share { pledger.give(kept, now) } else { None };
+        let given = if owns_slot { pledger.give(kept, now) } else { None };
         self.apply_kept_parts(now);
         let (mark, kept) = given.unzip();
         Pledge {
@@ -156,7 +164,9 @@
 
     fn is_pledge_due(&self, slot: usize, now: Instant) -> bool {
         let pledger = &self.pledgers[slot];
+        let has_unused = pledger.has_given_nothing() && self.owns_slot(slot, now);
         pledger.is_due(self.period_ms(), now)
+            || pledger.is_due(EARLY_PERIOD_MS, now) && has_unused
             || pledger.is_due(EARLY_PERIOD_MS, now) && pledger.differs(&self.wanted_kept(slot))
     }
 
@@ -168,11 +178,17 @@
         wanted.filter(|kept| kept.parts > 0).collect()
     }
 
-    /// Returns whether the instance owns a share: the others know it, and what an earlier run had
-    /// pledged has lapsed.
+    /// Returns whether the instance owns its share of each limit.
     pub fn has_share(&self, now: Instant) -> bool {
-        now.since_ms(self.started_at) >= SETTLE_MS
+        (0..SLOTS).all(|slot| self.owns_slot(slot, now))
+    }
+
+    /// Returns whether the instance owns its share of the limits of a slot: the others know it, it
+    /// knows them, and no keeper uses what an earlier run had pledged.
+    fn owns_slot(&self, slot: usize, now: Instant) -> bool {
+        self.divisor.is_steady(KNOWN_MS, now)
             && self.confirmed_at.is_some_and(|at| now.since_ms(at) < CONFIRMED_MS)
+            && (self.pledgers[slot].was_cleared() || now.since_ms(self.started_at) >= SETTLE_MS)
     }
 
     fn period_ms(&self) -> u64 {
@@ -182,13 +198,14 @@
 
     /// Gives the own bucket of each workspace the part of the share that is not pledged.
     pub(super) fn apply_kept_parts(&mut self, now: Instant) {
-        let has_share = self.has_share(now);
+        let owned: [bool; SLOTS] = std::array::from_fn(|slot| self.owns_slot(slot, now));
         let share = slot_share(self.divisor.count());
         for (key, space) in &mut self.spaces {
-            let part = |slot: usize| share.sixteenths(self.pledgers[slot].kept_parts(*key, now)).0;
-            let parts = key.slots().map(part);
-            let own = if has_share { Part(parts.iter().sum()) } else { Part::default() };
-            space.set_own_part(own, now);
+            let part = |slot: usize| match owned[slot] {
+                true => share.sixteenths(self.pledgers[slot].kept_parts(*key, now)).0,
+                false => 0,
+            };
+            space.set_own_part(Part(key.slots().map(part).iter().sum()), now);
         }
     }
 }
--- a/crates/coordination/src/steering/workspace_limit/pledger.rs
+++ b/crates/coordination/src/steering/workspace_limit/pledger.rs
@@ -39,6 +39,8 @@
     mark: Option<(Mark, Instant)>,
     given: Vec<GivenPledge>,
     sent_at: Option<Instant>,
+    /// Whether a keeper has answered this run that it holds nothing of the instance.
+    was_cleared: bool,
 }
 
 impl Pledger {
@@ -98,6 +100,7 @@
         if self.keeper != Some(ack.from) || ack.released {
             return false;
         }
+        self.was_cleared |= ack.held_ms.is_none();
         let known = self.mark.map(|(mark, _)| mark);
         let is_newer =
             known.is_none_or(|mark| mark.run != ack.mark.run || mark.at_ms < ack.mark.at_ms);
@@ -107,6 +110,14 @@
         known.is_none()
     }
 
+    pub(super) fn was_cleared(&self) -> bool {
+        self.was_cleared
+    }
+
+    pub(super) fn has_given_nothing(&self) -> bool {
+        self.given.is_empty()
+    }
+
     pub(super) fn expire(&mut self, now: Instant) {
         self.given.retain(|given| now < given.until);
     }
--- a/crates/coordination/src/steering/workspace_limit/pool.rs
+++ b/crates/coordination/src/steering/workspace_limit/pool.rs
@@ -93,12 +93,15 @@
         self.expire(now);
         let until = Instant::from_ms(since_ms).plus_ms(LAPSE_MS);
         let is_older = self.held_ms(pledge.from).is_some_and(|held_ms| since_ms < held_ms);
-        if self.is_closed || until <= now || is_older {
+        if self.is_closed || until <= now || is_older || since_ms > now.as_ms() {
             return;
         }
         let share = slot_share(pledge.divisor as usize);
-        let kept = pledge.kept.iter().map(|k| (k.workspace, share.sixteenths(k.parts)));
-        let held = HeldPledge { since_ms, until, share, kept: kept.collect() };
+        let mut kept: Vec<_> =
+            pledge.kept.iter().map(|k| (k.workspace, share.sixteenths(k.parts))).collect();
+        kept.sort_unstable();
+        kept.dedup_by_key(|(workspace, _)| *workspace);
+        let held = HeldPledge { since_ms, until, share, kept };
         let former = self.pledges.remove(&pledge.from);
         let changes = former.as_ref().is_none_or(|f| f.share != held.share || f.kept != held.kept);
         if let Some(former) = &former {
@@ -115,6 +118,15 @@
         }
     }
 
+    /// Stops using what an instance has pledged.
+    pub(super) fn drop_pledge(&mut self, from: InstanceKey, now: Instant) {
+        self.expire(now);
+        let Some(held) = self.pledges.remove(&from) else { return };
+        self.subtract(&held);
+        self.first_lapse_at = self.pledges.values().map(|held| held.until).min();
+        self.apply_parts(now);
+    }
+
     /// Answers a question for permits, unless it is doubled or a later one was answered.
     pub(super) fn answer(&mut self, ask: &Ask, now: Instant) -> Option<Grant> {
         self.expire(now);
@@ -174,7 +186,7 @@
     fn apply_parts(&mut self, now: Instant) {
         for (workspace, bucket) in &mut self.buckets {
             let kept = self.kept.get(workspace).copied().unwrap_or(0);
-            bucket.set_part(Part(self.shares - kept), now);
+            bucket.set_part(Part(self.shares.saturating_sub(kept)), now);
         }
     }
 }
--- a/crates/coordination/src/steering/workspace_limit/space.rs
+++ b/crates/coordination/src/steering/workspace_limit/space.rs
@@ -227,13 +227,13 @@
             (now.plus_ms(room_ms.clamp(MIN_DRY_MS, MAX_DRY_MS)), now.plus_ms(room_ms))
         });
         if now >= until {
-            self.unused += grant.granted;
+            self.unused = self.unused.saturating_add(grant.granted.min(MAX_WANTED));
         } else if grant.granted > 0 {
             self.permits_until = match self.permits {
                 0 => until,
                 _ => self.permits_until.min(until),
             };
-            self.permits += grant.granted;
+            self.permits = self.permits.saturating_add(grant.granted.min(MAX_WANTED));
         }
     }
 
--- a/crates/coordination/tests/steering_workspace_limit.rs
+++ b/crates/coordination/tests/steering_workspace_limit.rs
@@ -77,6 +77,25 @@
     expect_that!(play.worst_excess(), le(0.0));
 }
 
+/// Guards against a fleet that refuses all requests of limited workspaces for seconds after all its
+/// instances were started again.
+#[googletest::test]
+fn a_fleet_that_starts_again_serves_soon() {
+    let mut play = Play::new(21, &[LARGE, MIDDLE], 6);
+    for (workspace, limit) in [LARGE, MIDDLE].iter().enumerate() {
+        play.demand(workspace, Demand { per_s: limit.rate_per_s / 1.6, regions: 3 });
+    }
+    play.run_until(12_000);
+    (0..21).for_each(|instance| play.kill(instance));
+    play.run_until(20_500);
+    // Bursts are empty after a start, which the smaller workspace feels.
+    for (workspace, limit, least) in [(0, LARGE, 0.85), (1, MIDDLE, 0.7)] {
+        let served = play.used_between(workspace, 15_000, 20_000);
+        expect_that!(served as f64, ge(least * 5.0 * limit.rate_per_s / 1.6), "{workspace}");
+    }
+    expect_that!(play.worst_excess(), le(0.0));
+}
+
 /// Guards against a lowered limit that what is out of the former one exceeds.
 #[googletest::test]
 fn a_lowered_limit_binds_one_window_after_all_know_it() {
--- a/crates/coordination/tests/workspace_limit_support/mod.rs
+++ b/crates/coordination/tests/workspace_limit_support/mod.rs
@@ -327,7 +327,7 @@
             let player = &mut self.players[index];
             player.keepers = keepers;
             let now = Instant::from_ms(self.now_ms - player.started_ms);
-            for (slot, message) in player.limits.tick(known, true, &keepers, now) {
+            for (slot, message) in player.limits.tick(Some(known), true, &keepers, now) {
                 self.send_to_keeper(index, slot, message);
             }
         }
--- a/crates/pollenshed/src/steer/workspace_limits/mod.rs
+++ b/crates/pollenshed/src/steer/workspace_limits/mod.rs
@@ -246,19 +246,26 @@
 
 fn tick(core: &Core) {
     let now = core.now();
-    if !core.limits.limits.borrow().is_empty() {
-        let keepers = std::array::from_fn(|slot| keeper(core, slot, now));
-        log_changes(&core.limits.keepers.borrow(), &keepers);
-        *core.limits.keepers.borrow_mut() = keepers;
+    if core.limits.limits.borrow().is_empty() {
+        return;
     }
+    let keepers = std::array::from_fn(|slot| keeper(core, slot, now));
+    log_changes(&core.limits.keepers.borrow(), &keepers);
+    *core.limits.keepers.borrow_mut() = keepers;
     let (known, live) = {
         let members = core.members.borrow();
         (members.known_count(), members.live_count(now))
     };
+    let has_read_instances = core.tables.borrow().instances.version.is_some();
     // An instance that is in touch with the store or with most others is not taken for gone.
     let is_confirmed = live * 2 > known || core.is_current();
     let keepers = core.limits.keepers();
-    let messages = core.limits.limits.borrow_mut().tick(known, is_confirmed, &keepers, now);
+    let messages = core.limits.limits.borrow_mut().tick(
+        has_read_instances.then_some(known),
+        is_confirmed,
+        &keepers,
+        now,
+    );
     for (slot, message) in messages {
         send_to_keeper(core, slot, message);
     }
