Give the room of a busy service to ranks in order, then to usual demand

Cause: whoever came first got the last slots of a service that is short of room. Long runs of little urgency held the slots of urgent ones, and a workspace with many times its usual load took them from all others. The wait at a busy server was computed from the warm run of the request that waits, though it waits for runs of other kinds.

Change: steering/room. Less urgent classes (rank, and within a rank what is beyond the usual demand of a workspace) may take fewer slots of a server, the least urgent first, while more urgent ones are refused too often. Refused callers come back within a third of their time, in the order of the classes. The wait counts the mean run of all kinds of the service. A refusal because the object may not move yet is called busy, no longer too-late. AssignQuery carries rank and workspace. Refusals are logged with service, rank and level; the new reason reserved is counted by service and rank.

No test with processes yet.

--- a/crates/coordination/src/steering/fleet.rs
+++ b/crates/coordination/src/steering/fleet.rs
@@ -10,7 +10,7 @@
 
 use super::{
     assignments::Assignments, homes::Homes, object_load::ObjectLoads, rate_limit::PeerReports,
-    run_time::RunTimes, server::Server, statements::FormerStatements,
+    room::Rooms, run_time::RunTimes, server::Server, statements::FormerStatements,
 };
 use crate::membership::hash::stable_hash;
 
@@ -72,6 +72,8 @@
     pub(super) former_statements: FormerStatements,
     /// Tells the draws of this instance from those of others.
     pub(super) seed: u64,
+    /// How short of room each service is.
+    pub(super) rooms: Rooms,
 }
 
 impl Fleet {
@@ -100,6 +102,7 @@
             peer_reports: HashMap::new(),
             former_statements: FormerStatements::default(),
             seed: 0,
+            rooms: Rooms::default(),
         }
     }
 
--- a/crates/coordination/src/steering/observe.rs
+++ b/crates/coordination/src/steering/observe.rs
@@ -70,7 +70,11 @@
         end: AttemptEnd,
         now: Instant,
     ) {
-        let Some(domain) = self.servers.get(name).map(|s| s.record.failure_domain.clone()) else {
+        let Some((domain, service)) = self
+            .servers
+            .get(name)
+            .map(|s| (s.record.failure_domain.clone(), s.record.service.clone()))
+        else {
             return;
         };
         let link_delay_ms = self.link_delay_ms(&domain);
@@ -95,7 +99,9 @@
                 if was_warm || ran_ms > expected_ms {
                     server.record_run(ran_ms, expected_ms);
                 }
-                self.run_times.observe(estimate_key, ran_ms / server.slowdown().max(1.0));
+                let ran_ms = ran_ms / server.slowdown().max(1.0);
+                self.run_times.observe(estimate_key, ran_ms);
+                self.rooms.record_run(&service, estimate_key, ran_ms, now);
             }
             AttemptEnd::Shed { has_free_slots } => server.record_shed(has_free_slots, now),
             AttemptEnd::OtherServer => server.record_other_server(),
--- a/crates/coordination/src/steering/place.rs
+++ b/crates/coordination/src/steering/place.rs
@@ -17,6 +17,7 @@
 use super::{
     fleet::{Fleet, server_key},
     request::{Choice, ColdLimits, RefusalReason, Request},
+    room::SlotLimit,
     server::Server,
 };
 use crate::membership::hash::{mix, next_random, stable_hash};
@@ -92,7 +93,7 @@
 
 /// Share of the expected time that a request must have left until its deadline. It is below 1
 /// because estimates vary.
-pub(super) const MIN_LEFT_RATIO: f64 = 0.8;
+const MIN_LEFT_RATIO: f64 = 0.8;
 
 /// Rest of a server up to which it stays the home of its objects. A move costs a first run.
 const MAX_HOME_REST_MS: u64 = 1_000;
@@ -103,6 +104,7 @@
 pub(super) struct Candidate {
     pub(super) name: BackendServerName,
     load: u32,
+    slots: u32,
     pub(super) wait_ms: f64,
     pub(super) total_ms: f64,
     silence_timeout_ms: f64,
@@ -116,10 +118,29 @@
     pub(super) is_limited: bool,
 }
 
+impl Candidate {
+    /// Returns whether the server may get the request and is expected to answer within the target
+    /// and before the deadline.
+    pub(super) fn is_in_time(&self, request: &Request<'_>, limit: SlotLimit) -> bool {
+        self.total_ms <= request.target_left_ms.min(request.left_ms)
+            && limit.allows(self.load, self.slots)
+    }
+
+    /// Returns whether the server may get the request and can answer before the deadline.
+    pub(super) fn is_feasible(&self, request: &Request<'_>, limit: SlotLimit) -> bool {
+        self.total_ms * MIN_LEFT_RATIO <= request.left_ms && limit.allows(self.load, self.slots)
+    }
+}
+
 impl Fleet {
-    /// Chooses the server of a request, or refuses it. The choice may assign the object to a new
-    /// home, but does not count the request as sent: see [`Fleet::record_start`].
-    pub fn choose(&mut self, request: &Request<'_>, cold: &ColdLimits<'_>, now: Instant) -> Choice {
+    /// Chooses one of the servers whose load `limit` allows, see [`Fleet::choose`].
+    pub(super) fn place(
+        &mut self,
+        request: &Request<'_>,
+        cold: &ColdLimits<'_>,
+        limit: SlotLimit,
+        now: Instant,
+    ) -> Choice {
         let usable = self.usable(request, cold, now);
         if usable.is_empty() {
             return self.refuse_unusable(request, now);
@@ -132,9 +153,9 @@
             .filter_map(|(name, share)| self.candidate(request, name, share, home.as_ref(), now))
             .collect();
         candidates.sort_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms));
-        let in_time = |c: &&Candidate| c.total_ms <= request.target_left_ms;
+        let in_time = |c: &&Candidate| c.is_in_time(request, limit);
         let is_free = |c: &&Candidate| c.wait_ms == 0.0;
-        let feasible = |c: &&Candidate| c.total_ms * MIN_LEFT_RATIO <= request.left_ms;
+        let feasible = |c: &&Candidate| c.is_feasible(request, limit);
         let home = candidates.iter().find(|c| c.is_home);
         let is_warm_non_home = |c: &&Candidate| c.is_warm_non_home;
         let is_warm = |c: &&Candidate| c.is_home || c.is_warm_non_home;
@@ -155,7 +176,10 @@
                     self.moved_at = Some(now);
                     self.homes.assign(object, server_key(&target.name), now);
                 }
-                target
+                target.or_else(|| {
+                    let mut free = candidates.iter().filter(is_free).filter(takes_others);
+                    free.find(feasible).filter(|_| limit.takes_any_free)
+                })
             }
             _ => candidates.iter().filter(is_free).filter(takes_others).find(feasible),
         };
@@ -164,6 +188,10 @@
             (None, Some(best)) if best.wait_ms > 0.0 => {
                 refuse(RefusalReason::Busy, best.wait_ms, request.jitter_seed)
             }
+            // It is free, but the object may not move there yet.
+            (None, Some(best)) if feasible(&best) => {
+                refuse(RefusalReason::Busy, 300.0, request.jitter_seed)
+            }
             (None, Some(_)) => refuse(RefusalReason::TooLate, 300.0, request.jitter_seed),
             (None, None) => refuse(RefusalReason::Busy, 400.0, request.jitter_seed),
         }
@@ -437,7 +465,9 @@
         let wait_ms = if load < slots {
             0.0
         } else {
-            f64::from(load - slots + 1) * warm_ms / f64::from(slots)
+            let mean_ms = self.rooms.mean_run_ms(request.service, now);
+            let ended_ms = mean_ms.map_or(warm_ms, |mean_ms| mean_ms * server.slowdown());
+            f64::from(load - slots + 1) * ended_ms / f64::from(slots)
         };
         let total_ms = wait_ms + run_ms + 2.0 * self.link_delay_ms(&server.record.failure_domain);
         let first_ms = self.run_times.expected_ms(request.estimate_key, false) * server.slowdown();
@@ -450,6 +480,7 @@
         Some(Candidate {
             name,
             load,
+            slots,
             wait_ms,
             total_ms,
             cost_ms,
@@ -500,6 +531,11 @@
     stable_hash(&[b"object", route.as_bytes(), key.as_bytes()])
 }
 
+/// Returns the key of a workspace, the same in all instances.
+pub fn workspace_key(name: &str) -> u64 {
+    stable_hash(&[b"workspace", name.as_bytes()])
+}
+
 /// Returns a digest of the content of a request, the same in all instances, by which requests that
 /// crash servers are recognised. It does not protect against content that is made to collide.
 pub fn content_digest(parts: &[&[u8]]) -> Digest {
--- a/crates/coordination/src/steering/rank.rs
+++ b/crates/coordination/src/steering/rank.rs
@@ -18,8 +18,9 @@
 
 use super::{
     fleet::{Fleet, ServerKey, server_key},
-    place::{Candidate, MAX_HOME_FAILURE_RATE, MAX_HOME_SLOWDOWN, MIN_LEFT_RATIO, refuse, send},
+    place::{Candidate, MAX_HOME_FAILURE_RATE, MAX_HOME_SLOWDOWN, refuse, send},
     request::{Choice, ColdLimits, RefusalReason, Request},
+    room::SlotLimit,
     server::Server,
 };
 use crate::membership::hash::{mix, stable_hash};
@@ -57,12 +58,12 @@
 }
 
 impl Fleet {
-    /// Chooses the server of a request by the order of its object, or refuses it. Does not count
-    /// the request as sent or assigned.
-    pub fn choose_ranked(
+    /// Chooses one of the servers whose load `limit` allows, see [`Fleet::choose_ranked`].
+    pub(super) fn place_ranked(
         &mut self,
         request: &Request<'_>,
         cold: &ColdLimits<'_>,
+        limit: SlotLimit,
         now: Instant,
     ) -> Choice {
         let candidates = self.ranked_candidates(request, cold, MAX_RANKED, now);
@@ -73,9 +74,9 @@
         let Some(candidates) = candidates else {
             return self.refuse_unusable(request, now);
         };
-        let in_time = |c: &&Candidate| c.total_ms <= request.target_left_ms;
+        let in_time = |c: &&Candidate| c.is_in_time(request, limit);
         let is_free = |c: &&Candidate| c.wait_ms == 0.0;
-        let feasible = |c: &&Candidate| c.total_ms * MIN_LEFT_RATIO <= request.left_ms;
+        let feasible = |c: &&Candidate| c.is_feasible(request, limit);
         let is_warm = |c: &&Candidate| c.is_home || c.is_warm_non_home;
         let by_cost = |a: &&Candidate, b: &&Candidate| a.cost_ms.total_cmp(&b.cost_ms);
         let home = || candidates.iter().find(|c| c.is_home);
@@ -95,6 +96,10 @@
             self.record_widening(request, &further.name, now);
             return send(further);
         }
+        let mut free = candidates.iter().filter(is_free).filter(feasible).filter(|c| !c.is_limited);
+        if let Some(reserved) = free.next().filter(|_| limit.takes_any_free) {
+            return send(reserved);
+        }
         match candidates.iter().min_by(by_cost) {
             Some(best) if best.wait_ms > 0.0 || !is_free(&best) => {
                 refuse(RefusalReason::Busy, best.wait_ms, request.jitter_seed)
--- a/crates/coordination/src/steering/request.rs
+++ b/crates/coordination/src/steering/request.rs
@@ -29,6 +29,12 @@
     pub at_most_once: bool,
     /// The body is large, so that links between regions should not carry it.
     pub has_large_body: bool,
+    /// Urgency; 0 is the most urgent. It counts only while there is too little room for all.
+    pub rank: u32,
+    /// Key of the workspace on whose behalf the request comes, see [`workspace_key`].
+    ///
+    /// [`workspace_key`]: super::workspace_key
+    pub workspace: Option<u64>,
     /// Servers that must not be chosen, because the request was sent to them already.
     pub tried: &'a [BackendServerName],
     /// Random number that spreads the retry times of refused callers.
@@ -67,6 +73,9 @@
     Busy,
     /// The time left is too short for a run on any server.
     TooLate,
+    /// The slots that are left are kept for more urgent requests, or for workspaces that ask for no
+    /// more than usual.
+    Reserved,
 }
 
 impl fmt::Display for RefusalReason {
@@ -75,6 +84,7 @@
             RefusalReason::NoServer => "no-server",
             RefusalReason::Busy => "busy",
             RefusalReason::TooLate => "too-late",
+            RefusalReason::Reserved => "reserved",
         })
     }
 }
--- a/crates/coordination/tests/steering_support/mod.rs
+++ b/crates/coordination/tests/steering_support/mod.rs
@@ -94,6 +94,8 @@
         left_ms: 4_000.0,
         at_most_once: false,
         has_large_body: false,
+        rank: 0,
+        workspace: None,
         tried: &[],
         jitter_seed: 1,
     }
--- a/crates/pollenshed/src/steer/assign.rs
+++ b/crates/pollenshed/src/steer/assign.rs
@@ -72,6 +72,12 @@
     silent_server: Option<ServerKey>,
     #[prost(uint64, tag = "14")]
     silent_ms: u64,
+    /// Urgency; 0 is the most urgent.
+    #[prost(uint32, tag = "15")]
+    rank: u32,
+    /// Key of the workspace.
+    #[prost(fixed64, optional, tag = "16")]
+    workspace: Option<u64>,
 }
 
 /// Answer to an [`AssignQuery`].
@@ -187,8 +193,8 @@
     }
 }
 
-const REASONS: [RefusalReason; 3] =
-    [RefusalReason::NoServer, RefusalReason::Busy, RefusalReason::TooLate];
+const REASONS: [RefusalReason; 4] =
+    [RefusalReason::NoServer, RefusalReason::Busy, RefusalReason::TooLate, RefusalReason::Reserved];
 
 impl AssignAnswer {
     fn new(id: u64, choice: &Choice) -> AssignAnswer {
@@ -381,6 +387,8 @@
         home_regions: request.home_regions.iter().map(ToString::to_string).collect(),
         silent_server: wanted.silent.map(|(server, _)| server_key(server)),
         silent_ms: wanted.silent.map_or(0, |(_, since)| core.now().since_ms(since)),
+        rank: request.rank,
+        workspace: request.workspace,
     };
     let datagram = PeerDatagram { query: Some(query), ..PeerDatagram::default() };
     let (sender, receiver) = oneshot::channel();
@@ -499,6 +507,8 @@
         left_ms: query.left_ms,
         at_most_once: query.at_most_once,
         has_large_body: query.has_large_body,
+        rank: query.rank,
+        workspace: query.workspace,
         tried: &tried,
         jitter_seed: fastrand::u64(..),
     };
--- a/crates/pollenshed/src/steer/attempt.rs
+++ b/crates/pollenshed/src/steer/attempt.rs
@@ -319,6 +319,8 @@
             left_ms: left_ms as f64,
             at_most_once: self.at_most_once(),
             has_large_body: route.repeat == Repeatability::AtMostOnceLarge,
+            rank: self.routed.identity.rank.0,
+            workspace: self.routed.identity.workspace_key(),
             tried,
             jitter_seed: fastrand::u64(..),
         };
@@ -342,10 +344,26 @@
     }
 
     fn refused(&self, reason: RefusalReason, retry_after_ms: u64) -> Outcome {
+        let identity = &self.routed.identity;
+        let level = {
+            let fleet = self.core.fleet.borrow();
+            fleet.room_level(&self.service, identity.rank.0, self.core.now())
+        };
+        log::info!(
+            "request: refused; id={} service={} rank={} workspace={} reason={reason} open={:.2} \
+             open_beyond_usual={:.2} retry_after_ms={retry_after_ms}",
+            self.id(),
+            self.service,
+            identity.rank,
+            identity.workspace_name(),
+            level.as_ref().map_or(1.0, |level| level.open_ratio),
+            level.as_ref().map_or(1.0, |level| level.open_beyond_usual_ratio),
+        );
         let reason = match reason {
             RefusalReason::NoServer => "no-server",
             RefusalReason::Busy => "busy",
             RefusalReason::TooLate => "too-late",
+            RefusalReason::Reserved => "reserved",
         };
         self.not_run(reason, retry_after_ms)
     }
--- a/crates/pollenshed/src/steer/identity.rs
+++ b/crates/pollenshed/src/steer/identity.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use http::{HeaderMap, StatusCode};
+use pollenshed_coordination::steering::workspace_key;
 use pollenshed_platform::headers;
 use pollenshed_state::{
     ids::RegionName,
@@ -31,6 +32,11 @@
     pub fn workspace_name(&self) -> &str {
         self.workspace.as_ref().map_or("-", |workspace| workspace.name.as_str())
     }
+
+    /// Returns the key of the workspace in messages between instances.
+    pub fn workspace_key(&self) -> Option<u64> {
+        self.workspace.as_ref().map(|workspace| workspace_key(workspace.name.as_str()))
+    }
 }
 
 /// Why a request is refused before it is routed to a backend server.
