--- a/crates/pollenshed/src/steer/core.rs
+++ b/crates/pollenshed/src/steer/core.rs
@@ -153,6 +153,7 @@
         let mut fleet =
             Fleet::new(settings.failure_domain.clone(), settings.failure_domains.clone());
         fleet.set_seed(fastrand::u64(..));
+        fleet.set_orders_room(settings.orders_room);
         let memory_bytes = settings.memory_mb as usize * 1024 * 1024;
         let incarnation = Incarnation(fastrand::u64(1..));
         Core {
--- a/crates/pollenshed/src/steer/settings.rs
+++ b/crates/pollenshed/src/steer/settings.rs
@@ -51,6 +51,10 @@
     /// docs/platform.md, "Large regions".
     #[serde(default = "default_full_mesh_peers")]
     pub full_mesh_peers: usize,
+    /// Whether the room of a service that is short of it goes to the most urgent requests first, and
+    /// then fairly to the workspaces of a rank. See docs/design/room.md.
+    #[serde(default)]
+    pub orders_room: bool,
     /// Limits of the deployment, in the platform's format.
     #[serde(default)]
     pub bounds: BTreeMap<String, serde_json::Value>,
