--- a/review/stand-ins-2.rs
+++ b/review/stand-ins-2.rs
@@ -467,7 +467,8 @@
                 let call = Json::parse(&String::from_utf8_lossy(body)).unwrap_or(Json::Null);
                 let entries = |name: &str| call.field(name).map_or(&[][..], Json::list).to_vec();
                 let place = |entry: &Json| {
-                    let text = |name| entry.field(name).and_then(Json::text).unwrap_or("").to_owned();
+                    let text =
+                        |name| entry.field(name).and_then(Json::text).unwrap_or("").to_owned();
                     (text("table"), text("key"))
                 };
                 let holds = entries("precondition").iter().all(|entry| {
@@ -530,7 +531,12 @@
 const LONG_BODY_BYTES: usize = 100_000;
 
 impl Server {
-    fn bind(name: &str, behaviour: Behaviour, log: Arc<Mutex<Log>>, start: Instant) -> io::Result<Server> {
+    fn bind(
+        name: &str,
+        behaviour: Behaviour,
+        log: Arc<Mutex<Log>>,
+        start: Instant,
+    ) -> io::Result<Server> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let born_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
         let is_leaving = Arc::new(AtomicBool::new(false));
@@ -578,7 +584,8 @@
             log.lock().unwrap().lines.push(format!("{at:8.3} s  server {name}: {id} {text}"));
         };
         if head.target == "/healthz" {
-            let answer = format!("HTTP/1.1 200 OK\r\nX-Instance-Id: {name}\r\nContent-Length: 0\r\n\r\n");
+            let answer =
+                format!("HTTP/1.1 200 OK\r\nX-Instance-Id: {name}\r\nContent-Length: 0\r\n\r\n");
             if writer.write_all(answer.as_bytes()).is_err() {
                 return;
             }
@@ -674,7 +681,8 @@
         let end = Instant::now() + Duration::from_secs(15);
         while Instant::now() < end {
             if let Ok(mut reader) = connect(self.ready) {
-                let asked = reader.get_mut().write_all(b"GET /readyz HTTP/1.1\r\nHost: ready\r\n\r\n");
+                let asked =
+                    reader.get_mut().write_all(b"GET /readyz HTTP/1.1\r\nHost: ready\r\n\r\n");
                 let answer = asked.ok().and_then(|()| read_head(&mut reader));
                 if answer.is_some_and(|answer| answer.target == "200") {
                     return true;
@@ -686,7 +694,8 @@
     }
 
     fn terminate(&self) -> io::Result<()> {
-        Command::new("kill").arg("-TERM").arg(self.child.id().to_string()).status().map(drop)
+        let command = format!("kill -TERM {}", self.child.id());
+        Command::new("sh").arg("-c").arg(command).status().map(drop)
     }
 
     fn log(&self) -> String {
@@ -782,7 +791,8 @@
 ) -> io::Result<Exchange> {
     let mut reader = connect(deployment.front.callers)?;
     let first_id = format!("{}-first", request.id);
-    let first = Request { method: "GET", path: "/warm/a", id: &first_id, budget_ms: 4_000, body: b"" };
+    let first =
+        Request { method: "GET", path: "/warm/a", id: &first_id, budget_ms: 4_000, body: b"" };
     reader.get_mut().write_all(&first.bytes())?;
     let first = read_answer(&mut reader, Pace::Full);
     if !first.is_whole() {
@@ -900,7 +910,8 @@
 fn slow_uploads_at_stop(folder: &str, has_trouble: bool) -> io::Result<bool> {
     let time = Duration::from_millis(3_800);
     // Without the trouble, the same time goes to the work after the body.
-    let (read_pause, run) = if has_trouble { (time, Duration::ZERO) } else { (Duration::ZERO, time) };
+    let (read_pause, run) =
+        if has_trouble { (time, Duration::ZERO) } else { (Duration::ZERO, time) };
     let behaviour = Behaviour { read_pause, run, pack_bytes: 16 };
     let deployment = deploy(behaviour, SMF_NORTE, true)?;
     let body = content(360_000);
@@ -944,13 +955,18 @@
     let behaviour =
         Behaviour { read_pause: Duration::ZERO, run: Duration::from_millis(300), pack_bytes: 16 };
     let deployment = deploy(behaviour, CALI, false)?;
-    let [leaving, staying] = &deployment.servers[..] else { return Err(io::Error::other("servers")) };
+    let [leaving, staying] = &deployment.servers[..] else {
+        return Err(io::Error::other("servers"));
+    };
     let seconds = || deployment.start.elapsed().as_secs_f64();
     let mut notes = Vec::new();
     let report = |notes: &mut Vec<String>, server: &Server, sequence: u64, state: &str| {
         deployment.store.put("servers", &server.name, &server.record(sequence, state));
         let name = &server.name;
-        notes.push(format!("{:8.3} s  store: accepts {state} of {name}, sequence {sequence}", seconds()));
+        notes.push(format!(
+            "{:8.3} s  store: accepts {state} of {name}, sequence {sequence}",
+            seconds()
+        ));
     };
     // Twelve callers that send at the same time, each one request.
     let send_together = |round: &str| {
@@ -958,8 +974,13 @@
             for caller in 0..12 {
                 let (deployment, id) = (&deployment, format!("{round}-{caller}"));
                 scope.spawn(move || {
-                    let request =
-                        Request { method: "GET", path: "/pack/a", id: &id, budget_ms: 4_000, body: b"" };
+                    let request = Request {
+                        method: "GET",
+                        path: "/pack/a",
+                        id: &id,
+                        budget_ms: 4_000,
+                        body: b"",
+                    };
                     let Ok(mut reader) = connect(deployment.front.callers) else { return };
                     if reader.get_mut().write_all(&request.bytes()).is_ok() {
                         read_answer(&mut reader, Pace::Full);
