--- a/review/stand-ins-2.rs
+++ b/review/stand-ins-2.rs
@@ -22,11 +22,6 @@
 
 const HOST: &str = "catalogue.example";
 
-/// Bounds of the deployment that names slow callers and servers.
-const SMF_NORTE: &str = r#""contact": "4000ms", "drain": "3000ms", "grace": "6s", "loss_slack": "200ms",
-    "config_apply": "3000ms", "retry_budget_ratio": 0.2, "budget_window": "10s",
-    "retry_budget_extra": 60, "cold_slack": 8, "ttl_max": "5s""#;
-
 /// Bounds of the first deployment.
 const CALI: &str = r#""contact": "3000ms", "drain": "2000ms", "grace": "6s", "loss_slack": "200ms",
     "config_apply": "2000ms", "retry_budget_ratio": 0.2, "budget_window": "10s",
@@ -255,10 +250,8 @@
 enum Pace {
     /// As fast as it comes.
     Full,
-    /// With one pause after the first 8 KiB.
+    /// With one pause after the first 4 KiB.
     Pause(Duration),
-    /// Steadily: 4 KiB, then a pause, and so on.
-    Steady(Duration),
 }
 
 /// Reads an answer.
@@ -274,8 +267,7 @@
         let most = match pace {
             Pace::Full => stated_bytes,
             Pace::Pause(_) if has_paused => stated_bytes,
-            Pace::Pause(_) => 8_192,
-            Pace::Steady(_) => received_bytes + 4_096,
+            Pace::Pause(_) => 4_096,
         };
         let end = most.min(stated_bytes);
         match reader.read(&mut body[received_bytes..end]) {
@@ -290,11 +282,10 @@
             }
         }
         match pace {
-            Pace::Pause(pause) if received_bytes == 8_192 && !has_paused => {
+            Pace::Pause(pause) if received_bytes == 4_096 && !has_paused => {
                 thread::sleep(pause);
                 has_paused = true;
             }
-            Pace::Steady(pause) if received_bytes < stated_bytes => thread::sleep(pause),
             _ => {}
         }
     }
@@ -326,6 +317,37 @@
     }
 }
 
+/// Connects like [`connect`], with a receive buffer of 8 KiB, which has to be set before the connection is
+/// made.
+fn connect_with_small_window(address: SocketAddr) -> io::Result<BufReader<TcpStream>> {
+    use std::os::fd::FromRawFd;
+    unsafe extern "C" {
+        fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
+        fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, size: u32) -> i32;
+        fn connect(fd: i32, address: *const u8, size: u32) -> i32;
+    }
+    let SocketAddr::V4(address) = address else { return Err(io::Error::other("not IPv4")) };
+    let mut raw = [0_u8; 16];
+    raw[..2].copy_from_slice(&2_u16.to_ne_bytes());
+    raw[2..4].copy_from_slice(&address.port().to_be_bytes());
+    raw[4..8].copy_from_slice(&address.ip().octets());
+    // AF_INET, SOCK_STREAM, SOL_SOCKET and SO_RCVBUF of Linux, alike on x86-64 and arm64.
+    let stream = unsafe {
+        let fd = socket(2, 1, 0);
+        if fd < 0 {
+            return Err(io::Error::last_os_error());
+        }
+        let stream = TcpStream::from_raw_fd(fd);
+        if setsockopt(fd, 1, 8, &4_096, 4) != 0 || connect(fd, raw.as_ptr(), 16) != 0 {
+            return Err(io::Error::last_os_error());
+        }
+        stream
+    };
+    stream.set_nodelay(true)?;
+    stream.set_read_timeout(Some(Duration::from_secs(30)))?;
+    Ok(BufReader::with_capacity(1_024, stream))
+}
+
 fn connect(address: SocketAddr) -> io::Result<BufReader<TcpStream>> {
     let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
     stream.set_nodelay(true)?;
@@ -611,7 +633,7 @@
             note(format!("ends: the body broke off: {e}"));
             return;
         }
-        if !head.target.starts_with("/warm/") {
+        if !head.target.starts_with("/warm/a") {
             thread::sleep(behaviour.run);
         }
         let size = if head.target.starts_with("/pack/") { behaviour.pack_bytes } else { 16 };
@@ -726,7 +748,7 @@
          \"header_timeout\":\"3000ms\",\"idle_timeout\":\"15000ms\"}},\"virtual_hosts\":[{{\
          \"host\":\"{HOST}\",\"paths\":[{},{},{}]}}]}}",
         route("warm", "safe", 0),
-        route("pack", "download", 0),
+        route("pack", "unsafe", 0),
         route("scan", "upload", 1)
     )
 }
@@ -789,7 +811,7 @@
     request: &Request<'_>,
     pace: Pace,
 ) -> io::Result<Exchange> {
-    let mut reader = connect(deployment.front.callers)?;
+    let mut reader = connect_with_small_window(deployment.front.callers)?;
     let first_id = format!("{}-first", request.id);
     let first =
         Request { method: "GET", path: "/warm/a", id: &first_id, budget_ms: 4_000, body: b"" };
@@ -857,34 +879,27 @@
     Ok(!is_broken)
 }
 
-/// LOST: callers read their answers slowly.
+/// LOST: callers with small windows pause while they read their answers.
 fn slow_readers(folder: &str, has_trouble: bool) -> io::Result<bool> {
     let behaviour = Behaviour {
         read_pause: Duration::ZERO,
         run: Duration::from_millis(100),
-        pack_bytes: 540_000,
+        pack_bytes: 30_000,
     };
-    let deployment = deploy(behaviour, SMF_NORTE, true)?;
-    // Callers that read on within a budget of 4 s after a pause, and callers that read some 31 KB a second
-    // all the time, which takes 17 s of their 20 s.
-    let groups = [
-        (4_000, Pace::Pause(Duration::from_millis(3_600))),
-        (20_000, Pace::Steady(Duration::from_millis(130))),
-    ];
+    let deployment = deploy(behaviour, CALI, true)?;
+    let pace = if has_trouble { Pace::Pause(Duration::from_millis(4_500)) } else { Pace::Full };
     let mut exchanges = Vec::new();
     thread::scope(|scope| {
         let mut callers = Vec::new();
-        for (group, (budget_ms, pace)) in groups.into_iter().enumerate() {
-            for number in 0..5 {
-                let deployment = &deployment;
-                callers.push(scope.spawn(move || {
-                    let id = format!("pack-{group}-{number}");
-                    let request =
-                        Request { method: "GET", path: "/pack/a", id: &id, budget_ms, body: b"" };
-                    let pace = if has_trouble { pace } else { Pace::Full };
-                    exchange_on_kept_connection(deployment, &request, pace)
-                }));
-            }
+        for number in 0..10 {
+            let deployment = &deployment;
+            callers.push(scope.spawn(move || {
+                let id = format!("filing-{number}");
+                let body = content(1_800);
+                let request =
+                    Request { method: "POST", path: "/pack/a", id: &id, budget_ms: 6_000, body: &body };
+                exchange_on_kept_connection(deployment, &request, pace)
+            }));
         }
         for caller in callers {
             exchanges.push(caller.join().map_err(|_| io::Error::other("a caller failed"))?);
@@ -913,7 +928,7 @@
     let (read_pause, run) =
         if has_trouble { (time, Duration::ZERO) } else { (Duration::ZERO, time) };
     let behaviour = Behaviour { read_pause, run, pack_bytes: 16 };
-    let deployment = deploy(behaviour, SMF_NORTE, true)?;
+    let deployment = deploy(behaviour, CALI, true)?;
     let body = content(360_000);
     let mut exchanges = Vec::new();
     thread::scope(|scope| {
@@ -976,7 +991,7 @@
                 scope.spawn(move || {
                     let request = Request {
                         method: "GET",
-                        path: "/pack/a",
+                        path: "/warm/b",
                         id: &id,
                         budget_ms: 4_000,
                         body: b"",
