review: case 10, an evacuation after a drill is ignored

Cause: a row of the operator's table that is known as removed counts as a relic of the copy from which the store came back (takes_back in steer/tables.rs). Everything up to the first whole read in the new era counts as copied, also what was written after the store's return. An evacuation that is set again in that time is dropped, and nothing brings it back.

The store of stand-ins-2.rs can go away and come back from a copy, and its servers can stand in two zones.

--- a/review/stand-ins-2.rs
+++ b/review/stand-ins-2.rs
@@ -14,7 +14,7 @@
     process::{Child, Command, ExitCode, Stdio},
     sync::{
         Arc, Condvar, Mutex,
-        atomic::{AtomicBool, Ordering::Relaxed},
+        atomic::{AtomicBool, AtomicU64, Ordering::Relaxed},
     },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -366,7 +366,7 @@
     version: u64,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Rows {
     rows: BTreeMap<(String, String), Row>,
     history: Vec<Row>,
@@ -391,6 +391,10 @@
     rows: Arc<(Mutex<Rows>, Condvar)>,
     address: SocketAddr,
     start: Instant,
+    /// Whether it answers nobody.
+    is_away: Arc<AtomicBool>,
+    /// How often it came back from a copy, and one.
+    era: Arc<AtomicU64>,
 }
 
 fn row_json(row: &Row) -> String {
@@ -405,8 +409,13 @@
 impl Store {
     fn bind() -> io::Result<Store> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
-        let store =
-            Store { rows: Arc::default(), address: listener.local_addr()?, start: Instant::now() };
+        let store = Store {
+            rows: Arc::default(),
+            address: listener.local_addr()?,
+            start: Instant::now(),
+            is_away: Arc::default(),
+            era: Arc::new(AtomicU64::new(1)),
+        };
         let served = store.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -424,6 +433,20 @@
         self.rows.1.notify_all();
     }
 
+    fn remove(&self, table: &str, key: &str) {
+        let mut rows = self.rows.0.lock().unwrap();
+        rows.version += 1;
+        rows.put(table, key, None);
+        self.rows.1.notify_all();
+    }
+
+    /// Comes back from a copy, in the next era.
+    fn restore(&self, copy: Rows) {
+        *self.rows.0.lock().unwrap() = copy;
+        self.era.fetch_add(1, Relaxed);
+        self.is_away.store(false, Relaxed);
+    }
+
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let Ok(mut writer) = stream.try_clone() else { return };
@@ -433,9 +456,15 @@
             if reader.read_exact(&mut body).is_err() {
                 return;
             }
+            let era = self.era.load(Relaxed);
             let (status, answer) = self.answer(&head, &body);
+            // A call that was under way when the store went away gets no answer.
+            if self.is_away.load(Relaxed) || self.era.load(Relaxed) != era {
+                return;
+            }
             let head = format!(
-                "HTTP/1.1 {status} -\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+                "HTTP/1.1 {status} -\r\nContent-Type: application/json\r\nStore-Era: {era}\r\n\
+                 Content-Length: {}\r\n\r\n",
                 answer.len()
             );
             if writer.write_all(&[head.as_bytes(), answer.as_bytes()].concat()).is_err() {
@@ -467,9 +496,15 @@
             "/rows-feed" => {
                 let table = parameter("table");
                 let after: u64 = parameter("after").parse().unwrap_or(0);
+                if after > rows.version {
+                    return (410, "{}".to_owned());
+                }
                 let wait = Duration::from_millis(parameter("wait_ms").parse().unwrap_or(0));
                 let end = Instant::now() + wait;
                 loop {
+                    if self.is_away.load(Relaxed) {
+                        return (503, "{}".to_owned());
+                    }
                     let changed =
                         rows.history.iter().filter(|row| row.table == table && row.version > after);
                     let changed: Vec<_> = changed.map(row_json).collect();
@@ -546,6 +581,7 @@
     name: String,
     address: SocketAddr,
     born_ms: u128,
+    zone: &'static str,
     /// Whether it has decided to leave, which it says in all its answers from then on.
     is_leaving: Arc<AtomicBool>,
 }
@@ -555,6 +591,7 @@
 impl Server {
     fn bind(
         name: &str,
+        zone: &'static str,
         behaviour: Behaviour,
         log: Arc<Mutex<Log>>,
         start: Instant,
@@ -566,6 +603,7 @@
             name: name.to_owned(),
             address: listener.local_addr()?,
             born_ms,
+            zone,
             is_leaving: is_leaving.clone(),
         };
         let name = name.to_owned();
@@ -579,9 +617,9 @@
     }
 
     fn record(&self, sequence: u64, state: &str) -> String {
-        let Server { address, born_ms, .. } = self;
+        let Server { address, born_ms, zone, .. } = self;
         format!(
-            "{{\"service\":\"catalogue\",\"address\":\"{address}\",\"zone\":\"bilbao-a\",\
+            "{{\"service\":\"catalogue\",\"address\":\"{address}\",\"zone\":\"{zone}\",\
              \"version\":\"1\",\"slots\":16,\"state\":\"{state}\",\"cold_remaining\":\"0ms\",\
              \"sequence\":{sequence},\"born\":{born_ms}}}"
         )
@@ -766,13 +804,24 @@
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
 
 fn deploy(behaviour: Behaviour, bounds: &str, reports: bool) -> io::Result<Deployment> {
+    deploy_in(["bilbao-a"; 2], behaviour, bounds, reports)
+}
+
+/// Deploys with the two servers in these zones.
+fn deploy_in(
+    zones: [&'static str; 2],
+    behaviour: Behaviour,
+    bounds: &str,
+    reports: bool,
+) -> io::Result<Deployment> {
     let start = Instant::now();
     let log: Arc<Mutex<Log>> = Arc::default();
     let store = Store::bind()?;
     store.put("op", "config", &config());
     let servers = ["i-7f3a91c2", "i-20c4d9e1"]
         .into_iter()
-        .map(|name| Server::bind(name, behaviour, log.clone(), start))
+        .zip(zones)
+        .map(|(name, zone)| Server::bind(name, zone, behaviour, log.clone(), start))
         .collect::<io::Result<Vec<_>>>()?;
     let servers = Arc::new(servers);
     for server in servers.iter() {
@@ -783,6 +832,10 @@
         thread::spawn(move || {
             for sequence in 2.. {
                 thread::sleep(HEARTBEAT);
+                // What is written while the store is away waits for its return.
+                while store.is_away.load(Relaxed) {
+                    thread::sleep(Duration::from_millis(10));
+                }
                 for server in servers.iter() {
                     store.put("servers", &server.name, &server.record(sequence, "ready"));
                 }
@@ -896,8 +949,13 @@
             callers.push(scope.spawn(move || {
                 let id = format!("filing-{number}");
                 let body = content(1_800);
-                let request =
-                    Request { method: "POST", path: "/pack/a", id: &id, budget_ms: 6_000, body: &body };
+                let request = Request {
+                    method: "POST",
+                    path: "/pack/a",
+                    id: &id,
+                    budget_ms: 6_000,
+                    body: &body,
+                };
                 exchange_on_kept_connection(deployment, &request, pace)
             }));
         }
@@ -963,6 +1021,96 @@
     finish(folder, &deployment, &exchanges, &broken, is_broken)
 }
 
+/// Lets twelve callers send at the same time, each one request. Returns how many got an answer of a
+/// server.
+fn send_together(deployment: &Deployment, round: &str) -> usize {
+    let send = |id: String| {
+        let request =
+            Request { method: "GET", path: "/warm/b", id: &id, budget_ms: 4_000, body: b"" };
+        let Ok(mut reader) = connect(deployment.front.callers) else { return false };
+        reader.get_mut().write_all(&request.bytes()).is_ok()
+            && read_answer(&mut reader, Pace::Full).is_whole()
+    };
+    thread::scope(|scope| {
+        let ids = (0..12).map(|caller| format!("{round}-{caller}"));
+        let callers: Vec<_> = ids.map(|id| scope.spawn(move || send(id))).collect();
+        callers.into_iter().map(|caller| caller.join().unwrap_or(false)).filter(|got| *got).count()
+    })
+}
+
+/// EVAC: a zone is evacuated for the second time right after the store came back from a copy.
+fn evacuated_again(folder: &str, has_trouble: bool) -> io::Result<bool> {
+    const EVACUATION: Duration = Duration::from_millis(5_000);
+    const ROW: &str = "evacuate/getxo-b";
+    let behaviour =
+        Behaviour { read_pause: Duration::ZERO, run: Duration::from_millis(300), pack_bytes: 16 };
+    let deployment = deploy_in(["bilbao-a", "getxo-b"], behaviour, CALI, true)?;
+    let store = &deployment.store;
+    let evacuated = &deployment.servers[1].name;
+    let mut notes = Vec::new();
+    let note = |notes: &mut Vec<String>, text: &str| {
+        notes.push(format!("{:8.3} s  {text}", deployment.start.elapsed().as_secs_f64()));
+    };
+    let arrived = |after: Instant| {
+        let log = deployment.log.lock().unwrap();
+        let late = log.arrivals.iter().filter(|a| a.0 == *evacuated && a.2 > after);
+        late.map(|(_, id, at)| (id.clone(), *at)).collect::<Vec<_>>()
+    };
+    thread::sleep(HEARTBEAT);
+    store.put("op", ROW, "{}");
+    note(&mut notes, "store: accepts the first evacuation of getxo-b");
+    thread::sleep(Duration::from_millis(2_000));
+    let first_in_force = Instant::now();
+    let served = send_together(&deployment, "first");
+    let reached = arrived(first_in_force).len();
+    note(&mut notes, &format!("callers: {served} of 12 served, {reached} in getxo-b"));
+    if served == 0 || reached > 0 {
+        return Err(io::Error::other("the first evacuation is not in force"));
+    }
+    store.remove("op", ROW);
+    note(&mut notes, "store: accepts that the first evacuation is taken back");
+    thread::sleep(Duration::from_millis(6_000));
+    let before = Instant::now();
+    let served = send_together(&deployment, "between");
+    let reached = arrived(before).len();
+    note(&mut notes, &format!("callers: {served} of 12 served, {reached} in getxo-b"));
+    let copy = store.rows.0.lock().unwrap().clone();
+    note(&mut notes, "store: the copy is taken here");
+    thread::sleep(Duration::from_millis(1_000));
+    if has_trouble {
+        store.is_away.store(true, Relaxed);
+        store.rows.1.notify_all();
+        note(&mut notes, "store: away");
+    }
+    thread::sleep(Duration::from_millis(1_000));
+    if has_trouble {
+        store.restore(copy);
+        note(&mut notes, "store: back from the copy, era 2");
+    }
+    // The operator's call, which could not connect while the store was away.
+    store.put("op", ROW, "{}");
+    let acknowledged_at = Instant::now();
+    note(&mut notes, "store: accepts the second evacuation of getxo-b");
+    // The last rounds are sent when the store has been calm for three times `contact`.
+    for (round, wait_ms) in [("5s", 5_400), ("8s", 2_600), ("10s", 2_500), ("12s", 1_500)] {
+        thread::sleep(Duration::from_millis(wait_ms));
+        let served = send_together(&deployment, round);
+        note(&mut notes, &format!("callers: {served} of 12 served"));
+    }
+    let line = |(id, at): &(String, Instant)| {
+        let after_ms = at.duration_since(acknowledged_at).as_millis();
+        format!("{id} reaches {evacuated} {after_ms} ms after the evacuation was accepted")
+    };
+    let broken: Vec<String> = arrived(acknowledged_at + EVACUATION).iter().map(line).collect();
+    for line in deployment.front.log().lines() {
+        if ["evacuation:", "store:"].iter().any(|part| line.contains(part)) {
+            notes.push(format!("instance: {line}"));
+        }
+    }
+    deployment.log.lock().unwrap().lines.splice(0..0, notes);
+    finish(folder, &deployment, &[], &broken, !broken.is_empty())
+}
+
 /// DRAIN: an earlier report of a server that leaves, whose answer was lost, is performed after the report
 /// that it leaves.
 fn late_report(folder: &str, has_trouble: bool) -> io::Result<bool> {
@@ -983,27 +1131,7 @@
             seconds()
         ));
     };
-    // Twelve callers that send at the same time, each one request.
-    let send_together = |round: &str| {
-        thread::scope(|scope| {
-            for caller in 0..12 {
-                let (deployment, id) = (&deployment, format!("{round}-{caller}"));
-                scope.spawn(move || {
-                    let request = Request {
-                        method: "GET",
-                        path: "/warm/b",
-                        id: &id,
-                        budget_ms: 4_000,
-                        body: b"",
-                    };
-                    let Ok(mut reader) = connect(deployment.front.callers) else { return };
-                    if reader.get_mut().write_all(&request.bytes()).is_ok() {
-                        read_answer(&mut reader, Pace::Full);
-                    }
-                });
-            }
-        });
-    };
+    let send_together = |round: &str| send_together(&deployment, round);
     thread::sleep(HEARTBEAT);
     let late_sent_at = Instant::now();
     let lost_sequence = 2;
@@ -1071,6 +1199,7 @@
         "slow-readers" => slow_readers(&folder, has_trouble),
         "slow-uploads-at-stop" => slow_uploads_at_stop(&folder, has_trouble),
         "late-report" => late_report(&folder, has_trouble),
+        "evacuated-again" => evacuated_again(&folder, has_trouble),
         _ => return ExitCode::from(2),
     };
     match held {
