steer: an evacuation set again after a restore counts

Cause: a row that may come from the copy was dropped for good if its removal was known, whichever of the two was older. A server or a configuration is written again or has a version of its own; an evacuation is written once. The log could not tell "never read" from "dropped"; it now says "store: copied row set aside".

Change: the copy keeps the numbers of its rows, so a row above the number of the known removal is newer and counts at once. Held rows limit the version told to peers, as held removals do.

Tests: a_failure_domain_evacuated_again_after_a_restore_is_emptied and an_evacuation_is_not_taken_for_a_relic_by_its_version failed before (5 requests in half a second, 5 s after the return; the second evacuation's end never seen), an_evacuation_that_ended_after_the_copy_stays_ended passed.

--- a/crates/pollenshed/src/steer/apply.rs
+++ b/crates/pollenshed/src/steer/apply.rs
@@ -13,18 +13,31 @@
     time::Instant,
 };
 
-use super::{core::Core, keys, members::MemberRecord, tables::Table};
+use super::{core::Core, keys, members::MemberRecord, reader::RENEWAL_MS, tables::Table};
 
 /// Merges rows into the local copy of a table and applies those that changed.
 pub(super) fn apply_rows(core: &Rc<Core>, table: Table, rows: Vec<Row>) {
     let rows = core.tables.borrow_mut().get_mut(table).merge(table, rows);
+    apply_changed_rows(core, table, &rows);
+}
+
+/// Applies the rows of a copy that are held back, once their writers have had the time to remove
+/// them again.
+pub(super) fn apply_held_rows(core: &Rc<Core>, table: Table) {
+    if !core.store_was_restored_within(RENEWAL_MS) {
+        let rows = core.tables.borrow_mut().get_mut(table).release_held_rows();
+        apply_changed_rows(core, table, &rows);
+    }
+}
+
+fn apply_changed_rows(core: &Rc<Core>, table: Table, rows: &[Row]) {
     if rows.is_empty() {
         return;
     }
     match table {
-        Table::Operator => apply_operator(core, &rows),
-        Table::Servers => apply_servers(core, &rows),
-        Table::Instances => apply_instances(core, &rows),
+        Table::Operator => apply_operator(core, rows),
+        Table::Servers => apply_servers(core, rows),
+        Table::Instances => apply_instances(core, rows),
     }
     core.table_changes.send_modify(|count| *count += 1);
 }
--- a/crates/pollenshed/src/steer/reader.rs
+++ b/crates/pollenshed/src/steer/reader.rs
@@ -3,11 +3,7 @@
 //! Each table is read completely once and then followed by its changes. If the store does not
 //! answer, the last known state stays in force.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    rc::Rc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::Method;
@@ -21,6 +17,10 @@
 /// noticed only after it, so it is below the time limits for changes.
 const OPERATOR_WAIT_MS: u64 = 1_000;
 
+/// Time that the store waits for a change while something is held back, which is due at a time of its
+/// own.
+const HELD_WAIT_MS: u64 = 200;
+
 /// Time that the store waits for a change in the table of instances. Heartbeats bring the same
 /// changes sooner, except for instances that no peer knows yet.
 const INSTANCES_WAIT_MS: u64 = 3_000;
@@ -66,7 +66,7 @@
     let servers_period = Duration::from_millis(MAX_SERVERS_PERIOD_MS.min(max_period_ms as u64));
     loop {
         if !reader.core.must_read_store() {
-            reader.apply_held_removals();
+            reader.apply_held();
             tokio::time::sleep(CHECK_INTERVAL).await;
             continue;
         }
@@ -76,13 +76,14 @@
                 delay = RETRY_DELAY.0;
                 reader.core.store_answered();
                 reader.record_recovery();
-                reader.apply_held_removals();
+                reader.apply_held();
                 if table == Table::Servers {
                     tokio::time::sleep_until(start + servers_period).await;
                 }
             }
             Err(error) => {
                 reader.record_failure(&error);
+                apply::apply_held_rows(&reader.core, table);
                 tokio::time::sleep(delay.mul_f64(0.5 + fastrand::f64())).await;
                 delay = (delay * 2).min(RETRY_DELAY.1);
             }
@@ -147,6 +148,7 @@
 
     async fn read_changes(&mut self, after: StoreVersion) -> Result<(), String> {
         let wait_ms = match self.table {
+            Table::Operator if self.holds_rows() => HELD_WAIT_MS,
             Table::Operator => OPERATOR_WAIT_MS,
             Table::Servers => 0,
             Table::Instances => INSTANCES_WAIT_MS,
@@ -231,14 +233,10 @@
     /// Applies a complete table of `version`. Known rows that it does not contain were removed, or are
     /// not written again yet if the table `is_copy` of an earlier one.
     fn apply_whole_table(&mut self, mut rows: Vec<Row>, version: StoreVersion, is_copy: bool) {
-        let present: BTreeSet<&str> = rows.iter().map(|row| row.key.as_str()).collect();
-        let removed: Vec<Row> = {
-            let tables = self.core.tables.borrow();
-            let keys = tables.get(self.table).keys().filter(|key| !present.contains(key.as_str()));
-            // The removal is later than the row, which may have been the newest of the table. A row
-            // that a peer has told of since is later than `version` and stays.
-            keys.map(|key| Row { key: key.clone(), value: None, version }).collect()
-        };
+        // The removal is later than the row, which may have been the newest of the table. A row that a
+        // peer has told of since is later than `version` and stays.
+        let removed =
+            self.core.tables.borrow().get(self.table).removals_for_whole_table(&rows, version);
         rows.extend(removed);
         self.apply_table_rows(rows, is_copy);
     }
@@ -279,6 +277,16 @@
             || self.core.store_was_restored_within(RENEWAL_MS)
     }
 
+    fn holds_rows(&self) -> bool {
+        !self.held_removals.is_empty() || self.core.tables.borrow().get(self.table).holds_rows()
+    }
+
+    /// Applies what was held back for a time that is over. A removal of a held row comes first.
+    fn apply_held(&mut self) {
+        self.apply_held_removals();
+        apply::apply_held_rows(&self.core, self.table);
+    }
+
     fn apply_held_removals(&mut self) {
         if !self.held_removals.is_empty() && !self.may_have_expired() {
             let held_removals = std::mem::take(&mut self.held_removals).into_values().collect();
--- a/crates/pollenshed/src/steer/tables.rs
+++ b/crates/pollenshed/src/steer/tables.rs
@@ -58,6 +58,9 @@
     pub copied_up_to: StoreVersion,
     /// Version of the first removal that is held back because the row may return.
     pub first_held_removal: Option<StoreVersion>,
+    /// Rows that may come from a copy taken before their known removal, or may be newer than it.
+    /// Their writer removes them again soon in the first case only.
+    held_rows: BTreeMap<String, Row>,
 }
 
 impl TableView {
@@ -72,12 +75,28 @@
         if known.is_some_and(|(version, _)| *version > row.version) {
             return false;
         }
+        if self.held_rows.get(&row.key).is_some_and(|held| held.version <= row.version) {
+            self.held_rows.remove(&row.key);
+        }
         let is_copied = self.is_copied(row.version);
         if let (true, Some((version, old)), Some(new)) = (is_copied, known, &row.value)
             && version.era < row.version.era
-            && takes_back(table, &row.key, old.as_deref(), new)
         {
-            return false;
+            let action = copied_row_action(table, row, new, *version, old.as_deref());
+            if action != CopiedRowAction::Apply {
+                let is_held = action == CopiedRowAction::Hold;
+                log::info!(
+                    "store: copied row set aside; table={} key={} version={} known={version} \
+                     held={is_held}",
+                    table.name(),
+                    row.key,
+                    row.version
+                );
+                if is_held {
+                    self.held_rows.insert(row.key.clone(), row.clone());
+                }
+                return false;
+            }
         }
         let old = known.and_then(|(_, value)| value.as_deref());
         let is_new = match (&row.value, old) {
@@ -91,15 +110,33 @@
                 version.era < row.version.era || self.is_copied(*version)
             });
         if is_new || is_confirmed {
-            let was_removed = known.is_some_and(|(_, value)| value.is_none());
-            self.tombstones -= usize::from(was_removed);
-            self.tombstones += usize::from(row.value.is_none());
-            self.rows.insert(row.key.clone(), (row.version, row.value.clone()));
-            self.drop_tombstones();
+            self.insert(row);
         }
         is_new
     }
 
+    fn insert(&mut self, row: &Row) {
+        let known = self.rows.insert(row.key.clone(), (row.version, row.value.clone()));
+        let was_removed = known.is_some_and(|(_, value)| value.is_none());
+        self.tombstones -= usize::from(was_removed);
+        self.tombstones += usize::from(row.value.is_none());
+        self.drop_tombstones();
+    }
+
+    /// Returns whether rows are held back.
+    pub fn holds_rows(&self) -> bool {
+        !self.held_rows.is_empty()
+    }
+
+    /// Puts the rows into force that are still held back, and returns them.
+    pub fn release_held_rows(&mut self) -> Vec<Row> {
+        let rows: Vec<Row> = std::mem::take(&mut self.held_rows).into_values().collect();
+        for row in &rows {
+            self.insert(row);
+        }
+        rows
+    }
+
     /// Returns whether a row of this version may come from the copy that the store was restored from.
     pub fn is_copied(&self, version: StoreVersion) -> bool {
         version.era == self.copied_up_to.era && version <= self.copied_up_to
@@ -161,8 +198,12 @@
 
     /// Returns the version up to which peers may count the table as known.
     pub fn published_version(&self) -> Option<StoreVersion> {
-        let version = self.version?;
-        Some(self.first_held_removal.map_or(version, |held| version.min(held.predecessor())))
+        let first_held_row = self.held_rows.values().map(|row| row.version).min();
+        let held = [self.first_held_removal, first_held_row].into_iter().flatten();
+        held.map(StoreVersion::predecessor)
+            .chain(self.version)
+            .min()
+            .filter(|_| self.version.is_some())
     }
 
     /// Returns the keys of the rows that exist.
@@ -177,14 +218,18 @@
         after >= self.removals_known_since.min(published)
     }
 
-    /// Returns the removals of all rows that a whole table of a peer lacks. `version` is the version
-    /// up to which the peer knows the table; later rows stay.
+    /// Returns the removals of all rows that a whole table of the store or of a peer lacks. `version`
+    /// is the version up to which the table is known there; later rows stay.
     pub fn removals_for_whole_table(&self, rows: &[Row], version: StoreVersion) -> Vec<Row> {
         let present: BTreeSet<&str> = rows.iter().map(|row| row.key.as_str()).collect();
-        let missing = self.rows.iter().filter(|(key, (known, value))| {
-            value.is_some() && *known <= version && !present.contains(key.as_str())
-        });
-        missing.map(|(key, _)| Row { key: key.clone(), value: None, version }).collect()
+        let known = self.rows.iter().filter(|(_, (_, value))| value.is_some());
+        let known = known.map(|(key, (known, _))| (key, *known));
+        let held = self.held_rows.iter().map(|(key, row)| (key, row.version));
+        known
+            .chain(held)
+            .filter(|(key, known)| *known <= version && !present.contains(key.as_str()))
+            .map(|(key, _)| Row { key: key.clone(), value: None, version })
+            .collect()
     }
 
     fn drop_tombstones(&mut self) {
@@ -199,30 +244,51 @@
     }
 }
 
-/// Returns whether a row of a copy takes back what was written later. `old` is the known value, `None`
-/// if the row is known to be removed.
-fn takes_back(table: Table, key: &str, old: Option<&[u8]>, copied: &[u8]) -> bool {
-    match (table, old) {
+/// What happens to a row that may come from a copy if the row is known in an earlier era.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CopiedRowAction {
+    Apply,
+    /// It takes back what was written later. If it is new, its writer writes it again.
+    Drop,
+    /// It may take back a removal, or may be new and is not written again then.
+    Hold,
+}
+
+/// Returns what happens to a row with the value `copied`. `old` is the value known at `old_version`,
+/// `None` if the row is known to be removed.
+fn copied_row_action(
+    table: Table,
+    row: &Row,
+    copied: &[u8],
+    old_version: StoreVersion,
+    old: Option<&[u8]>,
+) -> CopiedRowAction {
+    let takes_back = match (table, old) {
         (Table::Servers, None) => true,
         (Table::Servers, Some(old)) => {
-            let (Some(old), Some(copied)) =
-                (servers::decode(key, old), servers::decode(key, copied))
-            else {
-                return false;
-            };
-            copied.started_at_ms < old.started_at_ms
-                || (copied.started_at_ms == old.started_at_ms
-                    && (old.state, copied.state) == (ServerState::Draining, ServerState::Ready))
+            match (servers::decode(&row.key, old), servers::decode(&row.key, copied)) {
+                (Some(old), Some(copied)) => {
+                    copied.started_at_ms < old.started_at_ms
+                        || (copied.started_at_ms == old.started_at_ms
+                            && (old.state, copied.state)
+                                == (ServerState::Draining, ServerState::Ready))
+                }
+                _ => false,
+            }
         }
-        (Table::Operator, Some(old)) if key == store::CONFIG_KEY => {
+        (Table::Operator, Some(old)) if row.key == store::CONFIG_KEY => {
             match (config::decode(old), config::decode(copied)) {
                 (Ok(old), Ok(copied)) => copied.version < old.version,
                 (old, _) => old.is_ok(),
             }
         }
-        (Table::Operator, old) => old.is_none(),
-        (Table::Instances, _) => false,
-    }
+        // The copy keeps the numbers, so a higher one is that of a later write.
+        (Table::Operator, None) if row.version.number <= old_version.number => {
+            return CopiedRowAction::Hold;
+        }
+        (Table::Operator | Table::Instances, _) => false,
+    };
+    if takes_back { CopiedRowAction::Drop } else { CopiedRowAction::Apply }
 }
 
 fn is_equivalent(table: Table, key: &str, old: &[u8], new: &[u8]) -> bool {
--- a/crates/pollenshed/tests/steer_restored.rs
+++ b/crates/pollenshed/tests/steer_restored.rs
@@ -179,6 +179,98 @@
     });
 }
 
+/// Time within which a failure domain is empty after its evacuation was confirmed, as on the users'
+/// platform.
+const EVACUATION: Duration = Duration::from_millis(5_000);
+
+/// Evacuates a failure domain or takes its evacuation back, and waits until `instance` knows.
+fn set_evacuated(fleet: &Fleet, instance: usize, is_evacuated: bool) {
+    let changes = || fleet.instances[instance].log().matches("evacuation: changed").count();
+    let known = changes();
+    if is_evacuated {
+        fleet.store.put("op", "evacuate/palermo-b", b"{}");
+    } else {
+        fleet.store.remove("op", "evacuate/palermo-b");
+    }
+    wait_for("the evacuation", || (changes() > known).then_some(()));
+}
+
+/// Checks that no instance sends to `palermo-b`, where server 1 is, although it is used otherwise.
+fn expect_evacuated(fleet: &Fleet) {
+    let start = Instant::now();
+    for instance in &fleet.instances {
+        let statuses = read_until(instance, 2, start + Duration::from_millis(500));
+        expect_that!(statuses, each(eq(&200)));
+    }
+    expect_that!(arrivals_since(fleet, 1, start), eq(0));
+}
+
+/// Guards against an evacuation that is ignored for good because it was set and ended before the
+/// store came back from a copy, and set again before an instance read the copy.
+#[googletest::test]
+fn a_failure_domain_evacuated_again_after_a_restore_is_emptied() {
+    let fleet = fleet_in(&["palermo-a", "palermo-b"], &["palermo-a", "catania-a"]);
+    put_config(&fleet, 2);
+    wait_until_in_force(&fleet, 2);
+    set_evacuated(&fleet, 0, true);
+    set_evacuated(&fleet, 0, false);
+    let copy = fleet.store.copy();
+    fleet.store_endpoint.set_fault(EndpointFault::Busy);
+    thread::sleep(Duration::from_millis(500));
+    fleet.store.restore(&copy);
+    fleet.store.put("op", "evacuate/palermo-b", b"{}");
+    fleet.store_endpoint.set_fault(EndpointFault::None);
+    thread::sleep(EVACUATION);
+    expect_evacuated(&fleet);
+}
+
+/// Guards against an evacuation that is ignored for good because the restored store gives it a
+/// version below that of an end which it has lost.
+#[googletest::test]
+fn an_evacuation_is_not_taken_for_a_relic_by_its_version() {
+    let fleet = fleet_in(&["palermo-a", "palermo-b"], &["palermo-a", "catania-a"]);
+    put_config(&fleet, 2);
+    wait_until_in_force(&fleet, 2);
+    let copy = fleet.store.copy();
+    set_evacuated(&fleet, 0, true);
+    for _ in 0..20 {
+        fleet.store.put("other", "row", b"");
+    }
+    set_evacuated(&fleet, 0, false);
+    fleet.store_endpoint.set_fault(EndpointFault::Busy);
+    thread::sleep(Duration::from_millis(500));
+    fleet.store.restore(&copy);
+    fleet.store.put("op", "evacuate/palermo-b", b"{}");
+    fleet.store_endpoint.set_fault(EndpointFault::None);
+    thread::sleep(EVACUATION);
+    expect_evacuated(&fleet);
+    // What the copy has brought back can still be taken back.
+    set_evacuated(&fleet, 0, false);
+}
+
+/// Guards against a failure domain that loses its requests because a copy brings back an evacuation
+/// that has ended, until the operator has ended it again.
+#[googletest::test]
+fn an_evacuation_that_ended_after_the_copy_stays_ended() {
+    let fleet = fleet_in(&["palermo-a", "palermo-b"], &["palermo-a", "catania-a"]);
+    set_evacuated(&fleet, 0, true);
+    let copy = fleet.store.copy();
+    set_evacuated(&fleet, 0, false);
+    let changes = || {
+        let count = |i: &Instance| i.log().matches("evacuation: changed").count();
+        fleet.instances.iter().map(count).sum::<usize>()
+    };
+    wait_for("the end of the evacuation", || (changes() == 4).then_some(()));
+    restore(&fleet, &copy);
+    for instance in &fleet.instances {
+        wait_for("the restore", || instance.log().contains("restored from a copy").then_some(()));
+    }
+    thread::sleep(Duration::from_millis(1_000));
+    fleet.store.remove("op", "evacuate/palermo-b");
+    thread::sleep(Duration::from_millis(2_500));
+    expect_that!(changes(), eq(4));
+}
+
 /// Guards against rows of the instances that stay lost in a restored store, so that instances which
 /// start later find no others.
 #[googletest::test]
--- a/crates/pollenshed/tests/steer_tables.rs
+++ b/crates/pollenshed/tests/steer_tables.rs
@@ -196,6 +196,61 @@
     }
 }
 
+/// Returns a copy of the operator's table that knows the end of an evacuation at version 60 of the era
+/// before and holds back a row that the restored store has brought at version 10.
+fn view_with_held_evacuation() -> TableView {
+    let mut view = TableView::default();
+    view.merge(Table::Operator, vec![evacuation(None, at(60))]);
+    view.record_copy(restored_at(70));
+    expect_that!(
+        view.merge(Table::Operator, vec![evacuation(Some(b"{}"), restored_at(10))]),
+        is_empty()
+    );
+    view.version = Some(restored_at(70));
+    view
+}
+
+fn evacuation(value: Option<&'static [u8]>, version: StoreVersion) -> Row {
+    Row { key: "evacuate/palermo-a".to_owned(), value: value.map(Into::into), version }
+}
+
+/// Guards against an evacuation that is dropped for good because it may be older than the end that is
+/// known of it, and against one that is held back although it is newer.
+#[googletest::test]
+fn an_evacuation_of_a_copy_is_held_until_its_end_is_written_again() {
+    let mut view = view_with_held_evacuation();
+    // Followers must not get past the row before it counts.
+    expect_that!(view.published_version(), some(eq(restored_at(9))));
+    expect_that!(
+        view.release_held_rows(),
+        elements_are![eq(&evacuation(Some(b"{}"), restored_at(10)))]
+    );
+    expect_that!(view.value("evacuate/palermo-a"), some(anything()));
+    expect_that!(view.published_version(), some(eq(restored_at(70))));
+    expect_that!(view.holds_rows(), eq(false));
+
+    // Ended again, in a change or in a whole table.
+    let mut view = view_with_held_evacuation();
+    view.merge(Table::Operator, vec![evacuation(None, restored_at(71))]);
+    expect_that!(view.release_held_rows(), is_empty());
+    let mut view = view_with_held_evacuation();
+    let removals = view.removals_for_whole_table(&[], restored_at(70));
+    view.merge(Table::Operator, removals);
+    expect_that!(view.release_held_rows(), is_empty());
+
+    // Set again, in a row that can't be of the copy.
+    let mut view = view_with_held_evacuation();
+    let later = vec![evacuation(Some(b"{}"), restored_at(71))];
+    expect_that!(view.merge(Table::Operator, later).len(), eq(1));
+    expect_that!(view.holds_rows(), eq(false));
+
+    let mut view = TableView::default();
+    view.merge(Table::Operator, vec![evacuation(None, at(60))]);
+    view.record_copy(restored_at(70));
+    let newer = vec![evacuation(Some(b"{}"), restored_at(61))];
+    expect_that!(view.merge(Table::Operator, newer).len(), eq(1));
+}
+
 /// Guards against an instance that does not use a server again which its peers know to live.
 #[googletest::test]
 fn peers_learn_that_a_copied_row_was_written_again() {
