steer: a late heartbeat brings no leaving instance back

The latest to arrive counted, so an instance in a planned stop, or one that has ended, was named to callers again by a heartbeat that it had sent before.

Change: heartbeats carry a number already; one below the latest known number of its run is ignored, and a run takes no planned stop back.

--- a/crates/pollenshed/src/steer/gossip.rs
+++ b/crates/pollenshed/src/steer/gossip.rs
@@ -493,6 +493,9 @@
         callers_address: heartbeat.callers_address.parse().ok()?,
         peer_address: heartbeat.peer_address.parse().ok()?,
     };
+    if core.members.borrow().is_late(&record, heartbeat.beat) {
+        return Some(false);
+    }
     let now = core.now();
     let instance = record.instance.clone();
     let state = PeerState {
--- a/crates/pollenshed/src/steer/members.rs
+++ b/crates/pollenshed/src/steer/members.rs
@@ -64,6 +64,8 @@
     pub store_answered_ms: u64,
     /// Silence after which callers are no longer sent to the peer.
     pub max_silence_ms: u64,
+    /// Number of the latest heartbeat in the run of the peer.
+    pub beat: u64,
 }
 
 impl Member {
@@ -145,6 +147,7 @@
                     store_healthy: false,
                     store_answered_ms: 0,
                     max_silence_ms: 0,
+                    beat: 0,
                 };
                 self.by_key.insert(process_key(&member.record), member.record.instance.clone());
                 match known {
@@ -174,20 +177,32 @@
         }
     }
 
-    /// Records a heartbeat. Returns whether the peer was silent before.
+    /// Returns whether a heartbeat was sent before the latest known one of the same run. The network
+    /// may deliver it later.
+    pub fn is_late(&self, record: &MemberRecord, beat: u64) -> bool {
+        let known = self.peers.get(&record.instance).filter(|member| member.record == *record);
+        known.is_some_and(|member| beat < member.beat)
+    }
+
+    /// Records a heartbeat, unless it is late. Returns whether the peer was silent before.
     pub fn record_heartbeat(
         &mut self,
         record: MemberRecord,
         state: PeerState,
         now: Instant,
     ) -> bool {
+        if self.is_late(&record, state.beat) {
+            return false;
+        }
         let name = record.instance.clone();
         self.record_announcement(record, now);
         let Some(member) = self.peers.get_mut(&name) else { return false };
         let was_live = member.is_live(now);
         member.last_heartbeat_at = Some(now);
         self.relay.record(process_key(&member.record), state.beat, now);
-        member.leaving = state.leaving;
+        member.beat = state.beat;
+        // A run takes no planned stop back, and several heartbeats have the same number.
+        member.leaving |= state.leaving;
         member.ready = state.ready;
         member.store_healthy = state.store_healthy;
         member.store_answered_ms = state.store_answered_ms;
@@ -210,6 +225,7 @@
                 continue;
             }
             member.last_heartbeat_at = Some(now);
+            member.beat = member.beat.max(relayed.beat);
             member.leaving |= relayed.leaving;
             member.ready = relayed.ready;
             member.store_healthy = relayed.store_healthy;
--- a/crates/pollenshed/src/steer/mod.rs
+++ b/crates/pollenshed/src/steer/mod.rs
@@ -18,7 +18,7 @@
 mod keys;
 mod large_answers;
 mod lookup;
-mod members;
+pub mod members;
 mod peer_view;
 mod pipelining;
 mod reader;
