steer: a late configuration is not passed on

An instance ignored a configuration below the version in force, but kept it as the row of its table, so an instance that started then got the older one from its peers and answered 404 on routes that had been confirmed.

Cause: as for announcements, rows were ordered by the store's version alone.

Change: the order of writes covers configurations too: a row below the known version of the document is ignored. The log line is now "store: late write ignored" for both.

--- a/crates/pollenshed/src/steer/apply.rs
+++ b/crates/pollenshed/src/steer/apply.rs
@@ -9,11 +9,17 @@
 };
 use pollenshed_state::{
     ids::BackendServerName,
-    routes::{AnnouncementOrder, RoutePlan, ServerRecord, ServerState},
+    routes::{RoutePlan, ServerRecord, ServerState},
     time::Instant,
 };
 
-use super::{core::Core, keys, members::MemberRecord, reader::RENEWAL_MS, tables::Table};
+use super::{
+    core::Core,
+    keys,
+    members::MemberRecord,
+    reader::RENEWAL_MS,
+    tables::{Table, WriteOrder},
+};
 
 /// Merges rows into the local copy of a table and applies those that changed.
 pub(super) fn apply_rows(core: &Rc<Core>, table: Table, rows: Vec<Row>) {
@@ -46,8 +52,8 @@
 pub struct PeerChanges {
     /// Rows and tombstones.
     pub rows: Vec<Row>,
-    /// Latest announcements of the backend servers among `rows` that were removed.
-    pub announced: Vec<(String, AnnouncementOrder)>,
+    /// Latest writes of the rows that were removed.
+    pub written: Vec<(String, WriteOrder)>,
     /// Version up to which the peer knows the table. `None` if it has not read the table yet.
     pub version: Option<StoreVersion>,
     /// Version up to which rows may come from the copy that the store was restored from.
@@ -58,7 +64,7 @@
 
 /// Merges the changes of a peer into the local copy of a table and applies those that are new.
 pub fn apply_peer_changes(core: &Rc<Core>, table: Table, changes: PeerChanges) {
-    let PeerChanges { mut rows, announced, version, copied_up_to, whole_since } = changes;
+    let PeerChanges { mut rows, written, version, copied_up_to, whole_since } = changes;
     if let Some(version) = version {
         core.record_store_era(version.era);
     }
@@ -87,8 +93,8 @@
     apply_rows(core, table, rows);
     let mut tables = core.tables.borrow_mut();
     let view = tables.get_mut(table);
-    for (key, announced) in announced {
-        view.record_announced(&key, Some(announced));
+    for (key, written) in written {
+        view.record_written(&key, Some(written));
     }
     view.version = view.version.max(version);
 }
--- a/crates/pollenshed/src/steer/peer_view.rs
+++ b/crates/pollenshed/src/steer/peer_view.rs
@@ -11,7 +11,6 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use pollenshed_platform::store::{Row, StoreEra, StoreVersion};
-use pollenshed_state::routes::AnnouncementOrder;
 use pollenshed_transport::{call::HttpClient, forward::ResponseBody};
 use prost::Message;
 use tokio::time::timeout;
@@ -21,7 +20,7 @@
     core::Core,
     homes::{self, ClaimList},
     lookup::empty_response,
-    tables::Table,
+    tables::{Table, WriteOrder},
 };
 
 /// Path of the call that returns changes.
@@ -108,15 +107,15 @@
     version: u64,
     #[prost(uint64, optional, tag = "4")]
     era: Option<u64>,
-    /// Latest announcement of a backend server whose row was removed.
+    /// Latest write of a row that was removed.
     #[prost(message, optional, tag = "5")]
-    announced: Option<Announced>,
+    written: Option<Written>,
 }
 
-/// Position of an announcement, see [`AnnouncementOrder`].
+/// See [`WriteOrder`].
 #[derive(Clone, Copy, PartialEq)]
 #[derive(Message)]
-struct Announced {
+struct Written {
     #[prost(uint64, tag = "1")]
     started_at_ms: u64,
     #[prost(uint64, tag = "2")]
@@ -263,16 +262,15 @@
         let is_whole = after.is_some_and(|after| !view.knows_removals_since(after));
         let rows = view.changes(after.filter(|_| !is_whole).unwrap_or_default()).into_iter();
         let rows = rows.map(|row| {
-            let announced = view.announced(&row.key).filter(|_| row.value.is_none());
-            let announced = announced.map(|AnnouncementOrder { started_at_ms, sequence }| {
-                Announced { started_at_ms, sequence }
-            });
+            let written = view.written(&row.key).filter(|_| row.value.is_none());
+            let written = written
+                .map(|WriteOrder { started_at_ms, sequence }| Written { started_at_ms, sequence });
             ChangedRow {
                 key: row.key,
                 value: row.value,
                 version: row.version.number,
                 era: Some(row.version.era.0),
-                announced,
+                written,
             }
         });
         let version = view.published_version();
@@ -399,11 +397,11 @@
         // A peer of a build without eras has rows of the era that is known here.
         let era = |era: Option<u64>| era.map_or(core.current_era(), StoreEra);
         let version = |number, number_era| StoreVersion { era: era(number_era), number };
-        let announced = changes.rows.iter().filter_map(|row| {
-            let Announced { started_at_ms, sequence } = row.announced?;
-            Some((row.key.clone(), AnnouncementOrder { started_at_ms, sequence }))
+        let written = changes.rows.iter().filter_map(|row| {
+            let Written { started_at_ms, sequence } = row.written?;
+            Some((row.key.clone(), WriteOrder { started_at_ms, sequence }))
         });
-        let announced = announced.collect();
+        let written = written.collect();
         let mut rows: Vec<Row> = changes
             .rows
             .into_iter()
@@ -424,7 +422,7 @@
             changes.removals_known_since.map(|number| version(number, changes.removals_era));
         let changes = PeerChanges {
             rows,
-            announced,
+            written,
             version: known_version,
             copied_up_to: changes.copied_up_to.map(|number| version(number, changes.era)),
             whole_since: since.or(known_version).filter(|_| is_whole),
--- a/crates/pollenshed/src/steer/reader.rs
+++ b/crates/pollenshed/src/steer/reader.rs
@@ -14,7 +14,7 @@
 use super::{
     apply,
     core::Core,
-    tables::{self, Table},
+    tables::{Table, WriteOrder},
 };
 
 /// Time that the store waits for a change in the operator's table. A connection that went silent is
@@ -259,7 +259,7 @@
                 // A record that expired during the outage is written again soon.
                 self.held_removals.insert(row.key.clone(), row);
             } else {
-                if !self.is_outdated(&row) {
+                if self.held_removals.contains_key(&row.key) && !self.is_outdated(&row) {
                     self.held_removals.remove(&row.key);
                 }
                 applied.push(row);
@@ -269,10 +269,10 @@
         apply::apply_rows(&self.core, self.table, applied);
     }
 
-    /// Returns whether the row holds an earlier announcement of a backend server than the known one.
+    /// Returns whether the writer of the row is known to have written it later.
     fn is_outdated(&self, row: &Row) -> bool {
-        let announced = tables::server_record(self.table, row).and_then(|record| record.order());
-        self.core.tables.borrow().get(self.table).is_outdated(&row.key, announced)
+        let written = WriteOrder::of_row(self.table, row);
+        self.core.tables.borrow().get(self.table).is_outdated(&row.key, written)
     }
 
     /// Publishes only versions before the first held removal to peers, which would miss it
--- a/crates/pollenshed/src/steer/tables.rs
+++ b/crates/pollenshed/src/steer/tables.rs
@@ -7,7 +7,7 @@
     config, servers,
     store::{self, Row, StoreVersion},
 };
-use pollenshed_state::routes::{AnnouncementOrder, ServerRecord, ServerState};
+use pollenshed_state::routes::{ServerRecord, ServerState};
 
 /// Table in which the instances register.
 pub const INSTANCES_TABLE: &str = "instances";
@@ -41,15 +41,47 @@
     }
 }
 
+/// Position of a row in the order in which its writer wrote it. The store may perform the writes in
+/// another order: a call that got no answer may still be performed after later ones.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct WriteOrder {
+    /// Start time of the writer in milliseconds of its own clock, 0 for a writer whose numbers go on
+    /// over its restarts.
+    pub started_at_ms: u64,
+    /// Number of the write.
+    pub sequence: u64,
+}
+
+impl WriteOrder {
+    /// Returns the position of a server's announcement, or `None` if it does not tell its run. The
+    /// sequence numbers of different runs can't be compared.
+    fn of_server(record: &ServerRecord) -> Option<WriteOrder> {
+        let ServerRecord { started_at_ms, sequence, .. } = *record;
+        (started_at_ms > 0).then_some(WriteOrder { started_at_ms, sequence })
+    }
+
+    /// Returns the position of a row, or `None` if nothing in it tells the order.
+    pub fn of_row(table: Table, row: &Row) -> Option<WriteOrder> {
+        let value = row.value.as_deref()?;
+        match table {
+            Table::Servers => WriteOrder::of_server(&servers::decode(&row.key, value)?),
+            Table::Operator if row.key == store::CONFIG_KEY => {
+                let sequence = config::decode(value).ok()?.version.0;
+                Some(WriteOrder { started_at_ms: 0, sequence })
+            }
+            Table::Operator | Table::Instances => None,
+        }
+    }
+}
+
 /// What is known of a row.
 #[derive(Debug)]
 struct KnownRow {
     version: StoreVersion,
     /// `None` if the row was removed.
     value: Option<Bytes>,
-    /// Latest announcement of a backend server, also if it changed nothing else or the row was
-    /// removed since.
-    announced: Option<AnnouncementOrder>,
+    /// Latest known write, also if it changed nothing else or the row was removed since.
+    written: Option<WriteOrder>,
 }
 
 /// Local copy of one table.
@@ -86,11 +118,11 @@
         if known.is_some_and(|known| known.version > row.version) {
             return false;
         }
-        let record = server_record(table, row);
-        let announced = record.as_ref().and_then(ServerRecord::order);
-        if self.is_outdated(&row.key, announced) {
+        let written = WriteOrder::of_row(table, row);
+        if self.is_outdated(&row.key, written) {
             log::info!(
-                "servers: late announcement ignored; server={} version={}",
+                "store: late write ignored; table={} key={} version={}",
+                table.name(),
                 row.key,
                 row.version
             );
@@ -122,7 +154,7 @@
         let old = known.and_then(|known| known.value.as_deref());
         let is_new = match (&row.value, old) {
             (None, old) => old.is_some() || known.is_none(),
-            (Some(new), Some(old)) => !is_equivalent(table, &row.key, old, new, record),
+            (Some(new), Some(old)) => !is_equivalent(table, &row.key, old, new),
             (Some(_), None) => true,
         };
         // Peers that know more than the copy accept the row only with a later version.
@@ -133,38 +165,36 @@
         if is_new || is_confirmed {
             self.insert(row);
         }
-        self.record_announced(&row.key, announced);
+        self.record_written(&row.key, written);
         is_new
     }
 
     fn insert(&mut self, row: &Row) {
         let known = self.rows.get(&row.key);
         let was_removed = known.is_some_and(|known| known.value.is_none());
-        let announced = known.and_then(|known| known.announced);
-        let new = KnownRow { version: row.version, value: row.value.clone(), announced };
+        let written = known.and_then(|known| known.written);
+        let new = KnownRow { version: row.version, value: row.value.clone(), written };
         self.rows.insert(row.key.clone(), new);
         self.tombstones -= usize::from(was_removed);
         self.tombstones += usize::from(row.value.is_none());
         self.drop_tombstones();
     }
 
-    /// Returns whether a row of a backend server holds an earlier announcement than the latest known
-    /// one. A call that got no answer may still be performed after later ones.
-    pub fn is_outdated(&self, key: &str, announced: Option<AnnouncementOrder>) -> bool {
-        let known = self.rows.get(key).and_then(|known| known.announced);
-        announced.zip(known).is_some_and(|(announced, known)| announced < known)
+    /// Returns whether the writer of a row is known to have written it later than at `written`.
+    pub fn is_outdated(&self, key: &str, written: Option<WriteOrder>) -> bool {
+        written.zip(self.written(key)).is_some_and(|(written, known)| written < known)
     }
 
-    /// Records an announcement of a backend server whose row is known, unless a later one is known.
-    pub fn record_announced(&mut self, key: &str, announced: Option<AnnouncementOrder>) {
+    /// Records a write of a known row, unless a later one is known.
+    pub fn record_written(&mut self, key: &str, written: Option<WriteOrder>) {
         if let Some(known) = self.rows.get_mut(key) {
-            known.announced = known.announced.max(announced);
+            known.written = known.written.max(written);
         }
     }
 
-    /// Returns the latest announcement of a backend server whose row is known.
-    pub fn announced(&self, key: &str) -> Option<AnnouncementOrder> {
-        self.rows.get(key)?.announced
+    /// Returns the latest known write of a row.
+    pub fn written(&self, key: &str) -> Option<WriteOrder> {
+        self.rows.get(key)?.written
     }
 
     /// Returns whether rows are held back.
@@ -314,10 +344,7 @@
             }
         }
         (Table::Operator, Some(old)) if row.key == store::CONFIG_KEY => {
-            match (config::decode(old), config::decode(copied)) {
-                (Ok(old), Ok(copied)) => copied.version < old.version,
-                (old, _) => old.is_ok(),
-            }
+            config::decode(old).is_ok() && config::decode(copied).is_err()
         }
         // The copy keeps the numbers, so a higher one is that of a later write.
         (Table::Operator, None) if row.version.number <= known.version.number => {
@@ -328,26 +355,14 @@
     if takes_back { CopiedRowAction::Drop } else { CopiedRowAction::Apply }
 }
 
-/// Returns the announcement in a row of the backend servers' table.
-pub(super) fn server_record(table: Table, row: &Row) -> Option<ServerRecord> {
-    let value = row.value.as_deref().filter(|_| table == Table::Servers)?;
-    servers::decode(&row.key, value)
-}
-
-fn is_equivalent(
-    table: Table,
-    key: &str,
-    old: &[u8],
-    new: &[u8],
-    new_record: Option<ServerRecord>,
-) -> bool {
+fn is_equivalent(table: Table, key: &str, old: &[u8], new: &[u8]) -> bool {
     if old == new {
         return true;
     }
     if table != Table::Servers {
         return false;
     }
-    match (servers::decode(key, old), new_record) {
+    match (servers::decode(key, old), servers::decode(key, new)) {
         (Some(mut old), Some(new)) => {
             old.sequence = new.sequence;
             old == new && new.cold_remaining_ms == 0
--- a/crates/state/src/routes/mod.rs
+++ b/crates/state/src/routes/mod.rs
@@ -12,5 +12,5 @@
 pub use plan::{
     CallerLimits, Destination, MatchError, Repeatability, Route, RoutePlan, RouteRank, ServiceRules,
 };
-pub use server::{AnnouncementOrder, ServerRecord, ServerState};
+pub use server::{ServerRecord, ServerState};
 pub use workspace::{KeyDigest, Workspace, WorkspaceLimit, Workspaces};
--- a/crates/state/src/routes/server.rs
+++ b/crates/state/src/routes/server.rs
@@ -41,24 +41,3 @@
     /// Sequence number of the announcement since the start.
     pub sequence: u64,
 }
-
-/// Position of an announcement in the order in which a backend server made them. The store may
-/// perform them in another order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-#[derive(Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub struct AnnouncementOrder {
-    /// Start time of the run in milliseconds of the server's own clock.
-    pub started_at_ms: u64,
-    /// Sequence number in the run.
-    pub sequence: u64,
-}
-
-impl ServerRecord {
-    /// Returns the position of the announcement, or `None` if it does not tell its run. The sequence
-    /// numbers of different runs can't be compared.
-    pub fn order(&self) -> Option<AnnouncementOrder> {
-        let ServerRecord { started_at_ms, sequence, .. } = *self;
-        (started_at_ms > 0).then_some(AnnouncementOrder { started_at_ms, sequence })
-    }
-}
