steer: one caller's connection holds at most a ninth of the body budget

Seen: a_body_without_end_is_cut_off_at_the_deadline failed on x86-64 with nothing beside.

Cause: an answer without end is read as fast as memory allows, up to an eighth of a quarter of the memory for one connection, which is 8.1 MiB of 260 MB before the buffers around it. The bound leaves no room for that.

Change: the part of one connection is .11 of the budget, 7.2 MiB of 260 MB.

--- a/crates/coordination/src/steering/body_budget.rs
+++ b/crates/coordination/src/steering/body_budget.rs
@@ -24,7 +24,7 @@
 const ADMITTED_RATIO: f64 = 0.4;
 
 /// Part of the budget that the answers on one connection of a caller may take.
-const CONNECTION_RATIO: f64 = 0.125;
+const CONNECTION_RATIO: f64 = 0.11;
 
 /// Longest time for which an answer is not read. A server cuts off an answer that stays unread for
 /// some seconds, so it has to see progress sooner.
