caller: limit the size of answers

Reported by other operators: bytes without end from a faulty backend filled the memory of the machine that had called it.

Cause here: the callers' library read the body of an answer without a limit, of requests and of lookups, until the attempt's timeout.

Lookups have 1 MiB.

--- a/crates/caller/src/exchange.rs
+++ b/crates/caller/src/exchange.rs
@@ -26,6 +26,8 @@
     /// `None` for a method without a body.
     pub body: Option<&'a [u8]>,
     pub timeout: Duration,
+    /// Largest body of the answer.
+    pub max_answer_bytes: u64,
 }
 
 /// The result of one request.
@@ -53,6 +55,17 @@
 pub(crate) enum NoAnswer {
     Unreachable(String),
     Lost(String),
+    /// The body exceeds [`Exchange::max_answer_bytes`]. The rest is not read.
+    TooLarge(String),
+}
+
+impl NoAnswer {
+    /// Returns the reason as a text.
+    pub fn into_text(self) -> String {
+        match self {
+            NoAnswer::Unreachable(e) | NoAnswer::Lost(e) | NoAnswer::TooLarge(e) => e,
+        }
+    }
 }
 
 impl RawAnswer {
@@ -81,6 +94,7 @@
             Ok(raw) => parse_reply(raw),
             Err(NoAnswer::Unreachable(e)) => Reply::Unreachable(e),
             Err(NoAnswer::Lost(e)) => Reply::Lost(e),
+            Err(NoAnswer::TooLarge(e)) => Reply::Unknown(Failure::local("answer-too-large", e)),
         }
     }
 
@@ -92,7 +106,7 @@
             builder = builder.header(*name, value);
         }
         let mut answer = self.call(agent, builder).map_err(|e| classify_error(&e))?;
-        read_answer(&mut answer, self.method == "HEAD")
+        read_answer(&mut answer, self.method == "HEAD", self.max_answer_bytes)
     }
 
     fn call(&self, agent: &Agent, builder: Builder) -> Result<Response<Body>, ureq::Error> {
@@ -110,7 +124,11 @@
     }
 }
 
-fn read_answer(answer: &mut Response<Body>, is_head: bool) -> Result<RawAnswer, NoAnswer> {
+fn read_answer(
+    answer: &mut Response<Body>,
+    is_head: bool,
+    max_bytes: u64,
+) -> Result<RawAnswer, NoAnswer> {
     let status = answer.status().as_u16();
     let headers = answer
         .headers()
@@ -119,8 +137,12 @@
         .collect();
     let announced_bytes = answer.body().content_length();
     let mut body = Vec::new();
-    let mut reader = answer.body_mut().with_config().limit(u64::MAX).reader();
-    reader.read_to_end(&mut body).map_err(|e| NoAnswer::Lost(e.to_string()))?;
+    let reader = answer.body_mut().with_config().limit(u64::MAX).reader();
+    let read = reader.take(max_bytes.saturating_add(1)).read_to_end(&mut body);
+    read.map_err(|e| NoAnswer::Lost(e.to_string()))?;
+    if body.len() as u64 > max_bytes {
+        return Err(NoAnswer::TooLarge(format!("the answer has more than {max_bytes} bytes")));
+    }
     if !is_head && announced_bytes.is_some_and(|n| n != body.len() as u64) {
         return Err(NoAnswer::Lost(
             "the answer body is shorter than its content-length".to_owned(),
--- a/crates/caller/src/lookup.rs
+++ b/crates/caller/src/lookup.rs
@@ -12,6 +12,9 @@
 
 use crate::{Failure, exchange::Exchange};
 
+/// Largest answer to a lookup. It lists the entries of one service.
+const MAX_LOOKUP_BYTES: u64 = 1024 * 1024;
+
 /// A lookup answer and its expiry time.
 #[derive(Clone)]
 struct Cached {
@@ -112,13 +115,18 @@
     timeout: Duration,
 ) -> Result<LookupAnswer, Failure> {
     let path = format!("/v1/lookup?service={service}");
-    let exchange =
-        Exchange { method: "GET", entry: source, path: &path, headers: &[], body: None, timeout };
-    let raw = exchange.send(agent).map_err(|e| match e {
-        crate::exchange::NoAnswer::Unreachable(e) | crate::exchange::NoAnswer::Lost(e) => {
-            Failure::local("unreachable", format!("{source}: {e}"))
-        }
-    })?;
+    let exchange = Exchange {
+        method: "GET",
+        entry: source,
+        path: &path,
+        headers: &[],
+        body: None,
+        timeout,
+        max_answer_bytes: MAX_LOOKUP_BYTES,
+    };
+    let raw = exchange
+        .send(agent)
+        .map_err(|e| Failure::local("unreachable", format!("{source}: {}", e.into_text())))?;
     if raw.status != 200 {
         return Err(raw.failure());
     }
--- a/crates/caller/src/options.rs
+++ b/crates/caller/src/options.rs
@@ -20,6 +20,9 @@
     pub initial_backoff: Duration,
     /// Longest pause between attempts, unless an entry asked for a longer one.
     pub max_backoff: Duration,
+    /// Largest body of an answer in bytes. Whole answers are kept in memory, and one that is larger
+    /// ends with the reason `answer-too-large`.
+    pub max_answer_bytes: u64,
 }
 
 impl Default for Options {
@@ -32,6 +35,7 @@
             not_run_retries: 0,
             initial_backoff: Duration::from_millis(50),
             max_backoff: Duration::from_secs(2),
+            max_answer_bytes: 64 * 1024 * 1024,
         }
     }
 }
--- a/crates/caller/src/read.rs
+++ b/crates/caller/src/read.rs
@@ -51,8 +51,15 @@
         let Some(timeout) = timer.attempt_timeout() else { break };
         let headers = caller.headers(timer);
         let path = run_path(service, path);
-        let exchange =
-            Exchange { method: "GET", entry, path: &path, headers: &headers, body: None, timeout };
+        let exchange = Exchange {
+            method: "GET",
+            entry,
+            path: &path,
+            headers: &headers,
+            body: None,
+            timeout,
+            max_answer_bytes: caller.options.max_answer_bytes,
+        };
         match exchange.run(&caller.pooled_agent) {
             Reply::Done(answer) => return EntriesResult::Ended(Outcome::Done(answer)),
             Reply::NotRun(failure) if failure.status == Some(503) => {
--- a/crates/caller/src/submit.rs
+++ b/crates/caller/src/submit.rs
@@ -134,6 +134,7 @@
             headers: &headers,
             body: Some(post.body),
             timeout,
+            max_answer_bytes: caller.options.max_answer_bytes,
         };
         let mut retry_after = None;
         match exchange.run(&caller.unpooled_agent) {
--- a/crates/caller/src/upload.rs
+++ b/crates/caller/src/upload.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     Caller, Failure, Outcome,
-    exchange::{Exchange, NoAnswer, RawAnswer},
+    exchange::{Exchange, RawAnswer},
     submit::{self, Post},
     wait::RetryTimer,
 };
@@ -146,14 +146,13 @@
                 headers: &headers,
                 body: call.body,
                 timeout,
+                max_answer_bytes: caller.options.max_answer_bytes,
             };
             match exchange.send(&caller.pooled_agent) {
                 Ok(raw) if (200..300).contains(&raw.status) => return parse_json(&raw),
                 Ok(raw) if raw.status == 503 || raw.status == 408 => last = raw.failure(),
                 Ok(raw) => return Err(raw.failure()),
-                Err(NoAnswer::Unreachable(e) | NoAnswer::Lost(e)) => {
-                    last = Failure::local("unreachable", e);
-                }
+                Err(e) => last = Failure::local("unreachable", e.into_text()),
             }
             retry_after = last.retry_after;
         }
--- a/crates/caller/tests/support/mod.rs
+++ b/crates/caller/tests/support/mod.rs
@@ -29,6 +29,8 @@
     Answer(u16, String, Vec<u8>),
     /// Closes the connection without an answer.
     Close,
+    /// Sends this, and then blanks until the connection is closed.
+    Endless(String),
 }
 
 /// A mock entry that records the requests it receives.
@@ -65,11 +67,24 @@
     let mut reader = BufReader::new(stream);
     while let Some(received) = read(&mut reader) {
         log.lock().unwrap().push(received.clone());
-        let Action::Answer(status, headers, body) = act(&received) else { return };
-        let head =
-            format!("HTTP/1.1 {status} Status\r\ncontent-length: {}\r\n{headers}\r\n", body.len());
-        let bytes = [head.as_bytes(), &body].concat();
-        if reader.get_mut().write_all(&bytes).is_err() {
+        let is_sent = match act(&received) {
+            Action::Answer(status, headers, body) => {
+                let length = body.len();
+                let head = format!(
+                    "HTTP/1.1 {status} Status\r\ncontent-length: {length}\r\n{headers}\r\n"
+                );
+                reader.get_mut().write_all(&[head.as_bytes(), &body].concat()).is_ok()
+            }
+            Action::Close => false,
+            Action::Endless(start) => {
+                let mut sent = reader.get_mut().write_all(start.as_bytes());
+                while sent.is_ok() {
+                    sent = reader.get_mut().write_all(&[b' '; 64 * 1024]);
+                }
+                false
+            }
+        };
+        if !is_sent {
             return;
         }
     }
