caller: end a read whose answer is too large

Cause: a read takes any unknown outcome for one that a further try may settle. An answer that is too large stays so, and each try keeps as much of it in memory.

Change: a read ends if its last entry's answer was too large.

--- a/crates/caller/src/exchange.rs
+++ b/crates/caller/src/exchange.rs
@@ -16,6 +16,9 @@
 
 use crate::{Answer, Failure};
 
+/// Reason of a request whose answer is larger than the entry or the application allows.
+pub(crate) const ANSWER_TOO_LARGE: &str = "answer-too-large";
+
 /// An HTTP request to an entry.
 pub(crate) struct Exchange<'a> {
     pub method: &'a str,
@@ -94,7 +97,7 @@
             Ok(raw) => parse_reply(raw),
             Err(NoAnswer::Unreachable(e)) => Reply::Unreachable(e),
             Err(NoAnswer::Lost(e)) => Reply::Lost(e),
-            Err(NoAnswer::TooLarge(e)) => Reply::Unknown(Failure::local("answer-too-large", e)),
+            Err(NoAnswer::TooLarge(e)) => Reply::Unknown(Failure::local(ANSWER_TOO_LARGE, e)),
         }
     }
 
--- a/crates/caller/src/read.rs
+++ b/crates/caller/src/read.rs
@@ -5,7 +5,7 @@
 use crate::{
     Caller, Failure, Outcome,
     client::run_path,
-    exchange::{Exchange, Reply},
+    exchange::{ANSWER_TOO_LARGE, Exchange, Reply},
     wait::RetryTimer,
 };
 
@@ -76,7 +76,13 @@
         }
     }
     caller.lookup_cache.expire(service);
-    EntriesResult::Failed
+    match last {
+        // A further try would get the same answer, and keep as much of it in memory.
+        Outcome::Unknown(failure) if failure.reason == ANSWER_TOO_LARGE => {
+            EntriesResult::Ended(last.clone())
+        }
+        _ => EntriesResult::Failed,
+    }
 }
 
 /// Returns the entries to try. If the lookup fails, these are the entries of the last answer.
