steer: an announcement is late for 20 s at most

Change: an announcement is late only within 20 s after the latest known one became known. A live server announces itself every few seconds, so this still covers writes that the store performs seconds later. Configurations have no such limit, as instances never go back to an older one.

Test: announcements_of_a_server_count_in_the_order_of_the_server, with one after 19 and one after 21 s.

--- a/crates/pollenshed/src/steer/apply.rs
+++ b/crates/pollenshed/src/steer/apply.rs
@@ -23,7 +23,7 @@
 
 /// Merges rows into the local copy of a table and applies those that changed.
 pub(super) fn apply_rows(core: &Rc<Core>, table: Table, rows: Vec<Row>) {
-    let rows = core.tables.borrow_mut().get_mut(table).merge(table, rows);
+    let rows = core.tables.borrow_mut().get_mut(table).merge(table, rows, core.now());
     apply_changed_rows(core, table, &rows);
 }
 
@@ -94,7 +94,7 @@
     let mut tables = core.tables.borrow_mut();
     let view = tables.get_mut(table);
     for (key, written) in written {
-        view.record_written(&key, Some(written));
+        view.record_written(&key, Some(written), core.now());
     }
     view.version = view.version.max(version);
 }
--- a/crates/pollenshed/src/steer/reader.rs
+++ b/crates/pollenshed/src/steer/reader.rs
@@ -272,7 +272,8 @@
     /// Returns whether the writer of the row is known to have written it later.
     fn is_outdated(&self, row: &Row) -> bool {
         let written = WriteOrder::of_row(self.table, row);
-        self.core.tables.borrow().get(self.table).is_outdated(&row.key, written)
+        let tables = self.core.tables.borrow();
+        tables.get(self.table).is_outdated(&row.key, written, self.core.now())
     }
 
     /// Publishes only versions before the first held removal to peers, which would miss it
--- a/crates/pollenshed/src/steer/tables.rs
+++ b/crates/pollenshed/src/steer/tables.rs
@@ -7,7 +7,10 @@
     config, servers,
     store::{self, Row, StoreVersion},
 };
-use pollenshed_state::routes::{ServerRecord, ServerState};
+use pollenshed_state::{
+    routes::{ServerRecord, ServerState},
+    time::Instant,
+};
 
 /// Table in which the instances register.
 pub const INSTANCES_TABLE: &str = "instances";
@@ -16,6 +19,11 @@
 /// and peers that may have missed one get the whole table.
 const MAX_TOMBSTONES: usize = 4_096;
 
+/// Time after the latest known announcement of a server within which an earlier one is late. Beyond
+/// it, the known one is taken for a mistake: a server that lives announces itself all the time, and
+/// a start time or sequence number that was too high must not lose it for good.
+const MAX_LATE_MS: u64 = 20_000;
+
 /// A table that instances follow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Table {
@@ -60,6 +68,10 @@
         (started_at_ms > 0).then_some(WriteOrder { started_at_ms, sequence })
     }
 
+    fn has_no_restarts(self) -> bool {
+        self.started_at_ms == 0
+    }
+
     /// Returns the position of a row, or `None` if nothing in it tells the order.
     pub fn of_row(table: Table, row: &Row) -> Option<WriteOrder> {
         let value = row.value.as_deref()?;
@@ -82,6 +94,8 @@
     value: Option<Bytes>,
     /// Latest known write, also if it changed nothing else or the row was removed since.
     written: Option<WriteOrder>,
+    /// When that write became known.
+    written_at: Instant,
 }
 
 /// Local copy of one table.
@@ -109,17 +123,17 @@
 impl TableView {
     /// Merges rows into the table and returns those that change anything. Backend servers renew
     /// their records all the time, mostly without a change.
-    pub fn merge(&mut self, table: Table, rows: Vec<Row>) -> Vec<Row> {
-        rows.into_iter().filter(|row| self.merge_row(table, row)).collect()
+    pub fn merge(&mut self, table: Table, rows: Vec<Row>, now: Instant) -> Vec<Row> {
+        rows.into_iter().filter(|row| self.merge_row(table, row, now)).collect()
     }
 
-    fn merge_row(&mut self, table: Table, row: &Row) -> bool {
+    fn merge_row(&mut self, table: Table, row: &Row, now: Instant) -> bool {
         let known = self.rows.get(&row.key);
         if known.is_some_and(|known| known.version > row.version) {
             return false;
         }
         let written = WriteOrder::of_row(table, row);
-        if self.is_outdated(&row.key, written) {
+        if self.is_outdated(&row.key, written, now) {
             log::info!(
                 "store: late write ignored; table={} key={} version={}",
                 table.name(),
@@ -165,30 +179,39 @@
         if is_new || is_confirmed {
             self.insert(row);
         }
-        self.record_written(&row.key, written);
+        self.record_written(&row.key, written, now);
         is_new
     }
 
     fn insert(&mut self, row: &Row) {
         let known = self.rows.get(&row.key);
         let was_removed = known.is_some_and(|known| known.value.is_none());
-        let written = known.and_then(|known| known.written);
-        let new = KnownRow { version: row.version, value: row.value.clone(), written };
+        let new = KnownRow {
+            version: row.version,
+            value: row.value.clone(),
+            written: known.and_then(|known| known.written),
+            written_at: known.map(|known| known.written_at).unwrap_or_default(),
+        };
         self.rows.insert(row.key.clone(), new);
         self.tombstones -= usize::from(was_removed);
         self.tombstones += usize::from(row.value.is_none());
         self.drop_tombstones();
     }
 
-    /// Returns whether the writer of a row is known to have written it later than at `written`.
-    pub fn is_outdated(&self, key: &str, written: Option<WriteOrder>) -> bool {
-        written.zip(self.written(key)).is_some_and(|(written, known)| written < known)
+    /// Returns whether a row is late: its writer is known to have written it after `written`.
+    pub fn is_outdated(&self, key: &str, written: Option<WriteOrder>, now: Instant) -> bool {
+        let Some((written, known)) = written.zip(self.rows.get(key)) else { return false };
+        let is_late = written.has_no_restarts() || now.since_ms(known.written_at) < MAX_LATE_MS;
+        is_late && known.written.is_some_and(|known| written < known)
     }
 
-    /// Records a write of a known row, unless a later one is known.
-    pub fn record_written(&mut self, key: &str, written: Option<WriteOrder>) {
+    /// Records a write of a known row, unless it is late.
+    pub fn record_written(&mut self, key: &str, written: Option<WriteOrder>, now: Instant) {
+        if written.is_none() || self.is_outdated(key, written, now) {
+            return;
+        }
         if let Some(known) = self.rows.get_mut(key) {
-            known.written = known.written.max(written);
+            (known.written, known.written_at) = (written, now);
         }
     }
 
@@ -274,10 +297,7 @@
     pub fn published_version(&self) -> Option<StoreVersion> {
         let first_held_row = self.held_rows.values().map(|row| row.version).min();
         let held = [self.first_held_removal, first_held_row].into_iter().flatten();
-        held.map(StoreVersion::predecessor)
-            .chain(self.version)
-            .min()
-            .filter(|_| self.version.is_some())
+        Some(held.map(StoreVersion::predecessor).fold(self.version?, StoreVersion::min))
     }
 
     /// Returns the keys of the rows that exist.
--- a/crates/pollenshed/tests/steer_tables.rs
+++ b/crates/pollenshed/tests/steer_tables.rs
@@ -3,6 +3,7 @@
 use googletest::prelude::*;
 use pollenshed::steer::tables::{Table, TableView};
 use pollenshed_platform::store::{Row, StoreEra, StoreVersion};
+use pollenshed_state::time::Instant;
 use serde_json::{Value, json};
 
 /// More removals than an instance remembers one by one.
@@ -33,7 +34,7 @@
         to.record_whole(from.removals_known_since());
     }
     rows.retain(|row| !to.lacks_removed(row));
-    to.merge(Table::Instances, rows);
+    to.merge(Table::Instances, rows, Instant::default());
     to.version = Some(version);
 }
 
@@ -43,24 +44,36 @@
 fn an_instance_far_behind_learns_of_every_removal() {
     let mut source = TableView::default();
     let kept = row(1, Some("kept"), 1);
-    source.merge(Table::Instances, vec![kept.clone(), row(2, Some("removed"), 2)]);
+    source.merge(
+        Table::Instances,
+        vec![kept.clone(), row(2, Some("removed"), 2)],
+        Instant::default(),
+    );
     source.version = Some(at(2));
     let mut behind = TableView::default();
     follow(&source, &mut behind);
     expect_that!(behind.keys().count(), eq(2));
 
-    source.merge(Table::Instances, vec![row(2, None, 3)]);
+    source.merge(Table::Instances, vec![row(2, None, 3)], Instant::default());
     for number in 0..MANY_REMOVALS {
         let version = 10 + 2 * number;
-        source.merge(Table::Instances, vec![row(100 + number, Some("short"), version)]);
-        source.merge(Table::Instances, vec![row(100 + number, None, version + 1)]);
+        source.merge(
+            Table::Instances,
+            vec![row(100 + number, Some("short"), version)],
+            Instant::default(),
+        );
+        source.merge(
+            Table::Instances,
+            vec![row(100 + number, None, version + 1)],
+            Instant::default(),
+        );
     }
     source.version = Some(at(10 + 2 * MANY_REMOVALS));
     follow(&source, &mut behind);
     expect_that!(behind.keys().cloned().collect::<Vec<_>>(), eq(&vec![kept.key.clone()]));
 
     // A row that is newer than the peer's table stays.
-    behind.merge(Table::Instances, vec![row(3, Some("newer"), 100_000)]);
+    behind.merge(Table::Instances, vec![row(3, Some("newer"), 100_000)], Instant::default());
     behind.version = Some(at(2));
     follow(&source, &mut behind);
     expect_that!(behind.value("i-3"), some(anything()));
@@ -70,7 +83,7 @@
 fn read_at(version: u64, only: Row) -> TableView {
     let mut view = TableView::default();
     view.record_whole(at(version));
-    view.merge(Table::Instances, vec![only]);
+    view.merge(Table::Instances, vec![only], Instant::default());
     view.version = Some(at(version));
     view
 }
@@ -81,7 +94,7 @@
 fn an_instance_started_after_a_removal_passes_it_on() {
     let kept = row(1, Some("kept"), 1);
     let mut running = read_at(2, kept.clone());
-    running.merge(Table::Instances, vec![row(2, Some("removed"), 3)]);
+    running.merge(Table::Instances, vec![row(2, Some("removed"), 3)], Instant::default());
     running.version = Some(at(3));
     let mut other = TableView::default();
     follow(&running, &mut other);
@@ -102,12 +115,12 @@
 fn a_row_that_was_removed_before_a_whole_read_is_not_taken_back() {
     let kept = row(1, Some("kept"), 1);
     let mut behind = read_at(2, kept.clone());
-    behind.merge(Table::Instances, vec![row(2, Some("removed"), 3)]);
+    behind.merge(Table::Instances, vec![row(2, Some("removed"), 3)], Instant::default());
     behind.version = Some(at(3));
     let mut started = read_at(5, kept.clone());
     let from_peer = behind.changes(StoreVersion::default());
     let accepted: Vec<_> = from_peer.into_iter().filter(|r| !started.lacks_removed(r)).collect();
-    started.merge(Table::Instances, accepted);
+    started.merge(Table::Instances, accepted, Instant::default());
     expect_that!(started.keys().cloned().collect::<Vec<_>>(), eq(&vec![kept.key]));
     // A later row, and one of a store that was restored since, is new.
     expect_that!(started.lacks_removed(&row(3, Some("later"), 6)), eq(false));
@@ -131,8 +144,8 @@
 fn an_instance_that_is_nearly_up_to_date_gets_changes_only() {
     let mut source = TableView::default();
     let rows = (0..100).map(|number| row(number, Some("row"), number + 1));
-    source.merge(Table::Instances, rows.collect());
-    source.merge(Table::Instances, vec![row(7, None, 200)]);
+    source.merge(Table::Instances, rows.collect(), Instant::default());
+    source.merge(Table::Instances, vec![row(7, None, 200)], Instant::default());
     source.version = Some(at(200));
     expect_that!(source.knows_removals_since(at(150)), eq(true));
     expect_that!(source.changes(at(150)).len(), eq(1));
@@ -155,9 +168,9 @@
         value: value.map(|value| value.to_vec().into()),
         version,
     };
-    view.merge(table, vec![row(old, at(60))]);
+    view.merge(table, vec![row(old, at(60))], Instant::default());
     view.record_copy(restored_at(10));
-    !view.merge(table, vec![row(Some(new), restored_at(number))]).is_empty()
+    !view.merge(table, vec![row(Some(new), restored_at(number))], Instant::default()).is_empty()
 }
 
 /// Guards against a copied row that takes back what its writer has written since, and against a row
@@ -229,10 +242,19 @@
         let mut view = TableView::default();
         let mut counts = false;
         for (version, value) in (1..).zip(rows) {
-            counts = !view.merge(Table::Servers, vec![row(value.cloned(), version)]).is_empty();
+            counts = !view
+                .merge(Table::Servers, vec![row(value.cloned(), version)], Instant::default())
+                .is_empty();
         }
         expect_that!(counts, eq(expected), "case {number}");
     }
+    // An announcement that was too high by mistake loses no server for good.
+    let start = Instant::default();
+    let mut view = TableView::default();
+    view.merge(Table::Servers, vec![row(Some(draining.clone()), 1)], start);
+    let early = |version| vec![row(Some(early.clone()), version)];
+    expect_that!(view.merge(Table::Servers, early(2), start.plus_ms(19_000)), is_empty());
+    expect_that!(view.merge(Table::Servers, early(3), start.plus_ms(21_000)).len(), eq(1));
     // Without the start time, the sequence does not tell a restart from a late report.
     let unknown_run = |state, sequence| {
         let mut record: Value = serde_json::from_slice(&server(state, 5, sequence)).unwrap();
@@ -240,18 +262,25 @@
         Some(record.to_string().into_bytes())
     };
     let mut view = TableView::default();
-    view.merge(Table::Servers, vec![row(unknown_run("draining", 9), 1)]);
-    expect_that!(view.merge(Table::Servers, vec![row(unknown_run("ready", 1), 2)]).len(), eq(1));
+    view.merge(Table::Servers, vec![row(unknown_run("draining", 9), 1)], Instant::default());
+    expect_that!(
+        view.merge(Table::Servers, vec![row(unknown_run("ready", 1), 2)], Instant::default()).len(),
+        eq(1)
+    );
 }
 
 /// Returns a copy of the operator's table that knows the end of an evacuation at version 60 of the era
 /// before and holds back a row that the restored store has brought at version 10.
 fn view_with_held_evacuation() -> TableView {
     let mut view = TableView::default();
-    view.merge(Table::Operator, vec![evacuation(None, at(60))]);
+    view.merge(Table::Operator, vec![evacuation(None, at(60))], Instant::default());
     view.record_copy(restored_at(70));
     expect_that!(
-        view.merge(Table::Operator, vec![evacuation(Some(b"{}"), restored_at(10))]),
+        view.merge(
+            Table::Operator,
+            vec![evacuation(Some(b"{}"), restored_at(10))],
+            Instant::default()
+        ),
         is_empty()
     );
     view.version = Some(restored_at(70));
@@ -279,24 +308,24 @@
 
     // Ended again, in a change or in a whole table.
     let mut view = view_with_held_evacuation();
-    view.merge(Table::Operator, vec![evacuation(None, restored_at(71))]);
+    view.merge(Table::Operator, vec![evacuation(None, restored_at(71))], Instant::default());
     expect_that!(view.release_held_rows(), is_empty());
     let mut view = view_with_held_evacuation();
     let removals = view.removals_for_whole_table(&[], restored_at(70));
-    view.merge(Table::Operator, removals);
+    view.merge(Table::Operator, removals, Instant::default());
     expect_that!(view.release_held_rows(), is_empty());
 
     // Set again, in a row that can't be of the copy.
     let mut view = view_with_held_evacuation();
     let later = vec![evacuation(Some(b"{}"), restored_at(71))];
-    expect_that!(view.merge(Table::Operator, later).len(), eq(1));
+    expect_that!(view.merge(Table::Operator, later, Instant::default()).len(), eq(1));
     expect_that!(view.holds_rows(), eq(false));
 
     let mut view = TableView::default();
-    view.merge(Table::Operator, vec![evacuation(None, at(60))]);
+    view.merge(Table::Operator, vec![evacuation(None, at(60))], Instant::default());
     view.record_copy(restored_at(70));
     let newer = vec![evacuation(Some(b"{}"), restored_at(61))];
-    expect_that!(view.merge(Table::Operator, newer).len(), eq(1));
+    expect_that!(view.merge(Table::Operator, newer, Instant::default()).len(), eq(1));
 }
 
 /// Guards against an instance that does not use a server again which its peers know to live.
@@ -309,22 +338,30 @@
         version,
     };
     let mut source = TableView::default();
-    source.merge(Table::Servers, vec![row(Some(ready(1)), at(50))]);
+    source.merge(Table::Servers, vec![row(Some(ready(1)), at(50))], Instant::default());
     let mut other = TableView::default();
-    other.merge(Table::Servers, vec![row(Some(ready(1)), at(50)), row(None, at(60))]);
+    other.merge(
+        Table::Servers,
+        vec![row(Some(ready(1)), at(50)), row(None, at(60))],
+        Instant::default(),
+    );
     for view in [&mut source, &mut other] {
         view.record_copy(restored_at(10));
     }
     let from_copy = row(Some(ready(2)), restored_at(10));
-    source.merge(Table::Servers, vec![from_copy.clone()]);
-    expect_that!(other.merge(Table::Servers, vec![from_copy]), is_empty());
+    source.merge(Table::Servers, vec![from_copy.clone()], Instant::default());
+    expect_that!(other.merge(Table::Servers, vec![from_copy], Instant::default()), is_empty());
     expect_that!(
-        source.merge(Table::Servers, vec![row(Some(ready(3)), restored_at(11))]),
+        source.merge(
+            Table::Servers,
+            vec![row(Some(ready(3)), restored_at(11))],
+            Instant::default()
+        ),
         is_empty()
     );
     let changes = source.changes(restored_at(10));
-    expect_that!(other.merge(Table::Servers, changes).len(), eq(1));
+    expect_that!(other.merge(Table::Servers, changes, Instant::default()).len(), eq(1));
     // Later announcements without a change are not passed on.
-    source.merge(Table::Servers, vec![row(Some(ready(4)), restored_at(12))]);
+    source.merge(Table::Servers, vec![row(Some(ready(4)), restored_at(12))], Instant::default());
     expect_that!(source.changes(restored_at(11)), is_empty());
 }
