tests: wait for the held row in place of a time

an_evacuation_that_ended_after_the_copy_stays_ended ended the evacuation a second after the restore was known.

--- a/crates/pollenshed/tests/steer_restored.rs
+++ b/crates/pollenshed/tests/steer_restored.rs
@@ -263,9 +263,9 @@
     wait_for("the end of the evacuation", || (changes() == 4).then_some(()));
     restore(&fleet, &copy);
     for instance in &fleet.instances {
-        wait_for("the restore", || instance.log().contains("restored from a copy").then_some(()));
+        let held = "copied row set aside; table=op key=evacuate/palermo-b";
+        wait_for("the row of the copy", || instance.log().contains(held).then_some(()));
     }
-    thread::sleep(Duration::from_millis(1_000));
     fleet.store.remove("op", "evacuate/palermo-b");
     thread::sleep(Duration::from_millis(2_500));
     expect_that!(changes(), eq(4));
