steer: log a late write only if it would change something

Found in reading the diff: after a restore, or when a former reader of the store gets a whole table from a peer, each server's row is an early one that changes nothing, and each would be logged as a late write. Nothing else changes.

Test: the tests of tables, late reports and restores passed (27).

--- a/crates/pollenshed/src/steer/tables.rs
+++ b/crates/pollenshed/src/steer/tables.rs
@@ -134,12 +134,16 @@
         }
         let written = WriteOrder::of_row(table, row);
         if self.is_outdated(&row.key, written, now) {
-            log::info!(
-                "store: late write ignored; table={} key={} version={}",
-                table.name(),
-                row.key,
-                row.version
-            );
+            // Copies of a restored store and whole tables of peers hold many early rows that change
+            // nothing.
+            if known.is_some_and(|known| would_change(table, row, known)) {
+                log::info!(
+                    "store: late write ignored; table={} key={} version={}",
+                    table.name(),
+                    row.key,
+                    row.version
+                );
+            }
             return false;
         }
         if self.held_rows.get(&row.key).is_some_and(|held| held.version <= row.version) {
@@ -165,12 +169,7 @@
                 return false;
             }
         }
-        let old = known.and_then(|known| known.value.as_deref());
-        let is_new = match (&row.value, old) {
-            (None, old) => old.is_some() || known.is_none(),
-            (Some(new), Some(old)) => !is_equivalent(table, &row.key, old, new),
-            (Some(_), None) => true,
-        };
+        let is_new = known.is_none_or(|known| would_change(table, row, known));
         // Peers that know more than the copy accept the row only with a later version.
         let is_confirmed = !is_copied
             && known.is_some_and(|known| {
@@ -375,6 +374,14 @@
     if takes_back { CopiedRowAction::Drop } else { CopiedRowAction::Apply }
 }
 
+/// Returns whether a row differs from what is known of it in more than its version.
+fn would_change(table: Table, row: &Row, known: &KnownRow) -> bool {
+    match (&row.value, &known.value) {
+        (Some(new), Some(old)) => !is_equivalent(table, &row.key, old, new),
+        (new, old) => new.is_some() || old.is_some(),
+    }
+}
+
 fn is_equivalent(table: Table, key: &str, old: &[u8], new: &[u8]) -> bool {
     if old == new {
         return true;
