soak: servers whose earlier report is performed late

A server announces that it leaves, the store performs an earlier report of it late, and the server starts anew. The soak checks that nothing runs twice or is refused falsely and that requests are served again.

--- a/crates/pollenshed/tests/steer_soak.rs
+++ b/crates/pollenshed/tests/steer_soak.rs
@@ -88,7 +88,7 @@
     let instance = rng.usize(..fleet.instances.len());
     let server = rng.usize(..fleet.servers.len());
     let pause = Duration::from_millis(rng.u64(100..1_500));
-    match rng.u8(..10) {
+    match rng.u8(..11) {
         0 => {
             fleet.restart(instance);
             format!("kill {instance}")
@@ -135,6 +135,18 @@
             fleet.restart_server(server);
             format!("server {server} leaves and is started again after {pause:?}")
         }
+        7 => {
+            fleet.announce(server, "ready");
+            let name = fleet.servers[server].name().to_owned();
+            let early = fleet.store.get("servers", &name).expect("a record");
+            fleet.announce(server, "draining");
+            thread::sleep(pause);
+            // The store performs the earlier write once more, and the server starts anew.
+            fleet.store.put("servers", &name, &early);
+            thread::sleep(Duration::from_millis(rng.u64(..900)));
+            fleet.restart_server(server);
+            format!("server {server} leaves, a late report after {pause:?}")
+        }
         _ => {
             let faults = [
                 Fault::AsksForRest(rng.u64(100..2_000)),
