steer: decode each announcement of a server once

Nothing else changes.

Test: the tests of tables, late reports, restores, odd records and restarted readers passed (27).

--- a/crates/pollenshed/src/steer/tables.rs
+++ b/crates/pollenshed/src/steer/tables.rs
@@ -74,11 +74,10 @@
 
     /// Returns the position of a row, or `None` if nothing in it tells the order.
     pub fn of_row(table: Table, row: &Row) -> Option<WriteOrder> {
-        let value = row.value.as_deref()?;
         match table {
-            Table::Servers => WriteOrder::of_server(&servers::decode(&row.key, value)?),
+            Table::Servers => WriteOrder::of_server(&server_record(table, row)?),
             Table::Operator if row.key == store::CONFIG_KEY => {
-                let sequence = config::decode(value).ok()?.version.0;
+                let sequence = config::decode(row.value.as_deref()?).ok()?.version.0;
                 Some(WriteOrder { started_at_ms: 0, sequence })
             }
             Table::Operator | Table::Instances => None,
@@ -86,6 +85,12 @@
     }
 }
 
+/// Returns the announcement in a row of the backend servers' table.
+fn server_record(table: Table, row: &Row) -> Option<ServerRecord> {
+    let value = row.value.as_deref().filter(|_| table == Table::Servers)?;
+    servers::decode(&row.key, value)
+}
+
 /// What is known of a row.
 #[derive(Debug)]
 struct KnownRow {
@@ -132,11 +137,16 @@
         if known.is_some_and(|known| known.version > row.version) {
             return false;
         }
-        let written = WriteOrder::of_row(table, row);
+        // Nearly all rows are announcements that change nothing, so each is decoded only once.
+        let record = server_record(table, row);
+        let written = match &record {
+            Some(record) => WriteOrder::of_server(record),
+            None => WriteOrder::of_row(table, row),
+        };
         if self.is_outdated(&row.key, written, now) {
             // Copies of a restored store and whole tables of peers hold many early rows that change
             // nothing.
-            if known.is_some_and(|known| would_change(table, row, known)) {
+            if known.is_some_and(|known| would_change(table, row, known, record.as_ref())) {
                 log::info!(
                     "store: late write ignored; table={} key={} version={}",
                     table.name(),
@@ -169,7 +179,7 @@
                 return false;
             }
         }
-        let is_new = known.is_none_or(|known| would_change(table, row, known));
+        let is_new = known.is_none_or(|known| would_change(table, row, known, record.as_ref()));
         // Peers that know more than the copy accept the row only with a later version.
         let is_confirmed = !is_copied
             && known.is_some_and(|known| {
@@ -374,28 +384,21 @@
     if takes_back { CopiedRowAction::Drop } else { CopiedRowAction::Apply }
 }
 
-/// Returns whether a row differs from what is known of it in more than its version.
-fn would_change(table: Table, row: &Row, known: &KnownRow) -> bool {
-    match (&row.value, &known.value) {
-        (Some(new), Some(old)) => !is_equivalent(table, &row.key, old, new),
-        (new, old) => new.is_some() || old.is_some(),
-    }
-}
-
-fn is_equivalent(table: Table, key: &str, old: &[u8], new: &[u8]) -> bool {
-    if old == new {
-        return true;
-    }
-    if table != Table::Servers {
-        return false;
+/// Returns whether a row differs from what is known of it in more than its version. `record` is the
+/// announcement in a row of the backend servers' table.
+fn would_change(table: Table, row: &Row, known: &KnownRow, record: Option<&ServerRecord>) -> bool {
+    let (Some(new), Some(old)) = (&row.value, &known.value) else {
+        return row.value.is_some() || known.value.is_some();
+    };
+    if new == old || table != Table::Servers {
+        return new != old;
     }
-    match (servers::decode(key, old), servers::decode(key, new)) {
+    match (servers::decode(&row.key, old), record) {
         (Some(mut old), Some(new)) => {
             old.sequence = new.sequence;
-            old == new && new.cold_remaining_ms == 0
+            old != *new || new.cold_remaining_ms != 0
         }
-        (None, None) => true,
-        _ => false,
+        (old, new) => old.is_some() || new.is_some(),
     }
 }
 
