steer: pass a table that was read again on as changes

Change: a read of a table that was known before leaves a gap instead: the removals of rows that existed before it are known, only a row that was written and removed in between is not. A peer that knows the table up to a version within a gap, or a row of it, still gets the whole table; any other gets changes. Gaps are passed on, at most eight are kept. New log line `store: use changed`, which tells why an instance reads the store. The new process test failed before: 57,428 bytes to two followers after the second read, allowed 14,454.

--- a/crates/pollenshed/src/steer/apply.rs
+++ b/crates/pollenshed/src/steer/apply.rs
@@ -18,7 +18,7 @@
     keys,
     members::MemberRecord,
     reader::RENEWAL_MS,
-    tables::{Table, WriteOrder},
+    tables::{RemovalGap, Table, WriteOrder},
 };
 
 /// Merges rows into the local copy of a table and applies those that changed.
@@ -60,11 +60,14 @@
     pub copied_up_to: Option<StoreVersion>,
     /// Version since which the peer knows every removal, if it sent the whole table.
     pub whole_since: Option<StoreVersion>,
+    /// Gaps in what the peer knows of removals.
+    pub removal_gaps: Vec<RemovalGap>,
 }
 
 /// Merges the changes of a peer into the local copy of a table and applies those that are new.
 pub fn apply_peer_changes(core: &Rc<Core>, table: Table, changes: PeerChanges) {
-    let PeerChanges { mut rows, written, version, copied_up_to, whole_since } = changes;
+    let PeerChanges { mut rows, written, version, copied_up_to, whole_since, removal_gaps } =
+        changes;
     if let Some(version) = version {
         core.record_store_era(version.era);
     }
@@ -77,6 +80,7 @@
         if let Some(since) = whole_since {
             view.record_whole(since);
         }
+        view.record_gaps(removal_gaps);
         rows.retain(|row| {
             let is_removed = view.lacks_removed(row);
             if is_removed {
--- a/crates/pollenshed/src/steer/core.rs
+++ b/crates/pollenshed/src/steer/core.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
+    fmt::{self, Display, Formatter},
     net::SocketAddr,
     rc::Rc,
     time,
@@ -70,6 +71,45 @@
 /// Key by which representatives are ranked.
 const REPRESENTATIVES_KEY: u64 = 0;
 
+/// Whether an instance reads the store itself, and why.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreUse {
+    /// It has just started, and others may provide the tables.
+    WaitsForPeers,
+    /// A peer provides the changes.
+    FollowsPeer,
+    /// It reads for its region.
+    ReadsForRegion,
+    /// No peer has provided the changes since the start.
+    ReadsWithoutPeer,
+    /// The last peer that provided the changes has been silent for too long.
+    ReadsAfterSilence,
+}
+
+impl StoreUse {
+    /// Returns whether the instance reads the store itself.
+    pub fn reads(self) -> bool {
+        match self {
+            StoreUse::WaitsForPeers | StoreUse::FollowsPeer => false,
+            StoreUse::ReadsForRegion | StoreUse::ReadsWithoutPeer | StoreUse::ReadsAfterSilence => {
+                true
+            }
+        }
+    }
+}
+
+impl Display for StoreUse {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            StoreUse::WaitsForPeers => "waits-for-peers",
+            StoreUse::FollowsPeer => "follows-peer",
+            StoreUse::ReadsForRegion => "reads-for-region",
+            StoreUse::ReadsWithoutPeer => "reads-without-peer",
+            StoreUse::ReadsAfterSilence => "reads-after-silence",
+        })
+    }
+}
+
 /// State that all tasks of one instance share.
 pub struct Core {
     /// Settings as read at the start.
@@ -339,24 +379,33 @@
         seeds.is_empty() || seeds.iter().any(|seed| seed.ip() == self.settings.peer_ip)
     }
 
-    /// Returns whether this instance has to read the store itself, because no peer provides the
-    /// changes or because it reads for the region.
+    /// Returns whether this instance has to read the store itself.
     pub fn must_read_store(&self) -> bool {
+        self.store_use().reads()
+    }
+
+    /// Returns whether this instance has to read the store itself, and why.
+    pub fn store_use(&self) -> StoreUse {
         if self.waits_for_peers() {
-            return false;
+            return StoreUse::WaitsForPeers;
         }
-        let now = self.now();
-        let is_synced =
-            self.peer_synced_at.get().is_some_and(|at| now.since_ms(at) < PEER_SYNC_FRESH_MS);
-        !is_synced || self.is_region_reader()
+        match self.peer_silence_ms() {
+            None => StoreUse::ReadsWithoutPeer,
+            Some(_) if self.is_region_reader() => StoreUse::ReadsForRegion,
+            Some(ms) if ms >= PEER_SYNC_FRESH_MS => StoreUse::ReadsAfterSilence,
+            Some(_) => StoreUse::FollowsPeer,
+        }
+    }
+
+    /// Returns the time since the last response of an up-to-date peer.
+    pub fn peer_silence_ms(&self) -> Option<u64> {
+        self.peer_synced_at.get().map(|at| self.now().since_ms(at))
     }
 
     /// Returns whether the local tables are up to date with the store.
     pub fn is_current(&self) -> bool {
-        let now = self.now();
         let known = self.tables.borrow().operator.version.is_some();
-        let is_synced =
-            self.peer_synced_at.get().is_some_and(|at| now.since_ms(at) < PEER_SYNC_FRESH_MS);
+        let is_synced = self.peer_silence_ms().is_some_and(|ms| ms < PEER_SYNC_FRESH_MS);
         known && (is_synced || self.store_is_healthy())
     }
 
--- a/crates/pollenshed/src/steer/peer_view.rs
+++ b/crates/pollenshed/src/steer/peer_view.rs
@@ -20,7 +20,7 @@
     core::Core,
     homes::{self, ClaimList},
     lookup::empty_response,
-    tables::{Table, WriteOrder},
+    tables::{KnownVersions, RemovalGap, Table, WriteOrder},
 };
 
 /// Path of the call that returns changes.
@@ -75,6 +75,14 @@
     servers_era: u64,
     #[prost(uint64, tag = "7")]
     instances_era: u64,
+    /// Highest versions of rows that the sender knows, if they are later than those above and of
+    /// the same era.
+    #[prost(uint64, optional, tag = "8")]
+    operator_highest: Option<u64>,
+    #[prost(uint64, optional, tag = "9")]
+    servers_highest: Option<u64>,
+    #[prost(uint64, optional, tag = "10")]
+    instances_highest: Option<u64>,
 }
 
 impl ChangesQuery {
@@ -84,14 +92,16 @@
         self.servers.is_none()
     }
 
-    /// Returns the version up to which the sender knows a table.
-    fn known(&self, table: Table) -> Option<StoreVersion> {
-        let (number, era) = match table {
-            Table::Operator => (self.operator, self.operator_era),
-            Table::Servers => (self.servers, self.servers_era),
-            Table::Instances => (self.instances, self.instances_era),
+    /// Returns what the sender knows of a table.
+    fn known(&self, table: Table) -> Option<KnownVersions> {
+        let (number, era, highest) = match table {
+            Table::Operator => (self.operator, self.operator_era, self.operator_highest),
+            Table::Servers => (self.servers, self.servers_era, self.servers_highest),
+            Table::Instances => (self.instances, self.instances_era, self.instances_highest),
         };
-        Some(StoreVersion { era: StoreEra(era), number: number? })
+        let version = |number| StoreVersion { era: StoreEra(era), number };
+        let complete = version(number?);
+        Some(KnownVersions { complete, highest: highest.map_or(complete, version) })
     }
 }
 
@@ -144,6 +154,12 @@
     removals_known_since: Option<u64>,
     #[prost(uint64, optional, tag = "7")]
     removals_era: Option<u64>,
+    /// Gaps in what the peer knows of removals, of the era of the version. Each takes one entry of
+    /// both lists.
+    #[prost(uint64, repeated, tag = "8")]
+    gap_starts: Vec<u64>,
+    #[prost(uint64, repeated, tag = "9")]
+    gap_ends: Vec<u64>,
 }
 
 #[derive(Clone, PartialEq)]
@@ -246,9 +262,9 @@
 fn has_changes(core: &Core, query: &ChangesQuery) -> bool {
     let tables = core.tables.borrow();
     Table::ALL.into_iter().any(|table| match query.known(table) {
-        Some(after) => {
+        Some(known) => {
             let view = tables.get(table);
-            !view.knows_removals_since(after) || !view.changes(after).is_empty()
+            !view.knows_removals_since(known) || !view.changes(known.complete).is_empty()
         }
         None => tables.get(table).version.is_some(),
     })
@@ -258,9 +274,10 @@
     let tables = core.tables.borrow();
     let changes = |table: Table| {
         let view = tables.get(table);
-        let after = query.known(table);
-        let is_whole = after.is_some_and(|after| !view.knows_removals_since(after));
-        let rows = view.changes(after.filter(|_| !is_whole).unwrap_or_default()).into_iter();
+        let known = query.known(table);
+        let is_whole = known.is_some_and(|known| !view.knows_removals_since(known));
+        let after = known.filter(|_| !is_whole).map(|known| known.complete);
+        let rows = view.changes(after.unwrap_or_default()).into_iter();
         let rows = rows.map(|row| {
             let written = view.written(&row.key).filter(|_| row.value.is_none());
             let written = written
@@ -274,6 +291,11 @@
             }
         });
         let version = view.published_version();
+        let is_told = |gap: &&RemovalGap| {
+            version.is_some_and(|version| version.era == gap.end.era)
+                && known.is_none_or(|known| is_whole || gap.end > known.complete)
+        };
+        let gaps: Vec<_> = view.removal_gaps().iter().filter(is_told).collect();
         Some(Changes {
             version: version.map(|version| version.number),
             rows: rows.collect(),
@@ -284,6 +306,8 @@
                 .map(|_| view.copied_up_to.number),
             removals_known_since: Some(view.removals_known_since().number),
             removals_era: Some(view.removals_known_since().era.0),
+            gap_starts: gaps.iter().map(|gap| gap.start.number).collect(),
+            gap_ends: gaps.iter().map(|gap| gap.end.number).collect(),
         })
     };
     // Until an instance has the homes that were kept, its list would pass for the whole.
@@ -357,9 +381,13 @@
 async fn fetch(core: &Rc<Core>, client: &mut HttpClient, homes: bool) -> Result<Fetched, String> {
     let query = {
         let tables = core.tables.borrow();
-        let known = |table| tables.get(table).version;
-        let number = |table| known(table).map(|version| version.number);
-        let era = |table| known(table).map_or(0, |version| version.era.0);
+        let known = |table| tables.get(table).known_versions();
+        let number = |table| known(table).map(|known| known.complete.number);
+        let era = |table| known(table).map_or(0, |known| known.complete.era.0);
+        let highest = |table| {
+            let KnownVersions { complete, highest } = known(table)?;
+            (highest.era == complete.era && highest > complete).then_some(highest.number)
+        };
         ChangesQuery {
             operator: number(Table::Operator),
             servers: number(Table::Servers),
@@ -368,6 +396,9 @@
             operator_era: era(Table::Operator),
             servers_era: era(Table::Servers),
             instances_era: era(Table::Instances),
+            operator_highest: highest(Table::Operator),
+            servers_highest: highest(Table::Servers),
+            instances_highest: highest(Table::Instances),
         }
     };
     let body = query.encode_to_vec();
@@ -420,12 +451,19 @@
         // A peer of a build that does not tell may know no removal before its version.
         let since =
             changes.removals_known_since.map(|number| version(number, changes.removals_era));
+        let gaps = changes.gap_starts.iter().zip(&changes.gap_ends);
+        let removal_gaps = gaps.map(|(start, end)| RemovalGap {
+            start: version(*start, changes.era),
+            end: version(*end, changes.era),
+        });
+        let removal_gaps = removal_gaps.collect();
         let changes = PeerChanges {
             rows,
             written,
             version: known_version,
             copied_up_to: changes.copied_up_to.map(|number| version(number, changes.era)),
             whole_since: since.or(known_version).filter(|_| is_whole),
+            removal_gaps,
         };
         apply::apply_peer_changes(core, table, changes);
     }
--- a/crates/pollenshed/src/steer/reader.rs
+++ b/crates/pollenshed/src/steer/reader.rs
@@ -68,8 +68,20 @@
     let mut delay = RETRY_DELAY.0;
     let max_period_ms = reader.core.bounds.drain_ms as f64 * SERVERS_PERIOD_FRACTION;
     let servers_period = Duration::from_millis(MAX_SERVERS_PERIOD_MS.min(max_period_ms as u64));
+    let mut last_use = None;
     loop {
-        if !reader.core.must_read_store() {
+        let store_use = reader.core.store_use();
+        // The reason is the same for each table. Whether it was right shows only in the logs: each
+        // instance that reads the store adds calls to it.
+        if table == Table::Operator && last_use.replace(store_use) != Some(store_use) {
+            let silence_ms = reader.core.peer_silence_ms();
+            let silence_ms = silence_ms.map_or_else(|| "none".to_owned(), |ms| ms.to_string());
+            log::info!(
+                "store: use changed; use={store_use} peer_silence_ms={silence_ms} members={}",
+                reader.core.members.borrow().live_count(reader.core.now())
+            );
+        }
+        if !store_use.reads() {
             reader.apply_held();
             tokio::time::sleep(CHECK_INTERVAL).await;
             continue;
@@ -143,7 +155,7 @@
         if is_copy {
             self.core.tables.borrow_mut().get_mut(self.table).record_copy(version);
         }
-        self.core.tables.borrow_mut().get_mut(self.table).record_whole(version);
+        self.core.tables.borrow_mut().get_mut(self.table).record_read(version);
         self.apply_whole_table(rows, version, is_copy);
         self.set_version(version);
         self.needs_whole_table = false;
--- a/crates/pollenshed/src/steer/tables.rs
+++ b/crates/pollenshed/src/steer/tables.rs
@@ -19,6 +19,11 @@
 /// and peers that may have missed one get the whole table.
 const MAX_TOMBSTONES: usize = 4_096;
 
+/// Maximum number of gaps in what is known of removals. With more, the oldest is forgotten, and peers
+/// that know the table only up to a version before its end get the whole table. A store that forgets
+/// its history several times in a row leaves one gap each time.
+const MAX_REMOVAL_GAPS: usize = 8;
+
 /// Time after the latest known announcement of a server within which an earlier one is late. Beyond
 /// it, the known one is taken for a mistake: a server that lives announces itself all the time, and
 /// a start time or sequence number that was too high must not lose it for good.
@@ -91,6 +96,34 @@
     servers::decode(&row.key, value)
 }
 
+/// Two versions of a table that are known completely, while what happened between them is not: the
+/// store had forgotten it. Removals of rows that existed at the first one are known, those of rows
+/// that were written in between are not.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RemovalGap {
+    /// Version up to which all changes were known.
+    pub start: StoreVersion,
+    /// Version at which the table was read as a whole, of the same era.
+    pub end: StoreVersion,
+}
+
+/// What a peer knows of a table.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct KnownVersions {
+    /// Version up to which it knows every change.
+    pub complete: StoreVersion,
+    /// Highest version of a row that it knows. It is later than `complete` while something is held
+    /// back.
+    pub highest: StoreVersion,
+}
+
+impl KnownVersions {
+    /// Returns the knowledge of a peer that knows every change up to a version and nothing later.
+    pub fn up_to(complete: StoreVersion) -> KnownVersions {
+        KnownVersions { complete, highest: complete }
+    }
+}
+
 /// What is known of a row.
 #[derive(Debug)]
 struct KnownRow {
@@ -108,11 +141,13 @@
 pub struct TableView {
     rows: BTreeMap<String, KnownRow>,
     tombstones: usize,
-    /// Version since which every removal is known: that of a read of the whole table, which shows
-    /// no earlier removals, or of the last tombstone that was dropped. Peers that know the table
-    /// only up to an earlier version need the whole of it, as they would never learn of a removal
-    /// before it otherwise.
+    /// Version since which every removal is known but those of `removal_gaps`: that of the first read
+    /// of the whole table, which shows no earlier removals, or of the last tombstone that was
+    /// dropped. Peers that know the table only up to an earlier version need the whole of it, as
+    /// they would never learn of a removal before it otherwise.
     removals_known_since: StoreVersion,
+    /// Gaps in this knowledge, the oldest first.
+    removal_gaps: Vec<RemovalGap>,
     /// Version up to which the table is known. `None` until it was read completely.
     pub version: Option<StoreVersion>,
     /// Version up to which rows of the store's era may come from the copy that the store was
@@ -275,13 +310,52 @@
     /// every removal since `since`.
     pub fn record_whole(&mut self, since: StoreVersion) {
         self.removals_known_since = self.removals_known_since.max(since);
+        self.removal_gaps.retain(|gap| gap.end > self.removals_known_since);
+    }
+
+    /// Records that the table was read from the store as a whole, as of `version`. If it was known
+    /// before, only what was written and removed again in between stays unknown, so that peers need
+    /// no whole table: a large region would send as many of them at once as it has instances.
+    pub fn record_read(&mut self, version: StoreVersion) {
+        match self.version {
+            Some(start) if start.era == version.era => {
+                self.record_gaps([RemovalGap { start, end: version }]);
+            }
+            _ => self.record_whole(version),
+        }
     }
 
-    /// Returns the version since which every removal is known.
+    /// Records gaps, which may be those of the peer that told the changes.
+    pub fn record_gaps(&mut self, gaps: impl IntoIterator<Item = RemovalGap>) {
+        for gap in gaps {
+            let is_new = gap.end > self.removals_known_since && !self.removal_gaps.contains(&gap);
+            if is_new && gap.start < gap.end {
+                self.removal_gaps.push(gap);
+            }
+        }
+        self.removal_gaps.sort_unstable_by_key(|gap| gap.end);
+        if let Some(forgotten) = self.removal_gaps.len().checked_sub(MAX_REMOVAL_GAPS + 1) {
+            self.record_whole(self.removal_gaps[forgotten].end);
+        }
+    }
+
+    /// Returns the version since which every removal is known but those of `removal_gaps`.
     pub fn removals_known_since(&self) -> StoreVersion {
         self.removals_known_since
     }
 
+    /// Returns the gaps in what is known of removals, the oldest first.
+    pub fn removal_gaps(&self) -> &[RemovalGap] {
+        &self.removal_gaps
+    }
+
+    /// Returns what is known of the table. `None` until it was read completely.
+    pub fn known_versions(&self) -> Option<KnownVersions> {
+        let complete = self.version?;
+        let rows = self.rows.values().map(|known| known.version);
+        Some(KnownVersions { complete, highest: rows.fold(complete, StoreVersion::max) })
+    }
+
     /// Returns whether a row of a peer was removed before the version up to which the table is
     /// known here. Without a tombstone, only the missing row shows it.
     pub fn lacks_removed(&self, row: &Row) -> bool {
@@ -314,11 +388,16 @@
         self.rows.iter().filter(|(_, known)| known.value.is_some()).map(|(key, _)| key)
     }
 
-    /// Returns whether the changes since `after` include every removal that may be published.
-    pub fn knows_removals_since(&self, after: StoreVersion) -> bool {
+    /// Returns whether the changes since `known.complete` include every removal that may be published
+    /// and that a peer with this knowledge has to learn of.
+    pub fn knows_removals_since(&self, known: KnownVersions) -> bool {
+        let KnownVersions { complete, highest } = known;
         // A peer that knows all that is published gains nothing by the whole table.
         let published = self.published_version().unwrap_or(self.removals_known_since);
-        after >= self.removals_known_since.min(published)
+        // A peer that knows no row of a gap need not learn of the removal of one.
+        let is_in_gap = |gap: &RemovalGap| complete < gap.end.min(published) && highest > gap.start;
+        complete >= self.removals_known_since.min(published)
+            && !self.removal_gaps.iter().any(is_in_gap)
     }
 
     /// Returns the removals of all rows that a whole table of the store or of a peer lacks. `version`
--- a/crates/pollenshed/tests/steer_restarted_reader.rs
+++ b/crates/pollenshed/tests/steer_restarted_reader.rs
@@ -10,7 +10,8 @@
 
 use googletest::prelude::*;
 use pollenshed_standins::steered::EndpointFault;
-use steer_support::{Fleet, request, wait_for};
+use serde_json::json;
+use steer_support::{Fleet, Instance, request, wait_for};
 
 /// Time after the removal of a server's record within which the server gets its last request:
 /// `drain` of the settings that the tests use.
@@ -168,3 +169,49 @@
         wait_for("the removal", || instance.log().contains("gone; server=i-1").then_some(()));
     }
 }
+
+/// Returns the bytes that an instance has sent to peers that follow it.
+fn bytes_to_followers(instance: &Instance) -> u64 {
+    let metrics = instance.metrics();
+    let lines = metrics.lines().filter(|l| l.starts_with("pollenshed_peer_answer_bytes_total"));
+    lines.filter_map(|l| l.rsplit(' ').next()?.parse::<f64>().ok()).sum::<f64>() as u64
+}
+
+/// Guards against a whole table for each instance of a region at the same moment, because the store
+/// has forgotten its history and the reader has read the table again. In a region of a hundred
+/// instances most of these transfers did not end in time, and each instance read the store itself.
+#[googletest::test]
+fn followers_get_changes_only_after_the_reader_has_read_a_table_again() {
+    const SERVERS: u32 = 1_000;
+    let fleet = Fleet::with(1, 3);
+    let put = |number: u32, state: &str| {
+        let record = json!({
+            "service": format!("other-{:x}", fastrand::u64(..)), "address": "10.0.0.1:80",
+            "zone": "palermo-a", "slots": 3, "state": state, "born": 5, "sequence": 1,
+        });
+        fleet.store.put("servers", &format!("x-{number}"), record.to_string().as_bytes());
+    };
+    (0..SERVERS).for_each(|number| put(number, "ready"));
+    let wait_for_line = |line: &str| {
+        for instance in &fleet.instances {
+            wait_for(line, || instance.log().contains(line).then_some(()));
+        }
+    };
+    wait_for_line(&format!("ready; server=x-{} ", SERVERS - 1));
+    let whole = bytes_to_followers(&fleet.instances[0]);
+    let reads_again =
+        || fleet.instances[0].log().contains("history is gone, reading again; table=servers");
+    let mut removed = 0;
+    // The reader may get a removal before the history is gone.
+    while !reads_again() {
+        fleet.store.remove("servers", &format!("x-{removed}"));
+        put(SERVERS + removed, "ready");
+        fleet.store.truncate_history();
+        wait_for_line(&format!("gone; server=x-{removed} "));
+        wait_for_line(&format!("ready; server=x-{} ", SERVERS + removed));
+        removed += 1;
+    }
+    // The first transfers were of the whole table for each of the two followers.
+    let sent = bytes_to_followers(&fleet.instances[0]) - whole;
+    expect_that!(sent, lt(whole / 4), "{removed} removals");
+}
--- a/crates/pollenshed/tests/steer_tables.rs
+++ b/crates/pollenshed/tests/steer_tables.rs
@@ -1,7 +1,7 @@
 //! Tests of the local copies of the store's tables, from which peers learn of removals.
 
 use googletest::prelude::*;
-use pollenshed::steer::tables::{Table, TableView};
+use pollenshed::steer::tables::{KnownVersions, Table, TableView};
 use pollenshed_platform::store::{Row, StoreEra, StoreVersion};
 use pollenshed_state::time::Instant;
 use serde_json::{Value, json};
@@ -23,8 +23,9 @@
 
 /// Applies to `to` what it gets from a peer with the copy `from`, as instances do.
 fn follow(from: &TableView, to: &mut TableView) {
-    let after = to.version.unwrap_or_default();
-    let is_whole = !from.knows_removals_since(after);
+    let known = to.known_versions().unwrap_or_default();
+    let after = known.complete;
+    let is_whole = !from.knows_removals_since(known);
     let mut rows = from.changes(if is_whole { StoreVersion::default() } else { after });
     let version = from.published_version().unwrap_or_default();
     if is_whole {
@@ -33,6 +34,7 @@
     if is_whole || to.version.is_none() {
         to.record_whole(from.removals_known_since());
     }
+    to.record_gaps(from.removal_gaps().iter().filter(|gap| gap.end > after).copied());
     rows.retain(|row| !to.lacks_removed(row));
     to.merge(Table::Instances, rows, Instant::default());
     to.version = Some(version);
@@ -106,7 +108,7 @@
     follow(&snapshot, &mut other);
     expect_that!(other.keys().cloned().collect::<Vec<_>>(), eq(&vec![kept.key]));
     // Who knows the table up to that version gets changes only.
-    expect_that!(started.knows_removals_since(at(5)), eq(true));
+    expect_that!(started.knows_removals_since(KnownVersions::up_to(at(5))), eq(true));
 }
 
 /// Guards against a removed row that an instance takes back from a peer which does not know of the
@@ -133,10 +135,102 @@
 fn a_peer_that_knows_all_that_is_published_gets_changes_only() {
     let mut source = read_at(20, row(1, Some("kept"), 1));
     source.first_held_removal = Some(at(15));
-    expect_that!(source.knows_removals_since(at(13)), eq(false));
-    expect_that!(source.knows_removals_since(at(14)), eq(true));
+    expect_that!(source.knows_removals_since(KnownVersions::up_to(at(13))), eq(false));
+    expect_that!(source.knows_removals_since(KnownVersions::up_to(at(14))), eq(true));
     source.first_held_removal = None;
-    expect_that!(source.knows_removals_since(at(14)), eq(false));
+    expect_that!(source.knows_removals_since(KnownVersions::up_to(at(14))), eq(false));
+}
+
+/// Reads a table as a whole, as of a version, as an instance does whose store has no history since
+/// the version that is known.
+fn read_again(view: &mut TableView, rows: Vec<Row>, version: u64) {
+    view.record_read(at(version));
+    let removals = view.removals_for_whole_table(&rows, at(version));
+    view.merge(Table::Instances, [rows, removals].concat(), Instant::default());
+    view.version = Some(at(version));
+}
+
+/// Guards against whole tables that go to all instances of a region at once because its reader has
+/// read them again: most of the transfers would not end in time.
+#[googletest::test]
+fn a_table_that_was_read_again_is_passed_on_as_changes() {
+    let rows = |count: u64| (0..count).map(|number| row(number, Some("row"), number + 1));
+    let mut source = read_at(100, row(0, Some("row"), 1));
+    source.merge(Table::Instances, rows(50).collect(), Instant::default());
+    let mut behind = TableView::default();
+    follow(&source, &mut behind);
+    source.merge(Table::Instances, vec![row(7, None, 110)], Instant::default());
+    source.version = Some(at(110));
+    let mut later: Vec<Row> = rows(50).filter(|r| !["i-7", "i-8"].contains(&&*r.key)).collect();
+    later.push(row(60, Some("row"), 130));
+    read_again(&mut source, later.clone(), 150);
+    let known = behind.known_versions().unwrap();
+    expect_that!(source.knows_removals_since(known), eq(true));
+    // Two removals and a new row.
+    expect_that!(source.changes(known.complete).len(), eq(3));
+    follow(&source, &mut behind);
+    let keys = |view: &TableView| view.keys().cloned().collect::<Vec<_>>();
+    expect_that!(keys(&behind), eq(&keys(&source)));
+    expect_that!(keys(&behind).len(), eq(49));
+
+    // One more each time that the history is gone, for a peer that is a few of them behind.
+    for number in 0..20 {
+        if number % 5 == 0 {
+            follow(&source, &mut behind);
+        }
+        let version = 200 + 10 * number;
+        later.push(row(200 + number, Some("row"), version - 5));
+        read_again(&mut source, later.clone(), version);
+        let known = behind.known_versions().unwrap();
+        expect_that!(source.knows_removals_since(known), eq(true), "read {number}");
+    }
+    // One that is far behind gets the whole table.
+    expect_that!(source.knows_removals_since(KnownVersions::up_to(at(150))), eq(false));
+    follow(&source, &mut behind);
+    expect_that!(keys(&behind), eq(&keys(&source)));
+    // A copy of a later era, and a first read, show nothing of removals before them.
+    source.record_read(restored_at(200));
+    source.version = Some(restored_at(200));
+    expect_that!(source.knows_removals_since(KnownVersions::up_to(at(390))), eq(false));
+    let mut started = TableView::default();
+    read_again(&mut started, later, 390);
+    expect_that!(started.knows_removals_since(KnownVersions::up_to(at(389))), eq(false));
+}
+
+/// Guards against a row that stays in use because it was written and removed while the store had no
+/// history, and the instance that read the table again never knew it.
+#[googletest::test]
+fn a_row_of_a_gap_in_the_history_is_removed_everywhere() {
+    let kept = row(1, Some("kept"), 1);
+    let short = row(2, Some("short"), 110);
+    // The source misses the row between 100 and 150. Others have learned of it from another reader,
+    // one of them together with all changes up to it, one while something is held back.
+    let mut source = read_at(100, kept.clone());
+    let mut before = TableView::default();
+    follow(&source, &mut before);
+    let mut ahead = read_at(100, kept.clone());
+    ahead.merge(Table::Instances, vec![short.clone()], Instant::default());
+    ahead.version = Some(at(120));
+    let mut held = read_at(100, kept.clone());
+    held.merge(Table::Instances, vec![short], Instant::default());
+    let mut behind_held = TableView::default();
+    behind_held.merge(Table::Instances, held.changes(StoreVersion::default()), Instant::default());
+    behind_held.version = Some(at(120));
+
+    read_again(&mut source, vec![kept.clone()], 150);
+    // It passes on what it does not know.
+    follow(&source, &mut before);
+    expect_that!(before.removal_gaps(), eq(source.removal_gaps()));
+    for (source, mut view) in [(&source, ahead), (&source, held), (&before, behind_held)] {
+        expect_that!(view.value("i-2"), some(anything()));
+        follow(source, &mut view);
+        expect_that!(view.keys().cloned().collect::<Vec<_>>(), eq(&vec![kept.key.clone()]));
+    }
+    // Who knows the table up to the second read, or no row after the first one, gets changes only.
+    for version in [100, 150, 160] {
+        let known = KnownVersions::up_to(at(version));
+        expect_that!(source.knows_removals_since(known), eq(true), "{version}");
+    }
 }
 
 /// Guards against tables that are sent as a whole although the changes are known.
@@ -147,7 +241,7 @@
     source.merge(Table::Instances, rows.collect(), Instant::default());
     source.merge(Table::Instances, vec![row(7, None, 200)], Instant::default());
     source.version = Some(at(200));
-    expect_that!(source.knows_removals_since(at(150)), eq(true));
+    expect_that!(source.knows_removals_since(KnownVersions::up_to(at(150))), eq(true));
     expect_that!(source.changes(at(150)).len(), eq(1));
 }
 
