steer: an instance that is busy with the tables names others that have them

Cause: the 295 instances of large Cali start at the same moment and know only the one instance of their region that their settings name. It hands out the tables every 60 ms, and who has got them tells only those whose rows are in the store by then. Change: a peer that gets no tables because this instance has just sent them to another one is told three instances of the region that have them, and asks these first. Older builds send and read none. The new test failed before: the instance read the store, and none was named within 20 s.

--- a/crates/pollenshed/src/steer/core.rs
+++ b/crates/pollenshed/src/steer/core.rs
@@ -434,6 +434,16 @@
             .snapshot_source(domain, regions, failed, self.now(), |count| fastrand::usize(..count))
     }
 
+    /// Returns the addresses of the peers of this region that have all tables.
+    pub fn near_snapshot_sources(&self) -> Vec<SocketAddr> {
+        let regions = &self.settings.failure_domains;
+        let members = self.members.borrow();
+        let near = members
+            .usable(self.now())
+            .filter(|m| regions.get(&m.record.failure_domain) == Some(self.settings.region()));
+        near.map(|m| m.record.peer_address).collect()
+    }
+
     /// Returns the gauges for a scrape of the metrics.
     pub fn gauges(&self) -> GaugeValues {
         let now = self.now();
--- a/crates/pollenshed/src/steer/peer_view.rs
+++ b/crates/pollenshed/src/steer/peer_view.rs
@@ -42,6 +42,9 @@
 /// time. Instances that ask sooner take another one that has the tables by then.
 const SNAPSHOT_INTERVAL_MS: u64 = 60;
 
+/// Maximum number of other instances that are named to a peer that does not get the tables here.
+const MAX_OTHER_SOURCES: usize = 3;
+
 /// Timeout of a call for all tables. It is longer than that of changes, because the response is
 /// much larger.
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -185,6 +188,30 @@
     }
 }
 
+/// Answer to a peer that gets no tables now. Instances that start together know nearly only those
+/// that their settings name, which can't provide all of them with the tables in time.
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+struct OtherSources {
+    /// Addresses of instances that have the tables.
+    #[prost(string, repeated, tag = "1")]
+    addresses: Vec<String>,
+}
+
+impl OtherSources {
+    fn new(core: &Core) -> OtherSources {
+        let mut sources = core.near_snapshot_sources();
+        fastrand::shuffle(&mut sources);
+        sources.truncate(MAX_OTHER_SOURCES);
+        OtherSources { addresses: sources.iter().map(ToString::to_string).collect() }
+    }
+
+    fn addresses(&self) -> Vec<SocketAddr> {
+        let addresses = self.addresses.iter().filter_map(|address| address.parse().ok());
+        addresses.take(MAX_OTHER_SOURCES).collect()
+    }
+}
+
 /// Handles a peer's request for changes.
 pub async fn handle(core: Rc<Core>, request: Request<Incoming>) -> Response<ResponseBody> {
     if request.uri().path() != CHANGES_PATH {
@@ -198,7 +225,10 @@
     };
     if query.is_for_snapshot() {
         if !may_send_snapshot(&core) {
-            return empty_response(StatusCode::SERVICE_UNAVAILABLE);
+            let body = Bytes::from(OtherSources::new(&core).encode_to_vec());
+            let mut response = Response::new(ResponseBody::from(body));
+            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            return response;
         }
         core.snapshot_sent_at.set(Some(core.now()));
     } else if !query.homes || !core.has_homes.get() {
@@ -330,11 +360,18 @@
     // are newer.
     let mut needs_homes = true;
     let mut failed = Vec::new();
+    // Peers that another one has named for the tables.
+    let mut named = Vec::new();
     loop {
         let now = core.now();
         let needs_tables = core.tables.borrow().servers.version.is_none();
         let candidate = if needs_tables {
-            core.snapshot_source(&failed)
+            let is_possible =
+                |peer: &SocketAddr| !failed.contains(peer) && *peer != core.settings.peer_address();
+            std::mem::take(&mut named)
+                .into_iter()
+                .find(is_possible)
+                .or_else(|| core.snapshot_source(&failed))
         } else {
             core.sync_source(&failed).filter(|_| {
                 needs_homes || !core.is_region_reader() || !core.store_answered_recently()
@@ -349,13 +386,16 @@
         let reuse = source.take().filter(|(address, _)| *address == peer);
         let (address, mut client) = reuse.unwrap_or_else(|| (peer, HttpClient::new(peer)));
         match fetch(&core, &mut client, needs_homes).await {
-            Ok(Fetched { is_current: true, has_homes }) => {
+            Ok(Fetched { is_current: true, has_homes, .. }) => {
                 core.peer_synced_at.set(Some(core.now()));
                 needs_homes &= !has_homes;
                 failed.clear();
                 source = Some((address, client));
             }
-            Ok(_) => failed.push(address),
+            Ok(Fetched { other_sources, .. }) => {
+                failed.push(address);
+                named = other_sources;
+            }
             Err(error) => {
                 log::info!("peers: fetch failed; peer={address} error={error:?}");
                 failed.push(address);
@@ -369,12 +409,14 @@
 }
 
 /// What a response of a peer shows.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug)]
 struct Fetched {
     /// The peer reads the store or follows a peer that does.
     is_current: bool,
     /// It provided the homes of all objects.
     has_homes: bool,
+    /// Peers that provide the tables if this one does not.
+    other_sources: Vec<SocketAddr>,
 }
 
 /// Fetches and applies the changes of a peer.
@@ -408,7 +450,9 @@
     let (head, body) = reply.map_err(|e| e.to_string())?.into_parts();
     let status = head.status;
     if status == StatusCode::SERVICE_UNAVAILABLE {
-        return Ok(Fetched { is_current: false, has_homes: false });
+        // An older build names none.
+        let other_sources = OtherSources::decode(body).unwrap_or_default().addresses();
+        return Ok(Fetched { is_current: false, has_homes: false, other_sources });
     }
     if !status.is_success() {
         return Err(format!("status {status}"));
@@ -467,5 +511,5 @@
         };
         apply::apply_peer_changes(core, table, changes);
     }
-    Ok(Fetched { is_current: response.current, has_homes })
+    Ok(Fetched { is_current: response.current, has_homes, other_sources: Vec::new() })
 }
--- a/crates/pollenshed/tests/steer_large_region.rs
+++ b/crates/pollenshed/tests/steer_large_region.rs
@@ -5,12 +5,16 @@
 
 use std::{
     collections::BTreeSet,
+    io::{BufRead, BufReader, Read, Write},
+    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket},
+    thread,
     time::{Duration, Instant},
 };
 
 use googletest::prelude::*;
 use pollenshed_standins::steered::ServerOptions;
-use steer_support::{Fleet, Instance, request, wait_for};
+use prost::Message;
+use steer_support::{Fleet, Instance, PEER_PORT, request, wait_for};
 
 /// Requests of one object in each step of a test.
 const REQUESTS: usize = 12;
@@ -140,3 +144,111 @@
     let allowed = 20 + 4 * start.elapsed().as_secs();
     expect_that!(fleet.store.calls(), le(allowed));
 }
+
+/// Heartbeat of a peer, with the fields that this test needs.
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+struct Heartbeat {
+    #[prost(string, tag = "1")]
+    instance: String,
+    #[prost(fixed64, tag = "2")]
+    incarnation: u64,
+    #[prost(string, tag = "3")]
+    failure_domain: String,
+    #[prost(string, tag = "4")]
+    callers_address: String,
+    #[prost(string, tag = "5")]
+    peer_address: String,
+    #[prost(bool, tag = "7")]
+    ready: bool,
+    #[prost(uint64, tag = "14")]
+    heartbeat_interval_ms: u64,
+    #[prost(uint64, tag = "16")]
+    beat: u64,
+}
+
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+struct PeerDatagram {
+    #[prost(message, optional, tag = "1")]
+    heartbeat: Option<Heartbeat>,
+}
+
+/// Answer of a peer that provides no tables now.
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+struct OtherSources {
+    #[prost(string, repeated, tag = "1")]
+    addresses: Vec<String>,
+}
+
+/// Acts as an instance that has the tables and is always busy, and names `other` instead. It ends
+/// with the process of the test.
+fn spawn_busy_peer(ip: Ipv4Addr, other: SocketAddr) {
+    let socket = UdpSocket::bind((ip, PEER_PORT)).unwrap();
+    let listener = TcpListener::bind((ip, PEER_PORT)).unwrap();
+    thread::spawn(move || {
+        let mut buffer = [0; 8 * 1024];
+        for beat in 1.. {
+            let (_, from) = socket.recv_from(&mut buffer).unwrap();
+            let heartbeat = Heartbeat {
+                instance: "busy".to_owned(),
+                incarnation: 1,
+                failure_domain: "palermo-a".to_owned(),
+                callers_address: format!("{ip}:1"),
+                peer_address: format!("{ip}:{PEER_PORT}"),
+                ready: true,
+                heartbeat_interval_ms: 1_000,
+                beat,
+            };
+            let datagram = PeerDatagram { heartbeat: Some(heartbeat) }.encode_to_vec();
+            let _ = socket.send_to(&datagram, from);
+        }
+    });
+    let answer = OtherSources { addresses: vec!["nonsense".to_owned(), other.to_string()] };
+    let answer = answer.encode_to_vec();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut reader = BufReader::new(stream.unwrap());
+            let mut head = String::new();
+            while !head.ends_with("\r\n\r\n") && reader.read_line(&mut head).unwrap_or(0) > 0 {}
+            let length = head.to_lowercase().split("content-length: ").nth(1).map_or(0, |rest| {
+                rest.lines().next().and_then(|length| length.parse().ok()).unwrap_or(0)
+            });
+            let _ = reader.read_exact(&mut vec![0; length]);
+            let head = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: ";
+            let head = format!("{head}{}\r\n\r\n", answer.len());
+            let _ = reader.get_mut().write_all(&[head.as_bytes(), &answer].concat());
+        }
+    });
+}
+
+/// Guards against instances that read the store because the few that they know at their start
+/// provide others with the tables: in a start of a hundred instances many did.
+#[googletest::test]
+fn an_instance_that_is_busy_names_others_that_have_the_tables() {
+    let mut fleet = large_region(1, 1);
+    let busy = fleet.ip(13);
+    spawn_busy_peer(busy, fleet.instances[0].peer_address());
+    fleet.start_with_seed("palermo-a", fleet.store_endpoint.address(), busy);
+    let started = &fleet.instances[1];
+    wait_for("readiness", || (started.ready() == Some(200)).then_some(()));
+    expect_that!(started.log(), not(contains_substring("use=reads-without-peer")));
+
+    // The first one names the second one as soon as it has heard of it.
+    let named = format!("{}", started.peer_address());
+    wait_for("the address of the second instance", || {
+        let ask = || {
+            let mut peer = TcpStream::connect(fleet.instances[0].peer_address()).unwrap();
+            let head = "POST /v1/changes HTTP/1.1\r\nHost: peer\r\nConnection: close\r\n";
+            peer.write_all(format!("{head}Content-Length: 0\r\n\r\n").as_bytes()).unwrap();
+            peer
+        };
+        // The first of two gets the tables, unless it comes too early for that as well.
+        let _first = ask();
+        let mut answer = Vec::new();
+        ask().read_to_end(&mut answer).ok()?;
+        let answer = String::from_utf8_lossy(&answer);
+        (answer.starts_with("HTTP/1.1 503 ") && answer.contains(&named)).then_some(())
+    });
+}
--- a/crates/pollenshed/tests/steer_support/mod.rs
+++ b/crates/pollenshed/tests/steer_support/mod.rs
@@ -26,7 +26,7 @@
 const CALLERS_PORT: u16 = 8641;
 const LOOKUP_PORT: u16 = 8644;
 const READY_PORT: u16 = 8640;
-const PEER_PORT: u16 = 7620;
+pub const PEER_PORT: u16 = 7620;
 const METRICS_PORT: u16 = 9464;
 
 static NEXT_FLEET: AtomicU16 = AtomicU16::new(0);
@@ -180,6 +180,11 @@
         caller.read().unwrap().body
     }
 
+    /// Returns the address for peers.
+    pub fn peer_address(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, PEER_PORT)
+    }
+
     /// Looks up the instances to use.
     pub fn lookup(&self, query: &str) -> Option<Answer> {
         let mut caller = Caller::connect(SocketAddr::new(self.ip, LOOKUP_PORT));
@@ -307,6 +312,11 @@
 
     /// Starts an instance that uses another address of the store.
     pub fn start_with(&mut self, failure_domain: &str, store: SocketAddr) {
+        self.start_with_seed(failure_domain, store, self.ip(0));
+    }
+
+    /// Starts an instance that knows only this one at its start.
+    pub fn start_with_seed(&mut self, failure_domain: &str, store: SocketAddr, seed: Ipv4Addr) {
         let number = self.instances.len();
         let name = format!("front-{number}");
         let file = self.folder.join(format!("{name}.json"));
@@ -314,7 +324,7 @@
         let mut settings = settings(&name, failure_domain, ip, store);
         settings["memory_mb"] = json!(self.memory_mb);
         settings["full_mesh_peers"] = json!(self.full_mesh_peers);
-        settings["seeds"] = json!([format!("{}:8649", self.ip(0))]);
+        settings["seeds"] = json!([format!("{seed}:8649")]);
         fs::write(&file, serde_json::to_string_pretty(&settings).unwrap()).unwrap();
         let child = spawn(&file);
         self.instances.push(Instance { name, ip: ip.into(), file, child });
@@ -342,7 +352,7 @@
 
     /// Each instance has its own loopback address, so that all use the same ports, as on the users'
     /// machines.
-    fn ip(&self, instance: usize) -> Ipv4Addr {
+    pub fn ip(&self, instance: usize) -> Ipv4Addr {
         let process = std::process::id() % (1 << 14);
         let number = u32::from(self.number) % (1 << 6);
         let host = (process << 10) | (number << 4) | (instance as u32 + 1);
