limits: the owner of a crashed server makes the second run first

In most runs the first copies crash at both owners, so that the second crash is known before. Change: an owner that was told of the first crash waits 300 ms longer. Not covered: two owners that were both told, if the owner of the crashed server has no further copy; runs that take longer than the 300 ms to crash.

--- a/crates/coordination/src/limits/mod.rs
+++ b/crates/coordination/src/limits/mod.rs
@@ -21,7 +21,9 @@
 
 pub use entry::EntryAdmission;
 pub use policy::SchedulerPolicy;
-pub use quarantine::{Quarantine, QuarantineEntry, SECOND_RUN_DELAY_MS, StartDecision};
+pub use quarantine::{
+    Quarantine, QuarantineEntry, SECOND_RUN_DELAY_MS, StartDecision, TOLD_RUN_DELAY_MS,
+};
 pub use retry::RetryBudget;
 pub use scheduler::Scheduler;
 pub use work::{
--- a/crates/coordination/src/limits/quarantine.rs
+++ b/crates/coordination/src/limits/quarantine.rs
@@ -7,7 +7,8 @@
 //! with no other request on that server. After crashes on two servers it is refused. Copies that
 //! other owners were already running when they learned of the first crash are outside this bound.
 //! The second run waits until crashes at other owners have become known, so that each owner adds at
-//! most one of these.
+//! most one of these, and it waits longer at owners that were told of the crash, so that it does not
+//! begin at several owners at the same moment.
 //!
 //! Several requests may run on a server that crashes. Content that has not completed recently
 //! becomes a suspect; content that has becomes one only if all content on the server has. The
@@ -28,6 +29,10 @@
 /// Delay from the first known crash to the second run. It is two gossip periods, so that an owner
 /// learns of crashes at other owners whose copies arrived at the same instant.
 pub const SECOND_RUN_DELAY_MS: u64 = 500;
+/// Additional delay at an owner that was told of the crash by others. The owner of the crashed server
+/// runs its own copy first, and what comes of it is known here before this delay is over, if the run
+/// crashes its server within about 50 ms as is usual.
+pub const TOLD_RUN_DELAY_MS: u64 = 300;
 /// Maximum number of suspected or refused contents that are remembered.
 const MAX_SUSPECTS: usize = 4_096;
 /// Maximum number of completions that are remembered.
@@ -72,6 +77,8 @@
     last_crash: Instant,
     /// Whether the content had completed recently before its first crash.
     had_completed: bool,
+    /// Whether the first crash was that of a server of this owner.
+    was_seen_here: bool,
 }
 
 impl Suspect {
@@ -216,6 +223,7 @@
             self.add(content, std::slice::from_ref(server), self.retention_ms, now);
             if let Some(suspect) = self.suspects.get_mut(&content).filter(|_| !is_known) {
                 suspect.had_completed = had_completed;
+                suspect.was_seen_here = true;
             }
         }
     }
@@ -287,9 +295,11 @@
             expires_at: now,
             last_crash: now,
             had_completed: false,
+            was_seen_here: false,
         });
         if suspect.expires_at <= now {
             suspect.crashed.clear();
+            suspect.was_seen_here = false;
         }
         for server in servers {
             if suspect.crashed.len() < MAX_CRASHES && !suspect.crashed.contains(server) {
@@ -320,12 +330,16 @@
         }
     }
 
-    /// Returns whether crashes of the content at other owners may not be known here yet. Content
+    /// Returns whether crashes of the content at other owners may not be known here yet, or whether
+    /// the owner of the crashed server may be about to run it again. Content
     /// that had completed need not wait, because it is an unlikely cause and many callers may want
     /// it.
     fn awaits_peer_reports(&self, content: &Digest, now: Instant) -> bool {
         let suspect = self.suspects.get(content).filter(|s| !s.had_completed);
-        suspect.is_some_and(|s| now.since_ms(s.last_crash) < SECOND_RUN_DELAY_MS)
+        suspect.is_some_and(|s| {
+            let told_ms = if s.was_seen_here { 0 } else { TOLD_RUN_DELAY_MS };
+            now.since_ms(s.last_crash) < SECOND_RUN_DELAY_MS + told_ms
+        })
     }
 
     /// Returns whether the content is suspected although it had completed. Copies of it may have
