stand-ins: a proxy keeps its port while it refuses connections

It gave its port back while it refused connections, and a connection of another process had got it as its source by then. The stand-in of backend servers holds its port by a second socket for that reason; the proxy did not. Change: both hold it in the same way, `HeldPort`.

--- a/crates/standins/src/backend/server.rs
+++ b/crates/standins/src/backend/server.rs
@@ -11,7 +11,6 @@
 };
 
 use pollenshed_protocol::backend::DRAINING_HEADER;
-use socket2::{Domain, Socket, Type};
 
 use super::{
     http::{self, Answer, Head},
@@ -19,64 +18,48 @@
     state::{Shared, WAKE_TIMEOUT},
     work,
 };
-
-/// Length of the queue of connections that wait to be accepted; the standard library uses the same.
-const BACKLOG: i32 = 128;
+use crate::port::HeldPort;
 
 /// A bound port and the thread that accepts connections on it.
 pub(super) struct Listening {
-    address: SocketAddr,
-    /// Holds the port after a crash, so that no other process gets it before the restart.
-    _port: Socket,
+    /// Stays after a crash, so that no other process gets it before the restart.
+    port: HeldPort,
     stopping: Arc<AtomicBool>,
     thread: Option<JoinHandle<()>>,
 }
 
 impl Listening {
     pub fn bind(address: SocketAddr, shared: Arc<Shared>) -> io::Result<Listening> {
-        let port = bind_shared(address)?;
-        let address = port.local_addr()?.as_socket().unwrap_or(address);
-        let listener = bind_shared(address)?;
-        listener.listen(BACKLOG)?;
-        let listener = TcpListener::from(listener);
+        let port = HeldPort::bind(address)?;
+        let listener = port.listen()?;
         let stopping = Arc::new(AtomicBool::new(false));
         let stop = stopping.clone();
         let epoch = {
             let mut state = shared.lock();
             state.up = true;
-            state.address = Some(address);
+            state.address = Some(port.address());
             state.epoch
         };
         let thread = thread::Builder::new()
             .name("backend-accept".to_owned())
             .spawn(move || accept(&listener, &shared, &stop, epoch))?;
-        Ok(Listening { address, _port: port, stopping, thread: Some(thread) })
+        Ok(Listening { port, stopping, thread: Some(thread) })
     }
 
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.port.address()
     }
 
     /// Stops listening and returns when the port is closed.
     pub fn stop(&mut self) {
         self.stopping.store(true, Ordering::SeqCst);
         if let Some(thread) = self.thread.take() {
-            let _ = TcpStream::connect_timeout(&self.address, WAKE_TIMEOUT);
+            let _ = TcpStream::connect_timeout(&self.address(), WAKE_TIMEOUT);
             let _ = thread.join();
         }
     }
 }
 
-/// Binds a socket that shares its port with other sockets of this process. Only a socket that
-/// listens gets connections.
-fn bind_shared(address: SocketAddr) -> io::Result<Socket> {
-    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
-    socket.set_reuse_port(true)?;
-    socket.set_reuse_address(true)?;
-    socket.bind(&address.into())?;
-    Ok(socket)
-}
-
 fn accept(listener: &TcpListener, shared: &Arc<Shared>, stop: &AtomicBool, epoch: u64) {
     let mut number = epoch << 32;
     for stream in listener.incoming() {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,5 +5,6 @@
 
 pub mod backend;
 pub mod platform;
+mod port;
 pub mod proxy;
 pub mod steered;
--- a/crates/standins/src/proxy/mod.rs
+++ b/crates/standins/src/proxy/mod.rs
@@ -22,8 +22,8 @@
 
 pub use diag::peer_inode;
 
-use connection::Connection;
-use faults::Shared;
+use self::{connection::Connection, faults::Shared};
+use crate::port::HeldPort;
 
 /// Timeout of connecting to the target and of the connection that wakes the accepting thread.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -45,7 +45,8 @@
 
 /// A running proxy. It closes its connections and stops when dropped.
 pub struct Proxy {
-    address: SocketAddr,
+    /// Stays while the proxy refuses connections.
+    port: HeldPort,
     shared: Arc<Shared>,
     listening: Option<Listening>,
 }
@@ -74,16 +75,17 @@
 
     fn open(address: SocketAddr, shared: Shared) -> Result<Proxy> {
         let shared = Arc::new(shared);
-        let listener = TcpListener::bind(address)
-            .wrap_err_with(|| format!("proxy cannot listen on {address}"))?;
-        let address = listener.local_addr()?;
+        let port =
+            HeldPort::bind(address).wrap_err_with(|| format!("proxy cannot take {address}"))?;
+        let listener =
+            port.listen().wrap_err_with(|| format!("proxy cannot listen on {}", port.address()))?;
         let listening = Listening::spawn(listener, shared.clone())?;
-        Ok(Proxy { address, shared, listening: Some(listening) })
+        Ok(Proxy { port, shared, listening: Some(listening) })
     }
 
     /// Returns the address to connect to.
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.port.address()
     }
 
     /// Sends connections that are made from now on to another target.
@@ -139,15 +141,17 @@
     /// Closes the port, so that connecting fails at once. Open connections are not affected.
     pub fn refuse_new(&mut self) {
         if let Some(listening) = self.listening.take() {
-            listening.stop(self.address);
+            listening.stop(self.address());
         }
     }
 
     /// Opens the same port again after [`Proxy::refuse_new`].
     pub fn accept_new(&mut self) -> Result<()> {
         if self.listening.is_none() {
-            let listener = TcpListener::bind(self.address)
-                .wrap_err_with(|| format!("proxy cannot listen again on {}", self.address))?;
+            let listener = self
+                .port
+                .listen()
+                .wrap_err_with(|| format!("proxy cannot listen again on {}", self.address()))?;
             self.listening = Some(Listening::spawn(listener, self.shared.clone())?);
         }
         Ok(())
--- a/crates/standins/tests/proxy.rs
+++ b/crates/standins/tests/proxy.rs
@@ -176,3 +176,19 @@
     caller.set_read_timeout(Some(CONDITION_TIMEOUT)).unwrap();
     caller
 }
+
+/// Guards against a port that another process gets while the proxy refuses connections, after which
+/// it can't accept any again.
+#[gtest]
+fn a_port_that_refuses_connections_stays_taken() {
+    let (mut proxy, _caller, _target, listener) = connected();
+    proxy.refuse_new();
+    let error = TcpListener::bind(proxy.address()).unwrap_err();
+    expect_that!(error.kind(), eq(ErrorKind::AddrInUse));
+    let error = TcpStream::connect(proxy.address()).unwrap_err();
+    expect_that!(error.kind(), eq(ErrorKind::ConnectionRefused));
+    proxy.heal().unwrap();
+    let mut caller = TcpStream::connect(proxy.address()).unwrap();
+    let (mut target, _) = listener.accept().unwrap();
+    pass(&mut caller, &mut target, "question");
+}
