--- a/crates/coordination/src/limits/quarantine.rs
+++ b/crates/coordination/src/limits/quarantine.rs
@@ -29,9 +29,8 @@
 /// Delay from the first known crash to the second run. It is two gossip periods, so that an owner
 /// learns of crashes at other owners whose copies arrived at the same instant.
 pub const SECOND_RUN_DELAY_MS: u64 = 500;
-/// Additional delay at an owner that was told of the crash by others. The owner of the crashed server
-/// runs its own copy first, and what comes of it is known here before this delay is over, if the run
-/// crashes its server within about 50 ms as is usual.
+/// Additional delay at an owner that learned of the crash from a peer. The owner of the crashed server
+/// runs its own copy first, and mostly reports what came of it before this delay is over.
 pub const TOLD_RUN_DELAY_MS: u64 = 300;
 /// Maximum number of suspected or refused contents that are remembered.
 const MAX_SUSPECTS: usize = 4_096;
