stand-ins: bytes after an answer come together with it

The stand-in sent the whole answer and the first bytes after it in two writes. If it is suspended in between, the connection looks as good as any, and the next request is sent on it. No instance can tell by then. Shown: with a pause of 10 ms between the two writes the test fails in the same way, 502 for the requests after the first, and 503 once the server is avoided. Change: the first piece is part of the first write.

--- a/crates/standins/src/steered/server.rs
+++ b/crates/standins/src/steered/server.rs
@@ -617,7 +617,9 @@
         Fault::TrickledBody => (head + "\r\n", "0".to_owned()),
         _ => (String::new(), "\u{1}\u{2}no answer".repeat(100)),
     };
-    let mut sent = stream.write_all(start.as_bytes());
+    // The first piece comes with the start: a connection on which a whole answer has come, and nothing
+    // more yet, may be used for another request by then.
+    let mut sent = stream.write_all((start + &piece).as_bytes());
     while sent.is_ok() && !has_ended(stream) {
         sent = stream.write_all(piece.as_bytes());
         if fault == Fault::TrickledBody {
