Show that a planned stop cuts answers before the grace ends

The stop ends the process 0.5 s before the platform would, and with it the connections of callers that still read.

Adds case 14: callers read answers evenly and would be done 5.7 s after SIGTERM, with a grace of 6 s.

--- a/review/stand-ins-3.rs
+++ b/review/stand-ins-3.rs
@@ -506,10 +506,11 @@
 type Case = fn(bool, &Record) -> usize;
 
 /// Cases by the number of their folder.
-const CASES: [(&str, Case); 3] = [
+const CASES: [(&str, Case); 4] = [
     ("11", upload_answered_early),
     ("12", server_started_again_elsewhere),
     ("13", entry_of_another_writer),
+    ("14", answers_within_the_grace),
 ];
 
 /// Starts a server that serves each connection with `run`, which gets the head of a request and the
@@ -776,6 +777,89 @@
     }
     late.len()
 }
+/// Case 14: answers that end within the grace of a planned stop.
+fn answers_within_the_grace(has_trouble: bool, record: &Record) -> usize {
+    const BODY_BYTES: usize = 6_000_000;
+    const CALLERS: usize = 4;
+    const BUDGET_MS: u64 = 20_000;
+    const GRACE_MS: u64 = 6_000;
+    /// Time from the request until its caller has read the whole answer.
+    const READING_MS: u64 = 6_000;
+    /// Time from the requests to SIGTERM.
+    const BEFORE_STOP_MS: u64 = 300;
+    let store = Store::open(&loopback(3));
+    let events = record.clone();
+    let address = serve_requests(record, "i-1", move |head, reader| {
+        let id = head.id();
+        reader.get_mut().write_all(answer_head(&id, BODY_BYTES).as_bytes())?;
+        reader.get_mut().write_all(&content(BODY_BYTES))?;
+        events.add(format!("server i-1 has sent its whole answer to {id}"));
+        Ok(())
+    });
+    let route = Route {
+        name: "pack",
+        kind: "download",
+        service: "catalogue",
+        timeout_ms: BUDGET_MS,
+        regions: "",
+    };
+    store.put("op", "config", Some(&config_json(&[route])));
+    let announcement = Announcement {
+        name: "i-1",
+        service: "catalogue",
+        address,
+        zone: "palermo-a",
+        born_ms: 1_000,
+    };
+    let _announced = announcement.keep(&store, record);
+    let mut instance = Instance::start(&store);
+    // Longer than `contact` before the requests nothing happens.
+    thread::sleep(ms(4_000));
+    let read = |number: usize, mut caller: Caller| -> bool {
+        let id = format!("pack-{number}");
+        let start = Instant::now();
+        let head = request_head("GET", "/pack/x", &id, BUDGET_MS, "");
+        caller.send(head.as_bytes()).expect("a request can be sent");
+        record.add(format!("caller sent {id}"));
+        let answer = read_head(&mut caller.reader).ok().flatten();
+        let status = answer.as_ref().map_or(0, Head::status);
+        let wanted = answer.as_ref().map_or(0, Head::body_bytes);
+        let (mut got, mut piece, mut error) = (0, vec![0; 10_000], String::new());
+        while got < wanted && error.is_empty() {
+            let length = piece.len().min(wanted - got);
+            match caller.reader.read_exact(&mut piece[..length]) {
+                Ok(()) => got += length,
+                Err(e) => error = e.to_string(),
+            }
+            let due = ms(READING_MS * got as u64 / BODY_BYTES as u64);
+            thread::sleep(due.saturating_sub(start.elapsed()));
+        }
+        let took_ms = start.elapsed().as_millis() as u64;
+        record.add(format!(
+            "caller got {id}: {status}, {got} of {wanted} bytes after {took_ms} ms {error}"
+        ));
+        let is_cut = status == 200 && got < wanted && took_ms < BEFORE_STOP_MS + GRACE_MS;
+        if is_cut {
+            record.add(format!("BROKEN: the answer to {id} was cut before the end of the grace"));
+        }
+        is_cut
+    };
+    let cut = thread::scope(|scope| {
+        let callers = (0..CALLERS).map(|number| (number, instance.connect()));
+        let reading: Vec<_> =
+            callers.map(|(number, caller)| scope.spawn(move || read(number, caller))).collect();
+        thread::sleep(ms(BEFORE_STOP_MS));
+        if has_trouble {
+            instance.signal("TERM");
+            record.add("SIGTERM");
+        }
+        let ended = reading.into_iter().map(|r| r.join().expect("reading ends"));
+        ended.collect::<Vec<bool>>().into_iter().filter(|is_cut| *is_cut).count()
+    });
+    record.add(format!("the instance at the end: {:?}", instance.child.try_wait()));
+    cut
+}
+
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
     let [_, case, record_path] = arguments.as_slice() else {
